Turn away requests whose body could end in two places

net/http follows Transfer-Encoding and drops the Content-Length of a request that has both, so a request inside the body (by its Content-Length) was taken as the next one and sent to an app server. It does the reverse with HTTP/1.0. Neither field is left for the handler to compare, so chunked requests get 411 and HTTP/1.0 ones 505; after any request that is turned away its connection is closed.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -85,6 +85,7 @@
 	defer f.open.Add(-1)
 	req, status, err := f.read(w, r, class)
 	if err != nil {
+		w.Header().Set("Connection", "close") // what follows a bad request on its connection can't be trusted
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -119,6 +120,14 @@
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, errors.New("GET or POST only")
 	}
+	// net/http drops the Content-Length of a chunked request, and the Transfer-Encoding of an HTTP/1.0 one: the
+	// peer may have meant another end of the body, and what follows here as a request to be part of it.
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 only")
+	}
+	if len(r.TransferEncoding) > 0 {
+		return nil, http.StatusLengthRequired, errors.New("Content-Length only")
+	}
 	if id == "" {
 		return nil, http.StatusBadRequest, errors.New("X-Correlation-Id is missing")
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -201,7 +201,7 @@
 		"GET /read HTTP/1.1\r\n" + head + "X-Time-Left: NaN\r\n\r\n":                                                                        400,
 		"GET /read HTTP/1.1\r\n" + head + "X-Time-Left: soon\r\n\r\n":                                                                       400,
 		"POST /tag HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\nContent-Length: 0\r\n\r\n":                                                     400,
-		"POST /order HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n":                                400,
+		"POST /order HTTP/1.1\r\n" + head + "X-Time-Left: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n":                                411,
 		"GET / HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                                 404,
 		"GET /favicon.ico HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                      404,
 		"GET /health/other HTTP/1.1\r\nHost: h\r\n\r\n":                                                                                     404,
@@ -217,6 +217,30 @@
 	}
 }
 
+// A request whose end the node and its sender may see in different places is turned away, and so is all that
+// follows it: nothing that stood in a body becomes a request.
+func TestNoRequestOutOfABody(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	addr := backend(t, answering(func(*http.Request, []byte) string { got.Add(1); return ok("x") }))
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	head := "Host: h\r\nX-Time-Left: 9\r\n"
+	inner := "GET /read HTTP/1.1\r\nX-Correlation-Id: inner\r\n" + head + "\r\n"
+	for text, want := range map[string]int{
+		fmt.Sprintf("POST /order HTTP/1.1\r\nX-Correlation-Id: a\r\n%sContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s",
+			head, len(inner)+5, inner): 411,
+		"POST /order HTTP/1.0\r\nConnection: keep-alive\r\nX-Correlation-Id: b\r\n" + head +
+			"Transfer-Encoding: chunked\r\n\r\n" + inner: 505,
+	} {
+		if resp, _ := n.ask(t, text); resp.StatusCode != want || !resp.Close {
+			t.Errorf("%.30q: status %d, close %v, want %d and a close", text, resp.StatusCode, resp.Close, want)
+		}
+	}
+	if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 200 || got.Load() != 1 {
+		t.Errorf("an ordinary request after that: status %d; the backend got %d requests, want 1", resp.StatusCode, got.Load())
+	}
+}
+
 // What comes back from a backend, and what the module may make of it: an unsafe request is refused only if it
 // has never run.
 func TestOutcomes(t *testing.T) {
