Give a peer 2.2 s for a whole request, no longer 10 s for each part

Peers that connect and send nothing, or part of a request, kept their connection for 10 s (header) and 10 s more (body). At 20 such peers a second they alone passed the bound on clients' connections, from which on every request is refused and its connection closed: in-time share 0 from 12 s on. They are owed an end within 3 s.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	headerWait    = 10 * time.Second // for a request's header
-	bodyWait      = 10 * time.Second // for its body
-	writeWait     = 5 * time.Second  // for the client to take its answer
+	// requestWait is for a whole request, from its connection's start or its first bytes on. Peers that send no
+	// request are owed an end within 3 s of connecting, and each holds a client's place until then.
+	requestWait   = 2200 * time.Millisecond
+	writeWait     = 5 * time.Second // for the client to take its answer
 	idleWait      = 2 * time.Minute
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour
@@ -55,7 +56,7 @@
 }
 
 func (f *frontend) server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
+	return &http.Server{Handler: f, ReadTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
 		ConnState: f.conns.track, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 }
 
@@ -138,10 +139,8 @@
 	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) {
 		return nil, http.StatusBadRequest, errors.New("X-Time-Left is not a number of seconds")
 	}
-	control := http.NewResponseController(w)
 	var body []byte
 	if r.ContentLength != 0 {
-		control.SetReadDeadline(time.Now().Add(bodyWait))
 		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
 			if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 				return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
@@ -151,8 +150,8 @@
 			}
 			return nil, http.StatusBadRequest, errors.New("the body is malformed")
 		}
-		control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
 	}
+	http.NewResponseController(w).SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
 	patience := time.Duration(min(left, patienceLimit.Seconds()) * float64(time.Second))
 	e := decide.RequestArrived{ID: decide.RequestID(id), Class: class, Tenant: r.Header.Get("X-Account"),
 		Key: r.URL.Query().Get("obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"starlingvalve/decide"
@@ -241,6 +242,49 @@
 	}
 }
 
+// pipes is a listener whose connections live in this process, so that a test's clock can drive them.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A peer that doesn't send a whole request has an error or a close within 3 s of connecting, however it dawdles.
+func TestSilentPeer(t *testing.T) {
+	head := "POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: q\r\nX-Time-Left: 9\r\n"
+	for name, text := range map[string]string{"nothing": "", "half a header": head,
+		"half a body": head + "Content-Length: 300\r\n\r\n" + strings.Repeat("b", 30)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &Config{Settings: settings()}
+				f := newFrontend(newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet), 10, quiet)
+				l, srv := make(pipes), f.server()
+				go srv.Serve(l)
+				defer srv.Close()
+				defer close(l)
+				peer, conn := net.Pipe()
+				began := time.Now()
+				l <- conn
+				go func() {
+					for i := range text { // the header's bytes dribble in
+						peer.Write([]byte{text[i]})
+						time.Sleep(10 * time.Millisecond)
+					}
+				}()
+				io.ReadAll(peer)
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("held for %v", took)
+				}
+			})
+		})
+	}
+}
+
 // What comes back from a backend, and what the module may make of it: an unsafe request is refused only if it
 // has never run.
 func TestOutcomes(t *testing.T) {
