Turn away wrong methods, bodies on GET and absurd X-Time-Left

The class decides the method, GET has no body and no client waits 10^23 s, but such requests went to app servers, and the last kind held its peer for 3 s and more.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -26,7 +27,7 @@
 	writeWait     = 5 * time.Second // for the client to take its answer
 	idleWait      = 2 * time.Minute
 	headerLimit   = 16 << 10
-	patienceLimit = time.Hour
+	patienceLimit = time.Hour // no client waits longer
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
 	answerMargin = 10 * time.Millisecond
 	busyHoldOff  = 500 * time.Millisecond // what a client is told that the node itself has no room for
@@ -118,8 +119,12 @@
 	if !known { // an app server's answer to it would be held against the server
 		return nil, http.StatusNotFound, errors.New("no such path")
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, http.StatusMethodNotAllowed, errors.New("GET or POST only")
+	method := http.MethodPost
+	if settings.Effect == decide.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return nil, http.StatusMethodNotAllowed, fmt.Errorf("%s only", method)
 	}
 	// net/http drops the Content-Length of a chunked request, and the Transfer-Encoding of an HTTP/1.0 one: the
 	// peer may have meant another end of the body, and what follows here as a request to be part of it.
@@ -129,6 +134,9 @@
 	if len(r.TransferEncoding) > 0 {
 		return nil, http.StatusLengthRequired, errors.New("Content-Length only")
 	}
+	if r.ContentLength > 0 && method == http.MethodGet {
+		return nil, http.StatusBadRequest, errors.New("GET has no body")
+	}
 	if id == "" {
 		return nil, http.StatusBadRequest, errors.New("X-Correlation-Id is missing")
 	}
@@ -136,7 +144,7 @@
 		return nil, http.StatusBadRequest, errors.New("Idempotency-Key is missing")
 	}
 	left, err := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
-	if err != nil || math.IsNaN(left) || math.IsInf(left, 0) {
+	if err != nil || math.IsNaN(left) || math.Abs(left) > patienceLimit.Seconds() {
 		return nil, http.StatusBadRequest, errors.New("X-Time-Left is not a number of seconds")
 	}
 	var body []byte
@@ -152,7 +160,7 @@
 		}
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
-	patience := time.Duration(min(left, patienceLimit.Seconds()) * float64(time.Second))
+	patience := time.Duration(max(left, 0) * float64(time.Second))
 	e := decide.RequestArrived{ID: decide.RequestID(id), Class: class, Tenant: r.Header.Get("X-Account"),
 		Key: r.URL.Query().Get("obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
