Leave attempts that are stuck out of the hysteresis's n

An attempt out for 20 mean latencies of its class is now left out of the n that sets the mode; the pick still counts it as in flight.

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -252,6 +252,27 @@
 	}
 }
 
+// Attempts that get no answer for other reasons than load, on servers that answer all others at once, must not
+// make those servers look busy: nothing is shed for their sake.
+func TestStuckAttemptsAreNoLoad(t *testing.T) {
+	s := rigSettings()
+	s.Nodes = 2
+	r := newRig(t, s, 8)
+	answers := 0
+	r.delay = func(decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if answers++; answers%40 == 0 {
+			return time.Hour, decide.OK
+		}
+		return 5 * time.Millisecond, decide.OK
+	}
+	r.run(4*time.Second, 300, "once")
+	r.reset()
+	r.run(10*time.Second, 300, "once")
+	if r.refused > 150 {
+		t.Errorf("%d of 3000 refused by a fleet at rest", r.refused)
+	}
+}
+
 // Overload sheds the cheap class first, and a server list that is empty or drains wholly refuses at once.
 func TestOverloadShedsByWorth(t *testing.T) {
 	r := newRig(t, rigSettings(), 3)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	outlierCap  = 4.0                    // multiple of the smoothed latency: a heavy request is no sick server
 	suspectAt   = 3                      // failures in a row, or sends without any answer: fewer are chance
 	muteFactor  = 4.0                    // multiple of the expected latency after which no answer is telling
+	stuckFactor = 20.0                   // multiple of the mean latency; an attempt out longer is stuck
 	trialFirst  = 500 * time.Millisecond // s; wait before a suspect's first trial request; doubles
 	trialLast   = 16 * time.Second       // s; the longest such wait: about what troubles last
 	retryBudget = 0.1                    // further attempts for each arrival: no storm of our own
@@ -160,9 +161,10 @@
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
 // node sends a server less than one request in a validity, and its own count tells nothing: there n is the
 // requests that a server reports, or those ahead of one's own by its delay in uncrowded ones; it lapses.
+// Stuck attempts are out for other reasons than load, and would hold n above H.
 func (m *Module) crowd(s *server) (n, h float64) {
 	if !m.sparse() {
-		return s.n, math.Floor(m.high(s) + s.dither)
+		return s.n - s.stuck, math.Floor(m.high(s) + s.dither)
 	}
 	if m.least == 0 || m.aimed == 0 {
 		return s.n, 1
@@ -179,8 +181,6 @@
 	return n, math.Max(1, math.Min(sparseQueue, aimed/unit))
 }
 
-func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
-
 // modeOf updates and gives a server's mode.
 func (m *Module) modeOf(s *server) Mode {
 	n, h := m.crowd(s)
@@ -191,8 +191,6 @@
 	return s.mode
 }
 
-func (m *Module) impose(s *server, mode Mode) { s.imposed, s.imposedUntil = mode, m.now+validity }
-
 // reported lets a server's own account of its load, which is late and counts every node's requests, impose a
 // mode until it lapses. The thresholds are this node's, scaled by its share of all that servers report.
 func (m *Module) reported(s *server, r *Report) {
@@ -242,16 +240,6 @@
 	}
 }
 
-// rateOf is unbiased from the first second on.
-func (m *Module) rateOf(s *server) float64 {
-	return s.rate * decay(m.now-s.rateAt, rateTau) / (1 - decay(m.now-s.since+tickEvery, rateTau))
-}
-
-// latencyOf lets a value that is not renewed drift to the fleet's mean, so that the server is tried again.
-func (m *Module) latencyOf(s *server) float64 {
-	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
-}
-
 // learn takes the latency of an answer. Means are plain at first: short requests answer first.
 func (m *Module) learn(s *server, c *class, took time.Duration) {
 	t := math.Max(took.Seconds(), 1e-6)
@@ -322,12 +310,6 @@
 	return nil
 }
 
-// startCold gives a cold server's budget a random beginning: a first request from every node at once would be
-// a burst that none of them sees. What an older process answered says nothing of this one.
-func (m *Module) startCold(s *server, at Time) {
-	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
-}
-
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
 // by now of what each server of the subset would get of this node's answers: the budgets of all nodes then
 // sum up to a part of one server's capacity. Nodes that do not have it in their subsets send nothing.
@@ -478,6 +460,9 @@
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
 	a.server.n--
+	if a.stuck {
+		a.server.stuck--
+	}
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
 	switch {
@@ -534,6 +519,13 @@
 		if !r.done {
 			open = append(open, r)
 		}
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.ended && !a.stuck && m.answers >= 1/classGain &&
+				(m.now-a.sent).Seconds() > stuckFactor*m.mean*r.class.relative {
+				a.stuck = true
+				a.server.stuck++
+			}
+		}
 	}
 	m.open = open
 	if m.now-m.periodAt >= recompute {
--- a/decide/state.go
+++ b/decide/state.go
@@ -21,7 +21,7 @@
 	Server
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
-	n, report           float64 // own attempts in flight; requests it last reported to hold
+	n, stuck, report    float64 // own attempts in flight; the stuck ones of them; requests it last reported to hold
 	dither              float64 // in [0,1), drawn each period
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
@@ -49,6 +49,7 @@
 	server        *server
 	sent          Time
 	ended, mayRun bool // mayRun: out, or ended without proof that it never ran
+	stuck         bool // out for so long that load alone does not explain it
 }
 
 type request struct {
@@ -174,3 +175,23 @@
 func (m *Module) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + m.random()))
 }
+
+// rateOf is unbiased from the first second on.
+func (m *Module) rateOf(s *server) float64 {
+	return s.rate * decay(m.now-s.rateAt, rateTau) / (1 - decay(m.now-s.since+tickEvery, rateTau))
+}
+
+// latencyOf lets a value that is not renewed drift to the fleet's mean, so that the server is tried again.
+func (m *Module) latencyOf(s *server) float64 {
+	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
+}
+
+func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
+
+func (m *Module) impose(s *server, mode Mode) { s.imposed, s.imposedUntil = mode, m.now+validity }
+
+// startCold gives a cold server's budget a random beginning: a first request from every node at once would be
+// a burst that none of them sees. What an older process answered says nothing of this one.
+func (m *Module) startCold(s *server, at Time) {
+	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
+}
