Close the client connection that has been idle longest, and none before 2 s

Above the bound on clients' connections any idle one was closed, also one that its client had used a moment ago; a request may then cross the close. The terms let a node close a connection after 2 s without a request.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -26,6 +26,7 @@
 	requestWait   = 2200 * time.Millisecond
 	writeWait     = 5 * time.Second // for the client to take its answer
 	idleWait      = 2 * time.Minute
+	idleLeast     = 2 * time.Second // a client may count on its connection for so long
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour // no client waits longer
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
@@ -46,7 +47,7 @@
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
 	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: int64(maxConns),
-		conns: &connections{limit: maxConns, idle: map[net.Conn]struct{}{}}}
+		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}}}
 	if m := l.settings.MaxOpen; m > 0 {
 		f.maxOpen = min(f.maxOpen, int64(m))
 	}
@@ -220,13 +221,13 @@
 	w.Write(a.body)
 }
 
-// connections counts the clients' connections. Above the limit new requests are refused at once and idle ones
-// closed, so that there is always room to read and answer what has been accepted.
+// connections counts the clients' connections. Above the limit new requests are refused at once and those closed
+// that have been idle longest, so that there is always room to read and answer what has been accepted.
 type connections struct {
 	mu    sync.Mutex
 	count int
 	limit int
-	idle  map[net.Conn]struct{}
+	idle  map[net.Conn]time.Time // since when
 }
 
 func (c *connections) crowded() bool {
@@ -242,14 +243,19 @@
 	case http.StateNew:
 		c.count++
 		if c.count > c.limit {
-			for idle := range c.idle {
-				delete(c.idle, idle)
-				idle.Close()
-				break
+			var oldest net.Conn
+			for idle, since := range c.idle {
+				if oldest == nil || since.Before(c.idle[oldest]) {
+					oldest = idle
+				}
+			}
+			if oldest != nil && time.Since(c.idle[oldest]) >= idleLeast {
+				delete(c.idle, oldest)
+				oldest.Close()
 			}
 		}
 	case http.StateIdle:
-		c.idle[conn] = struct{}{}
+		c.idle[conn] = time.Now()
 	case http.StateActive:
 		delete(c.idle, conn)
 	case http.StateClosed, http.StateHijacked:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -624,6 +625,36 @@
 	}
 }
 
+// Above the bound the connection that has been idle longest makes room, but none that a client may still count on.
+func TestCrowdClosesLongestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &connections{limit: 2, idle: map[net.Conn]time.Time{}}
+		var conns, peers [4]net.Conn
+		closed := func(i int) bool {
+			conns[i].SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := conns[i].Read(make([]byte, 1))
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		come := func(i int) { conns[i], peers[i] = net.Pipe(); c.track(conns[i], http.StateNew) }
+		for i := range 2 {
+			come(i)
+			c.track(conns[i], http.StateIdle)
+			time.Sleep(idleLeast / 2)
+		}
+		c.track(conns[0], http.StateActive)
+		c.track(conns[0], http.StateIdle) // now idle for the shorter time
+		come(2)
+		if closed(0) || closed(1) {
+			t.Error("a connection is closed that was idle for less than it may")
+		}
+		time.Sleep(idleLeast)
+		come(3)
+		if closed(0) || !closed(1) {
+			t.Error("want the connection closed that was idle longest")
+		}
+	})
+}
+
 // registry is discovery as a test wants it: it answers call n with what says, and tells of each call.
 func registry(t *testing.T, says func(n int, query url.Values) string) netip.AddrPort {
 	var calls atomic.Int64
