Take no request that crosses the close of its idle connection

A connection that is closed to make room may hold a request that net/http has just read: it was taken, its client saw a close without an answer and sent it once more, and both ran. Now nothing is taken from a connection that was closed so.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -47,7 +47,7 @@
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
 	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: int64(maxConns),
-		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}}}
+		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}}
 	if m := l.settings.MaxOpen; m > 0 {
 		f.maxOpen = min(f.maxOpen, int64(m))
 	}
@@ -59,13 +59,20 @@
 
 func (f *frontend) server() *http.Server {
 	return &http.Server{Handler: f, ReadTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
-		ConnState: f.conns.track, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
+		ConnState: f.conns.track, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		}, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 }
 
 // ready tells whether the node can serve.
 func (f *frontend) ready() bool { return !f.draining.Load() && f.loop.able.Load() }
 
+type connKey struct{}
+
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && f.conns.isShed(conn) {
+		panic(http.ErrAbortHandler) // it crossed the close: its client sends it again on another connection
+	}
 	if f.draining.Load() || f.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -228,6 +235,7 @@
 	count int
 	limit int
 	idle  map[net.Conn]time.Time // since when
+	shed  map[net.Conn]bool      // closed to make room; what still comes on them is not taken
 }
 
 func (c *connections) crowded() bool {
@@ -236,6 +244,12 @@
 	return c.count > c.limit
 }
 
+func (c *connections) isShed(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shed[conn]
+}
+
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -251,6 +265,7 @@
 			}
 			if oldest != nil && time.Since(c.idle[oldest]) >= idleLeast {
 				delete(c.idle, oldest)
+				c.shed[oldest] = true
 				oldest.Close()
 			}
 		}
@@ -260,6 +275,7 @@
 		delete(c.idle, conn)
 	case http.StateClosed, http.StateHijacked:
 		delete(c.idle, conn)
+		delete(c.shed, conn)
 		c.count--
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"net/url"
 	"os"
@@ -628,7 +629,7 @@
 // Above the bound the connection that has been idle longest makes room, but none that a client may still count on.
 func TestCrowdClosesLongestIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &connections{limit: 2, idle: map[net.Conn]time.Time{}}
+		c := &connections{limit: 2, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
 		var conns, peers [4]net.Conn
 		closed := func(i int) bool {
 			conns[i].SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -644,7 +645,7 @@
 		c.track(conns[0], http.StateActive)
 		c.track(conns[0], http.StateIdle) // now idle for the shorter time
 		come(2)
-		if closed(0) || closed(1) {
+		if closed(0) || closed(1) || !c.crowded() {
 			t.Error("a connection is closed that was idle for less than it may")
 		}
 		time.Sleep(idleLeast)
@@ -652,9 +653,35 @@
 		if closed(0) || !closed(1) {
 			t.Error("want the connection closed that was idle longest")
 		}
+		for _, conn := range conns {
+			c.track(conn, http.StateClosed)
+		}
+		if c.count != 0 || len(c.shed) != 0 {
+			t.Errorf("with all closed %d are counted, %d shed", c.count, len(c.shed))
+		}
 	})
 }
 
+// A request that crosses the close of its connection is not taken: its client sends it again, and it must not run
+// twice.
+func TestRequestThatCrossesTheClose(t *testing.T) {
+	t.Parallel()
+	c := &Config{Settings: settings()}
+	f := newFrontend(newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet), 10, quiet)
+	conn, _ := net.Pipe()
+	f.conns.shed[conn] = true
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(message("order", "0.1", ""))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if e := recover(); e != http.ErrAbortHandler || len(f.loop.happened) != 0 {
+			t.Errorf("ended with %v, %d events for the module", e, len(f.loop.happened))
+		}
+	}()
+	f.ServeHTTP(httptest.NewRecorder(), r.WithContext(f.server().ConnContext(t.Context(), conn)))
+}
+
 // registry is discovery as a test wants it: it answers call n with what says, and tells of each call.
 func registry(t *testing.T, says func(n int, query url.Values) string) netip.AddrPort {
 	var calls atomic.Int64
