--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,6 @@
 package decide
 
-// All decisions of a node. The interface (settings, events, actions) is in api.go; docs/design.md says why.
+// All decisions of a node. The interface (settings, events, actions) is in api.go, what is kept in state.go.
 
 import (
 	"fmt"
