Ask discovery in turns by node number, and back off by the number of nodes

Ruled out: an answer that comes but is not taken (every failed call was a 503 of discovery, after 2.0 s or at once), and the node giving its call up (its limit is 3 s; none ended that way).

At fault: the first call at jitter(200 ms) whatever the number of nodes, in Handle, and waits of 0.2 to 2.5 s after a failure, in follow. Now a node waits its turn, 50 ms for each node before it, at least 4 and at most half of AskWithin for all; the waits after failures begin at that time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,7 @@
 	retryBudget = 0.1                    // further attempts for each arrival: no storm of our own
 	retryBurst  = 10.0                   // attempts; what the budget may save up
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
-	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
+	askTurn     = 50 * time.Millisecond  // s; of discovery for each node's call: they share one queue
 	subsetTime  = 2.0                    // s; a subset's server is tried so often: news before a trouble is old
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
@@ -78,7 +78,8 @@
 	m.now, m.out = now, nil
 	timer := SetTimer{After: max(tickEvery, m.set.MinTick)} // the only timer in use
 	if !m.ticking {
-		m.ticking, m.periodAt, m.askWait, m.askAt = true, now, askFirst, now+m.jitter(askFirst)
+		m.ticking, m.periodAt, m.askWait = true, now, m.askFirst()
+		m.askAt = now + m.askFirst()*(2*time.Duration(m.set.Self)+1)/time.Duration(2*m.set.Nodes)
 		m.startAt, m.size = now, subsetLeast
 		m.do(timer)
 	}
@@ -540,11 +541,11 @@
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
 		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(m.askWait)
-		m.askWait = min(2*m.askWait, max(askFirst, m.set.AskWithin/4))
+		m.askWait = min(2*m.askWait, max(2*m.askFirst(), m.set.AskWithin/4))
 		return
 	}
 	if e.Kind != ListCached && m.asking {
-		m.subscribed, m.asking, m.askWait = true, false, askFirst
+		m.subscribed, m.asking, m.askWait = true, false, m.askFirst()
 	}
 	if e.Kind != ListChanges {
 		for _, s := range m.list {
@@ -571,8 +572,14 @@
 	m.choose()
 }
 
-// ask keeps a subscription where the list must be asked for: spread at the start, backing off after
-// failures.
+// askFirst is the time in which all nodes together ask once, and what a node waits after its first failure.
+// Where the queue is longer than discovery lets a call wait, none gets its turn and all come again.
+func (m *Module) askFirst() time.Duration {
+	return min(max(4, time.Duration(m.set.Nodes))*askTurn, max(4*askTurn, m.set.AskWithin/2))
+}
+
+// ask keeps a subscription where the list must be asked for: each node in its turn at the start, as a release
+// starts them all at once, and backing off after failures.
 func (m *Module) ask() {
 	if m.set.AskForList && !m.subscribed && m.now >= m.askAt &&
 		!(m.asking && m.now-m.askedAt < m.set.AskWithin/4) {
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -164,3 +165,49 @@
 		}
 	}
 }
+
+// Discovery serves all nodes in turn and fails calls that wait too long, though they still cost it their turn: nodes
+// that a release starts at once must all have been served within seconds, be they few or many.
+func TestListCallsOfRestartedNodesAreServed(t *testing.T) {
+	const turn, patience = 60 * time.Millisecond, 2 * time.Second
+	for _, nodes := range []int{4, 80} {
+		var all []*Module
+		for self := range nodes {
+			s := sparseSettings(nodes)
+			s.Self, s.AskForList, s.AskWithin = self, true, 10*time.Second
+			all = append(all, New(s, int64(self)))
+			all[self].Handle(time.Hour, sparseList(60))
+		}
+		free, served := time.Hour, 0 // when discovery has dealt with all calls so far
+		type reply struct {
+			at   Time
+			self int
+			ok   bool
+		}
+		var due []reply
+		for now := time.Hour; now < time.Hour+12*time.Second; now += 25 * time.Millisecond {
+			for i := 0; i < len(due); i++ {
+				if d := due[i]; d.at <= now {
+					due = slices.Delete(due, i, i+1)
+					i--
+					kind := ListFailed
+					if d.ok {
+						kind, served = ListChanges, served+1
+					}
+					all[d.self].Handle(now, ListUpdate{Kind: kind})
+				}
+			}
+			for self, m := range all {
+				for _, a := range m.Handle(now, TimerFired{}) {
+					if _, ok := a.(Subscribe); ok {
+						free = max(free, now) + turn
+						due = append(due, reply{min(free, now+patience), self, free <= now+patience})
+					}
+				}
+			}
+		}
+		if served != nodes {
+			t.Errorf("%d of %d nodes have the list after 12 s", served, nodes)
+		}
+	}
+}
