Pace a cold server by what a warm one gives, however many are cold

A cold server's budget was its part of evenRate: the answers of warm servers only, divided by all servers of the subset, cold ones too. With 36 of 60 cold that is 0.4 of an even share, and again only the part that a cold server can do of it.

At fault: survey's evenRate in paced.

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -526,6 +526,32 @@
 	}
 }
 
+// Where most servers are replaced at once, what cold ones do not take falls on the few warm ones: each cold one gets the
+// part of a warm one's that it can do.
+func TestManyColdServersCarryTheirPart(t *testing.T) {
+	s := rigSettings()
+	r := newRig(t, s, 10)
+	r.run(10*time.Second, 200, "dear")
+	var list []decide.Server
+	for i := range 6 {
+		list = append(list, decide.Server{ID: decide.ServerID(i + 1), Zone: "z", StartedAt: r.now})
+	}
+	r.feed(decide.ListUpdate{Kind: decide.ListChanges, Entries: list})
+	r.reset()
+	r.run(4*time.Second, 200, "dear")
+	cold, warm := 0, 0
+	for id, n := range r.sent {
+		if id <= 6 {
+			cold += n
+		} else {
+			warm += n
+		}
+	}
+	if part := float64(cold) / 6 / float64(warm) * 4; part < s.ColdFrom || part > 0.8 {
+		t.Errorf("a cold server got %.2f of what a warm one did: %d and %d sent in all", part, cold, warm)
+	}
+}
+
 // Guards against the burst that none of many nodes sees: each one's first requests to a server that has just started.
 func TestManyNodesTogetherSpareAColdServer(t *testing.T) {
 	const nodes = 60
--- a/decide/state.go
+++ b/decide/state.go
@@ -91,7 +91,6 @@
 	recent             float64 // s; a faster mean
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
-	evenRate           float64 // the same spread over the whole subset, suspects and cold ones too
 	share              float64 // this node's part of all requests at servers
 	n1, n2, q1, q2     float64 // priority and other arrivals of this period; drop probabilities
 	fill, ticks        float64 // sum of how far the fleet was above H, over this period's ticks
