Share what all nodes may do at a server among those that use it

H's least (leastWindow, 2 requests of all nodes) and the budget of a cold server (coldStart) were divided by the 80 nodes, though some 13 have a server in their subsets. Until a node has learned, its H came to 0.05, rounded to 0 for 19 servers in 20, and a server with H = 0 is overloaded when it is idle: all requests of no priority are shed.

Ruled out: uneven dithers alone leave the refusals of the first second. Now the share is that of the nodes that use a server on average.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -152,12 +152,18 @@
 // starve a server. Queues stay small, as some servers turn slow for long when crowded.
 func (m *Module) high(s *server) float64 {
 	if !m.learned {
-		return 2 * leastWindow / float64(m.set.Nodes)
+		return 2 * leastWindow / m.sharers()
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(queueFactor*m.base, m.aimed)
 	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
-	return math.Max(h, leastWindow/float64(m.set.Nodes))
+	return math.Max(h, leastWindow/m.sharers())
+}
+
+// sharers is how many nodes have a server in their subsets, on average: what all nodes together may do at a
+// server is divided among them.
+func (m *Module) sharers() float64 {
+	return float64(m.set.Nodes*max(1, len(m.near))) / float64(max(1, len(m.ring)))
 }
 
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
@@ -324,7 +330,7 @@
 		return false
 	}
 	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.fleetRate, coldStart/float64(m.set.Nodes))
+	rate := part * math.Max(m.fleetRate, coldStart/m.sharers())
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
