Take three quarters of a subset from the node's own zone

A temporary count of modes shows room: about one request in flight at a server outside the release.

At fault: choose, which takes a subset as one stretch of a ring on which zones are mixed, so three in four requests cross. Ruled out: errors (130 place-orders of 14,000 left) and refusals of tenants' requests as over their share (2% of two small tenants, none of the others). Now three quarters of the subset are of the node's own zone, next on the ring from its start, and the rest as before. The part shrinks with the zone's share of servers, so that the nodes of a small zone don't crowd it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	subsetTime  = 0.5                    // s; a subset's server is sent to so often: own counts tell
 	recentTau   = 2.0                    // s; smoothing of the faster mean
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
+	nearPart    = 0.75                   // of a subset, in the node's own zone if that has its share
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
 )
 
@@ -234,7 +235,9 @@
 
 // choose picks the subset of servers that the ordinary path uses: one of many nodes that talked to all would
 // know none, and its connections would fill their tables. All nodes have the same ring of servers and start
-// at even distances on it. Suspects are not made up for: all would open connections to the rest at once.
+// at even distances on it. Most of the subset is in the node's own zone, as crossing has a price; not all,
+// and less where the zone has few servers: nodes must not crowd them, nor hang on them alone. Suspects are
+// not made up for: all would open connections to the rest at once.
 func (m *Module) choose() {
 	known := 1 - decay(m.now-m.startAt+tickEvery, rateMemory)
 	m.rate = m.arrivals * decay(m.now-m.arrivedAt, rateMemory) / known
@@ -244,11 +247,16 @@
 	}
 	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
 	m.near, m.choices = m.near[:0], m.choices+1
-	for i := 0; i < min(len(m.ring), int(m.size)); i++ {
-		s := m.ring[(start+i)%len(m.ring)]
-		s.chosen = m.choices
-		m.near = append(m.near, s)
+	take := func(count int, zone string) {
+		for i := 0; i < len(m.ring) && len(m.near) < count; i++ {
+			if s := m.ring[(start+i)%len(m.ring)]; s.chosen < m.choices && (zone == "" || s.Zone == zone) {
+				s.chosen = m.choices
+				m.near = append(m.near, s)
+			}
+		}
 	}
+	take(int(nearPart*m.size*math.Min(1, float64(len(m.set.Zones))*m.own)), m.set.Zone)
+	take(int(m.size), "")
 }
 
 // learn takes the latency of an answer. Means are plain at first: short requests answer first.
@@ -584,6 +592,13 @@
 	}
 	sort.Slice(m.list, func(i, j int) bool { return m.list[i].place < m.list[j].place })
 	m.ring = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return s.State != Ready })
+	own := 0.0
+	for _, s := range m.ring {
+		if s.Zone == m.set.Zone {
+			own++
+		}
+	}
+	m.own = own / float64(max(1, len(m.ring)))
 	m.choose()
 }
 
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -91,6 +91,38 @@
 	}
 }
 
+// Nodes keep to their own zones for part of their subsets, and yet use all servers much alike, also where one zone has
+// three times as many as another.
+func TestSubsetsFavourTheOwnZoneEvenly(t *testing.T) {
+	zones := []string{"a", "b", "c", "d"}
+	l := sparseList(60)
+	for i := range l.Entries {
+		l.Entries[i].Zone = []string{"a", "a", "a", "b", "b", "c", "c", "c", "d", "d", "d", "d"}[i%12]
+	}
+	use, own, all := map[ServerID]int{}, 0, 0
+	for self := range 80 {
+		s := sparseSettings(80)
+		s.Self, s.Zones, s.Zone = self, zones, zones[self%4]
+		m := New(s, int64(self))
+		m.Handle(time.Hour, l)
+		driveAt(m, time.Hour, 5, 20, func(ServerID) time.Duration { return 50 * time.Millisecond }, nil)
+		for _, s := range m.near {
+			use[s.ID]++
+			if all++; s.Zone == m.set.Zone {
+				own++
+			}
+		}
+	}
+	if own*5 < all*3 {
+		t.Errorf("%d of %d places of subsets are in the node's own zone", own, all)
+	}
+	for id := ServerID(1); id <= 60; id++ {
+		if mean := all / 60; use[id] < mean/2 || use[id] > mean*8/5 {
+			t.Errorf("server %d is used by %d nodes, %d on average", id, use[id], mean)
+		}
+	}
+}
+
 // A busy node uses every server.
 func TestBusyNodeUsesAll(t *testing.T) {
 	m := New(sparseSettings(2), 1)
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,6 +85,7 @@
 	answers            float64
 	mean, base, aimed  float64 // s: smoothed latency; uncrowded; at which every class still meets its aim
 	arrivals, rate     float64 // requests that come each second, smoothed; the same, unbiased from the first one on
+	own                float64 // part of the ready servers that is in this node's zone
 	size               float64 // servers that the subset is to have
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
