Let at least eight nodes share a server, so that few nodes use them all

Four quiet nodes, 25 requests a second each, have 8 to 12 of 13 servers in their subsets of half a second: four stretches of a ring can't load 13 servers evenly, as eighty do.

At fault: choose, whose size knew the node's rate but not how many nodes and servers there are. Now a subset is large enough for each server to be shared by eight nodes: 80 nodes and 60 servers need 6, as before; 4 nodes and 13 servers take all.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	subsetTime  = 0.5                    // s; a subset's server is sent to so often: own counts tell
 	recentTau   = 2.0                    // s; smoothing of the faster mean
 	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
+	leastShare  = 8.0                    // nodes that share a server, at least: fewer load it unevenly
 	nearPart    = 0.75                   // of a subset, in the node's own zone if that has its share
 	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
 )
@@ -255,8 +256,9 @@
 			}
 		}
 	}
-	take(int(nearPart*m.size*math.Min(1, float64(len(m.set.Zones))*m.own)), m.set.Zone)
-	take(int(m.size), "")
+	size := math.Max(m.size, leastShare*float64(len(m.ring))/float64(m.set.Nodes))
+	take(int(nearPart*size*math.Min(1, float64(len(m.set.Zones))*m.own)), m.set.Zone)
+	take(int(size), "")
 }
 
 // learn takes the latency of an answer. Means are plain at first: short requests answer first.
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// Few nodes use every server, however quiet they are: there are not enough subsets to even out.
+func TestFewNodesUseAll(t *testing.T) {
+	s := sparseSettings(4)
+	s.Zones, s.Zone = []string{"a", "b"}, "a"
+	m := New(s, 1)
+	l := sparseList(18)
+	for i := range l.Entries {
+		l.Entries[i].Zone = s.Zones[i%2]
+	}
+	m.Handle(time.Hour, l)
+	driveAt(m, time.Hour, 5, 10, func(ServerID) time.Duration { return 50 * time.Millisecond }, nil)
+	if len(m.near) != 18 {
+		t.Errorf("%d of 18 servers in use by one of 4 nodes at 10 requests a second", len(m.near))
+	}
+}
+
 // A busy node uses every server.
 func TestBusyNodeUsesAll(t *testing.T) {
 	m := New(sparseSettings(2), 1)
