Let the least delay follow the mean for a node's first 50 answers

A node with 4 to 20 ms finds no server normal as long as it is sparse and refuses most requests: 79 to 108 refused and 7 to 9 sent in 5 s.

At fault: survey took the first answer for the least delay; later ones lower it only. Ruled out: nodes in slower zones, as the value goes with the first answer. Now it follows the mean until 50 answers are in.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -129,7 +129,7 @@
 	m.fleetRate = rate / math.Max(1, count)
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
-	if m.least *= grow; m.least == 0 || m.answers >= 1/classGain && m.mean < m.least*(1-baseNoise) {
+	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few tell little
 		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
 	}
 	if m.peak /= grow; m.learned {
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -215,6 +215,17 @@
 	}
 }
 
+// The first answers of a node may be light requests: they are no measure of what an uncrowded server takes.
+func TestLightFirstAnswersAreNoMeasure(t *testing.T) {
+	m := New(sparseSettings(80), 3)
+	m.Handle(time.Hour, sparseList(60))
+	_, now := drive(m, time.Hour, 1, 5*time.Millisecond, nil)
+	_, now = drive(m, now, 20, 80*time.Millisecond, nil)
+	if sent, _ := drive(m, now, 10, 80*time.Millisecond, nil); sent["dear"] < 19 || sent["cheap"] < 19 {
+		t.Errorf("quiet after a light first second: %v sent of 20 each", sent)
+	}
+}
+
 // What servers report counts all nodes' requests, and brings all three modes about at a node that has none there.
 func TestSparseNodeTakesModesFromReports(t *testing.T) {
 	for _, c := range []struct {
