Let H stand for 2.5 uncrowded latencies, not 1.8

At fault: queueFactor. The delay that H allows is 1.8 times the uncrowded one (35 ms), 63 ms, while the classes' aims would allow 87. Ruled out: the least of H (at 4: within the noise, and an inherited test fails), and uneven rounding (dithers spread evenly: no gain).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
 	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
 	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
-	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
+	queueFactor = 2.5                    // of the uncrowded latency: long queues harm where crowds slow servers
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
--- a/decide/many_test.go
+++ b/decide/many_test.go
@@ -226,6 +226,25 @@
 	}
 }
 
+// Where a server has one request of all nodes in flight, as in a fleet at half load, next to nothing is shed.
+func TestIdleFleetOfManyShedsLittle(t *testing.T) {
+	cheap := 0
+	for self := range 20 {
+		s := sparseSettings(80)
+		s.Self = self
+		m := New(s, int64(self))
+		m.Handle(time.Hour, sparseList(60))
+		n := 0
+		took := func(ServerID) time.Duration { n++; return time.Duration(5+n/2*13%60) * time.Millisecond }
+		_, now := driveAt(m, time.Hour, 10, 20, took, nil)
+		sent, _ := driveAt(m, now, 10, 20, took, nil)
+		cheap += sent["cheap"]
+	}
+	if cheap < 1960 {
+		t.Errorf("%d of 2000 requests of no priority sent", cheap)
+	}
+}
+
 // What servers report counts all nodes' requests, and brings all three modes about at a node that has none there.
 func TestSparseNodeTakesModesFromReports(t *testing.T) {
 	for _, c := range []struct {
