Open a door for operators; empty the node through it and take it back

Ruled out: the SIGTERM drain, which ends the process and is not what is called here.

door.go is the door, as designed; frontend.go has the emptied state beside draining. Connections that are emptied are closed by the rule that a crowded node has for them, so a request that crosses the close is not taken.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,7 @@
 	Name      string
 	Listen    netip.AddrPort // clients
 	Discovery netip.AddrPort
+	Admin     netip.AddrPort // operators; invalid where there is no door for them
 	Seed      int64
 	Limits    Limits
 	PeerListen,
@@ -58,6 +59,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Admin      string          `json:"admin_addr"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -69,7 +71,8 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery} {
+	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery,
+		"GW_ADMIN_ADDR": &in.Admin} {
 		if v := getenv(variable); v != "" {
 			*field = v
 		}
@@ -84,6 +87,7 @@
 		into       *netip.AddrPort
 		wanted     bool
 	}{{"listen", in.Listen, &c.Listen, true}, {"discovery", in.Discovery, &c.Discovery, true},
+		{"admin_addr", in.Admin, &c.Admin, in.Admin != ""},
 		{"peer_listen", in.PeerListen, &c.PeerListen, peers}, {"peers_all", in.PeersAll, &c.PeersAll, in.PeersAll != ""}} {
 		if !a.wanted {
 			continue
--- /dev/null
+++ b/internal/node/door.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	doorPlaces = 8                      // callers at a time; their descriptors are among the process's own
+	lineLimit  = 256                    // bytes of a call
+	lineWait   = 3 * time.Second        // for a call to be finished
+	lingerWait = 250 * time.Millisecond // for a caller to take its answer and go
+	lingerMost = 64 << 10               // bytes that it may still send: a close with some unread would undo the answer
+)
+
+// door is where operators call the node: one line on a connection, answered by one that begins with ACK or NAK.
+// No call waits for the decision loop, which may be busy.
+type door struct {
+	front *frontend
+	ctx   context.Context // of all that a call sets going
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	waiting []net.Conn // callers that have not finished their line, the longest wait first
+	work    sync.WaitGroup
+}
+
+// run lets callers in until ctx ends.
+func (d *door) run(l *net.TCPListener) {
+	defer d.work.Wait()
+	stop := context.AfterFunc(d.ctx, func() { l.Close() })
+	defer stop()
+	places := make(chan struct{}, doorPlaces)
+	for {
+		c, err := l.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			d.log.Error("operators' door", "err", err)
+			time.Sleep(10 * time.Millisecond) // what fails may fail again at once
+			continue
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			d.pushOut()
+			places <- struct{}{} // soon: a caller with a finished line is answered at once, and lingers briefly
+		}
+		d.mu.Lock()
+		d.waiting = append(d.waiting, c)
+		d.mu.Unlock()
+		d.work.Go(func() { d.answer(c); <-places })
+	}
+}
+
+// pushOut ends the wait of the caller that has not finished its line for longest.
+func (d *door) pushOut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.waiting) > 0 {
+		d.waiting[0].Close()
+		d.waiting = d.waiting[1:]
+	}
+}
+
+func (d *door) answer(c *net.TCPConn) {
+	defer c.Close()
+	stop := context.AfterFunc(d.ctx, func() { c.Close() })
+	defer stop()
+	c.SetDeadline(time.Now().Add(lineWait))
+	line, err := bufio.NewReaderSize(c, lineLimit).ReadSlice('\n')
+	d.mu.Lock()
+	d.waiting = slices.DeleteFunc(d.waiting, func(w net.Conn) bool { return w == c })
+	d.mu.Unlock()
+	var no error
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		no = errors.New("the line is too long")
+	case err != nil:
+		no = errors.New("the line is not finished")
+	default:
+		no = d.call(string(line))
+	}
+	reply := "ACK\n"
+	if no != nil {
+		reply = "NAK " + no.Error() + "\n"
+	}
+	c.SetDeadline(time.Now().Add(lingerWait))
+	if _, err := io.WriteString(c, reply); err != nil {
+		return
+	}
+	c.CloseWrite()
+	io.CopyN(io.Discard, c, lingerMost)
+}
+
+// call does what a line asks for, or says why not.
+func (d *door) call(line string) error {
+	for _, r := range strings.TrimRight(line, "\r\n") {
+		if r < ' ' && r != '\t' || r > '~' {
+			return errors.New("the line is not plain text")
+		}
+	}
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return errors.New("the line is empty")
+	}
+	calls := map[string]func() error{"readyz": d.readyz, "evacuate": d.evacuate, "activate": d.activate}
+	call, known := calls[words[0]]
+	switch {
+	case !known:
+		return errors.New("unknown call")
+	case len(words) > 1:
+		return errors.New(words[0] + " takes no argument")
+	}
+	err := call()
+	if words[0] != "readyz" { // which may come every moment
+		d.log.Info("operators' call", "call", strings.Join(words, " "), "refused", err)
+	}
+	return err
+}
+
+func (d *door) readyz() error {
+	if why := d.front.unready(); why != "" {
+		return errors.New(why)
+	}
+	return nil
+}
+
+func (d *door) evacuate() error {
+	d.front.emptied.Store(true)
+	return nil
+}
+
+func (d *door) activate() error {
+	if d.front.draining.Load() {
+		return errors.New("the process ends")
+	}
+	d.front.emptied.Store(false)
+	return nil
+}
--- /dev/null
+++ b/internal/node/door_test.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+)
+
+// call sends text to the operators' door and gives what comes back.
+func (n *testNode) call(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", n.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patient))
+	io.WriteString(c, text)
+	reply, err := io.ReadAll(c)
+	if err != nil {
+		t.Errorf("%.20q: %v", text, err)
+	}
+	return string(reply)
+}
+
+func TestDoorAnswersALine(t *testing.T) {
+	t.Parallel()
+	n := start(t, &Config{Settings: settings(), Known: known("127.0.0.1:1")})
+	n.waitReady(t, http.StatusOK)
+	for call, want := range map[string]string{
+		"readyz\n": "ACK\n", "readyz\r\n": "ACK\n", "activate\n": "ACK\n",
+		"readyz now\n": "NAK", "restart\n": "NAK", "READYZ\n": "NAK", "\n": "NAK", "read\x00yz\n": "NAK", "caf\xe9\n": "NAK",
+		strings.Repeat("x", 4*lineLimit) + "\n": "NAK", "readyz": "NAK",
+	} {
+		got := n.call(t, call)
+		if !strings.HasPrefix(got, want) || strings.Count(got, "\n") != 1 || want == "NAK" && len(got) < 10 {
+			t.Errorf("%.20q: %q, want %q", call, got, want)
+		}
+	}
+}
+
+// Callers that finish no line hold nobody up, nor does a loop that is busy, and all of them are let go in time.
+func TestDoorIsNotHeldUp(t *testing.T) {
+	t.Parallel()
+	c := &Config{Settings: settings(), Known: known("127.0.0.1:1")}
+	b := newBackends(c, 10, quiet)
+	f := newFrontend(newLoop(t.Context(), c, b, nil, nil, quiet), 10, quiet)
+	f.loop.able.Store(true)
+	for range cap(f.loop.happened) { // nobody takes events: whoever waits for the loop waits for ever
+		f.loop.post(func() {})
+	}
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &door{front: f, ctx: t.Context(), log: quiet}
+	go o.run(l)
+	n := &testNode{door: l.Addr().String()}
+	var held []net.Conn
+	for range 3 * doorPlaces {
+		h, err := net.Dial("tcp", n.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer h.Close()
+		io.WriteString(h, "eva")
+		held = append(held, h)
+	}
+	for _, call := range []string{"readyz\n", "evacuate\n", "activate\n"} {
+		if got := n.call(t, call); got != "ACK\n" {
+			t.Errorf("%q behind those: %q", call, got)
+		}
+	}
+	for _, h := range held {
+		h.SetDeadline(time.Now().Add(patient))
+		if _, err := io.Copy(io.Discard, h); err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Error("a caller that finishes no line is kept")
+		}
+	}
+}
+
+// An emptied node says so, serves what still comes, and closes each connection: after an answer, or once it has been
+// idle for as long as its client may count on it. The process and its listener stay, and it can be had back.
+func TestEvacuateAndBack(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	idle, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	r := bufio.NewReader(idle)
+	io.WriteString(idle, message("read", "9.5", ""))
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.Close {
+		t.Fatalf("before: %+v, %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	at := time.Now()
+	for range 2 { // a repeat does no harm
+		if got := n.call(t, "evacuate\n"); got != "ACK\n" {
+			t.Errorf("evacuate: %q", got)
+		}
+	}
+	if resp, _ := n.ask(t, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 503 {
+		t.Errorf("emptied: ready says %d", resp.StatusCode)
+	}
+	if got := n.call(t, "readyz\n"); !strings.HasPrefix(got, "NAK evacuated") {
+		t.Errorf("emptied: readyz says %q", got)
+	}
+	if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("emptied: status %d, closes: %v", resp.StatusCode, resp.Close)
+	}
+	idle.SetDeadline(time.Now().Add(patient))
+	if _, err := r.ReadByte(); err != io.EOF || time.Since(at) < idleLeast/2 {
+		t.Errorf("the idle connection ended with %v after %v", err, time.Since(at))
+	}
+	for range 2 {
+		if got := n.call(t, "activate\n"); got != "ACK\n" {
+			t.Errorf("activate: %q", got)
+		}
+	}
+	n.waitReady(t, http.StatusOK)
+	if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("back: status %d, closes: %v", resp.StatusCode, resp.Close)
+	}
+	n.call(t, "evacuate\n")
+	n.stop()
+	if err := <-n.ended; err != nil {
+		t.Errorf("SIGTERM while emptied: %v", err)
+	}
+	if c, err := net.Dial("tcp", n.door); err == nil {
+		c.Close()
+		t.Error("the door is open after the end")
+	}
+}
+
+// Without an address for it there is no door.
+func TestNoDoorUnasked(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]netip.AddrPort{"": {}, "127.0.0.1:9": netip.MustParseAddrPort("127.0.0.1:9")} {
+		c, err := loadText(t, goodConfig, map[string]string{"GW_ADMIN_ADDR": text})
+		if err != nil || c.Admin != want {
+			t.Errorf("GW_ADMIN_ADDR %q: %v, %v", text, c, err)
+		}
+	}
+	if _, err := loadText(t, goodConfig, map[string]string{"GW_ADMIN_ADDR": "door"}); err == nil || !strings.Contains(err.Error(), "admin_addr") {
+		t.Errorf("a bad address: %v", err)
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -27,6 +27,7 @@
 	writeWait     = 5 * time.Second // for the client to take its answer
 	idleWait      = 2 * time.Minute
 	idleLeast     = 2 * time.Second // a client may count on its connection for so long
+	emptyEvery    = 100 * time.Millisecond
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour // no client waits longer
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
@@ -39,7 +40,8 @@
 	loop     *loop
 	log      *slog.Logger
 	classes  map[string]decide.Class
-	draining atomic.Bool
+	draining atomic.Bool  // the process ends
+	emptied  atomic.Bool  // by the operators, until they want it back
 	open     atomic.Int64 // requests
 	maxOpen  int64
 	conns    *connections
@@ -64,8 +66,37 @@
 		}, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 }
 
-// ready tells whether the node can serve.
-func (f *frontend) ready() bool { return !f.draining.Load() && f.loop.able.Load() }
+// unready tells why clients are not to come, or nothing if they may.
+func (f *frontend) unready() string {
+	switch {
+	case f.draining.Load():
+		return "the process ends"
+	case f.emptied.Load():
+		return "evacuated"
+	case !f.loop.able.Load():
+		return "no app server is known to be ready"
+	}
+	return ""
+}
+
+// leaving tells whether clients are to go: each answer closes its connection.
+func (f *frontend) leaving() bool { return f.draining.Load() || f.emptied.Load() }
+
+// letGo closes, while the node is emptied, connections that are idle and that their clients can't count on.
+func (f *frontend) letGo(ctx context.Context) {
+	tick := time.NewTicker(emptyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if f.emptied.Load() {
+				f.conns.closeIdle()
+			}
+		}
+	}
+}
 
 type connKey struct{}
 
@@ -73,14 +104,14 @@
 	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && f.conns.isShed(conn) {
 		panic(http.ErrAbortHandler) // it crossed the close: its client sends it again on another connection
 	}
-	if f.draining.Load() || f.conns.crowded() {
+	if f.leaving() || f.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	class, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case class == "health" && (rest == "ready" || rest == "live"):
-		if rest == "ready" && !f.ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		if why := f.unready(); rest == "ready" && why != "" {
+			http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
 		}
 		return
 	case class == "" || class == "health":
@@ -216,7 +247,7 @@
 			h["Connection"] = closing
 		}
 	}
-	if f.draining.Load() { // it may have begun while the request was out
+	if f.leaving() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -263,10 +294,8 @@
 					oldest = idle
 				}
 			}
-			if oldest != nil && time.Since(c.idle[oldest]) >= idleLeast {
-				delete(c.idle, oldest)
-				c.shed[oldest] = true
-				oldest.Close()
+			if oldest != nil {
+				c.closeLongIdle(oldest)
 			}
 		}
 	case http.StateIdle:
@@ -280,6 +309,23 @@
 	}
 }
 
+// closeLongIdle closes a connection that is idle, unless its client may still count on it.
+func (c *connections) closeLongIdle(conn net.Conn) {
+	if time.Since(c.idle[conn]) >= idleLeast {
+		delete(c.idle, conn)
+		c.shed[conn] = true
+		conn.Close()
+	}
+}
+
+func (c *connections) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.idle {
+		c.closeLongIdle(conn)
+	}
+}
+
 // capped accepts no more connections than there are descriptors for. Beyond it they wait, for the moment that
 // refusing takes. It keeps *net.TCPConn in sight, as a wrapper would hide CloseWrite from net/http, which then
 // resets connections with an answer on them.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,13 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var admin *net.TCPListener
+	if c.Admin.IsValid() {
+		if admin, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Admin)); err != nil {
+			tcp.Close()
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+	}
 	moves := make(chan netip.AddrPort)
 	go func() {
 		for range hup {
@@ -42,10 +49,11 @@
 			moves <- next.Discovery
 		}
 	}()
-	return serve(ctx, c, tcp, moves, log)
+	return serve(ctx, c, tcp, admin, moves, log)
 }
 
-func serve(ctx context.Context, c *Config, tcp *net.TCPListener, moves <-chan netip.AddrPort, log *slog.Logger) error {
+// serve has no door for operators if admin is nil.
+func serve(ctx context.Context, c *Config, tcp, admin *net.TCPListener, moves <-chan netip.AddrPort, log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	room := c.Limits.Sockets - ownSockets
@@ -78,6 +86,11 @@
 		running.Go(func() { p.write(inner) })
 		running.Go(func() { p.read(l.heard) })
 	}
+	if admin != nil {
+		o := &door{front: f, ctx: inner, log: log}
+		running.Go(func() { o.run(admin) })
+		running.Go(func() { f.letGo(inner) })
+	}
 	served := make(chan error, 1)
 	running.Go(func() {
 		served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), ctx: inner})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -111,6 +111,7 @@
 type testNode struct {
 	moves chan netip.AddrPort
 	addr  string
+	door  string
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -128,9 +129,13 @@
 	if !c.Discovery.IsValid() {
 		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
 	}
+	admin, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), moves: make(chan netip.AddrPort)}
-	go func() { n.ended <- serve(ctx, c, tcp, n.moves, quiet); close(n.ended) }()
+	n := &testNode{door: admin.Addr().String(), addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), moves: make(chan netip.AddrPort)}
+	go func() { n.ended <- serve(ctx, c, tcp, admin, n.moves, quiet); close(n.ended) }()
 	t.Cleanup(func() { stop(); <-n.ended })
 	return n // connections wait in the listener's queue until it serves
 }
@@ -921,30 +926,33 @@
 	}
 }
 
+const goodConfig = `{"name":"n0","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	"peer_listen":"127.0.0.1:82","peers":["127.0.0.1:82"],"peers_all":"127.0.0.1:83","known":{"version":4,"full":true,"servers":[]},
+	"settings":{"balancers":3,"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`
+
+// loadText loads a configuration file that holds text, with further variables.
+func loadText(t *testing.T, text string, more map[string]string) (*Config, error) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadConfig(func(name string) string {
+		if name == "GW_CONFIG" {
+			return path
+		}
+		return more[name]
+	})
+}
+
 func TestConfig(t *testing.T) {
 	t.Parallel()
-	const good = `{"name":"n0","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-		"peer_listen":"127.0.0.1:82","peers":["127.0.0.1:82"],"peers_all":"127.0.0.1:83","known":{"version":4,"full":true,"servers":[]},
-		"settings":{"balancers":3,"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`
-	load := func(text string, more map[string]string) (*Config, error) {
-		path := filepath.Join(t.TempDir(), "config.json")
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return LoadConfig(func(name string) string {
-			if name == "GW_CONFIG" {
-				return path
-			}
-			return more[name]
-		})
-	}
-	c, err := load(good, map[string]string{"GW_LISTEN": "127.0.0.1:99"})
+	c, err := loadText(t, goodConfig, map[string]string{"GW_LISTEN": "127.0.0.1:99"})
 	if err != nil || c.Listen.Port() != 99 || c.Known.version != 4 || c.Settings.Nodes != 3 || uint64(c.Seed) != 0x8c1f30d27a5be964 {
 		t.Errorf("%+v, %v", c, err)
 	}
 	for _, bad := range [][2]string{{`{"name"`, `{"nam`}, {`"n0"`, `""`}, {`"127.0.0.1:80"`, `"x"`}, {`"127.0.0.1:81"`, `""`}, {`8c1f`, `xyz`},
 		{`1024`, `3`}, {`192`, `-1`}, {`"peers":["127`, `"peers":["x`}, {`"full":true`, `"full":3`}, {`"fragile"`, `"odd"`}, {`250000000`, `0`}, {`"settings"`, `"other"`}} {
-		if _, err := load(strings.Replace(good, bad[0], bad[1], 1), nil); err == nil || strings.Contains(err.Error(), "\n") {
+		if _, err := loadText(t, strings.Replace(goodConfig, bad[0], bad[1], 1), nil); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s for %s: error %v", bad[1], bad[0], err)
 		}
 	}
