Listen beside the older process of an upgrade, and share the limits with it

The kernel at first refused the steering program, "an older process goes on getting some of the connections" err="operation not supported": Go's listeners are MPTCP sockets by default, which have no such option (tried apart on a plain TCP socket, where it is taken); so MPTCP is off. At SIGTERM connections idle for 2 s go at once, and none on which a request waits to be read (Shutdown closes those too).

golang.org/x/sys has the options of the kernel that the standard library lacks.

--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -15,10 +15,7 @@
 	"starlingvalve/internal/node"
 )
 
-const (
-	memoryPart = 0.6 // of the limit, for Go's heap and stacks; the kernel's buffers and the program have the rest
-	gcPercent  = 400 // the heap is small: fewer collections leave the one core to requests
-)
+const gcPercent = 400 // the heap is small: fewer collections leave the one core to requests
 
 func main() {
 	if err := run(); err != nil {
@@ -37,7 +34,6 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	reload := func() (*node.Config, error) {
 		return node.LoadConfig(func(name string) string {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -37,6 +37,7 @@
 	hosts          map[decide.ServerID]*host
 	out            map[decide.ServerID]bool // taken out by the operators, listed or not
 	open, limit    int                      // connections, also those being made
+	beside         *beside                  // the other process of an upgrade
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	log            *slog.Logger
@@ -131,7 +132,13 @@
 
 func (b *backends) drop(c *conn) {
 	c.Close()
-	b.open--
+	b.opened(-1)
+}
+
+// opened counts connections.
+func (b *backends) opened(n int) {
+	b.open += n
+	b.beside.count(0, n)
 }
 
 func (b *backends) find(id decide.ServerID) *host {
@@ -226,17 +233,17 @@
 		}
 		b.drop(c)
 	}
-	if b.open >= b.limit && !b.evict() {
+	if b.open+b.beside.backends() >= b.limit && !b.evict() {
 		b.mu.Unlock()
 		return nil, errTooMany
 	}
-	b.open++
+	b.opened(1)
 	b.mu.Unlock()
 	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
 	tcp, err := d.DialContext(ctx, "tcp", h.addr)
 	if err != nil {
 		b.mu.Lock()
-		b.open--
+		b.opened(-1)
 		b.mu.Unlock()
 		return nil, err
 	}
--- a/internal/node/bans_test.go
+++ b/internal/node/bans_test.go
@@ -32,7 +32,7 @@
 	disco := registry(t, func(int, url.Values) string { return <-news })
 	t.Cleanup(func() { close(news) }) // before discovery's own end, which waits for those that wait here
 	config := func(dir string) *Config {
-		c := &Config{Settings: settings(), Known: twoServers(one, other), TempDir: dir}
+		c := &Config{Admin: anyPort, Settings: settings(), Known: twoServers(one, other), TempDir: dir}
 		c.Settings.ColdTime = 50 * time.Millisecond
 		c.Discovery = disco
 		return c
--- /dev/null
+++ b/internal/node/beside.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// An upgrade starts the program again while the older process serves. What lets two processes be one node is here:
+// listening on one address, and sharing the limits.
+
+const (
+	// memoryPart is for Go's heap and stacks; the kernel's buffers and the program have the rest.
+	memoryPart  = 0.6
+	besideEvery = 50 * time.Millisecond // to look for another process
+	placeTries  = 20
+)
+
+// listenClients listens for clients. With shared, another process may do so on the same address, and of two the later
+// one gets all new connections: what is in the older one's accept queue when it closes would be lost.
+func listenClients(addr netip.AddrPort, shared bool, log *slog.Logger) (*net.TCPListener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // Go's default, under which the kernel refuses takeNew
+	if shared {
+		config.Control = reusePort
+	}
+	l, err := config.Listen(context.Background(), "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	tcp := l.(*net.TCPListener)
+	if shared {
+		if err := takeNew(tcp); err != nil {
+			log.Warn("an older process goes on getting some of the connections", "err", err)
+		}
+	}
+	return tcp, nil
+}
+
+// reusePort lets a socket share its address. Where that is refused the node listens as it does without.
+func reusePort(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+}
+
+// takeNew has the kernel deal new connections to the second listener on the address. Where there is only one it gets
+// them all, as the kernel passes over a number that no listener has.
+func takeNew(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	second := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}}
+	program := unix.SockFprog{Len: uint16(len(second)), Filter: &second[0]}
+	var refused error
+	err = raw.Control(func(fd uintptr) {
+		refused = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &program)
+	})
+	return errors.Join(err, refused)
+}
+
+// beside shares the limits with the other process of an upgrade. A nil *beside knows of no other.
+type beside struct {
+	memoryMB int
+	log      *slog.Logger
+	place    *os.File // locked as long as this process lives
+	theirs   *os.File // the other's place
+	own      *counts
+	other    *counts
+	present  atomic.Bool // there is another process
+}
+
+// counts are a process's connections, in a file that both map.
+type counts struct{ clients, backends atomic.Int64 }
+
+// openBeside takes one of two places.
+func openBeside(c *Config, log *slog.Logger) (*beside, error) {
+	b := &beside{memoryMB: c.Limits.MemoryMB, log: log}
+	var files [2]*os.File
+	var maps [2]*counts
+	for i := range files {
+		path := filepath.Join(c.TempDir, fmt.Sprintf("starlingvalve-%s.%d", url.PathEscape(c.Name), i))
+		f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		size := int(unsafe.Sizeof(counts{}))
+		if err := f.Truncate(int64(size)); err != nil {
+			return nil, err
+		}
+		m, err := syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
+		if err != nil {
+			return nil, err
+		}
+		files[i], maps[i] = f, (*counts)(unsafe.Pointer(&m[0]))
+	}
+	for range placeTries {
+		for i, f := range files {
+			if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+				b.place, b.theirs, b.own, b.other = f, files[1-i], maps[i], maps[1-i]
+				b.own.clients.Store(0) // of an earlier process
+				b.own.backends.Store(0)
+				b.look()
+				return b, nil
+			}
+		}
+		time.Sleep(time.Millisecond) // another process may just have looked
+	}
+	return nil, errors.New("two other processes of this node are there")
+}
+
+// look finds out whether there is another process, and divides the memory.
+func (b *beside) look() {
+	err := syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	if err == nil {
+		syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_UN)
+	}
+	if present := err != nil; present != b.present.Swap(present) {
+		b.log.Info("another process of this node", "present", present)
+		limitMemory(b.memoryMB, present)
+		if present {
+			debug.FreeOSMemory()
+		}
+	}
+}
+
+// limitMemory has Go's memory stay under its part of the limit, or under half of that.
+func limitMemory(mb int, shared bool) {
+	limit := memoryPart * float64(mb) * (1 << 20)
+	if shared {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(int64(limit))
+}
+
+func (b *beside) run(ctx context.Context) {
+	tick := time.NewTicker(besideEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			b.look()
+		}
+	}
+}
+
+// clients is how many clients the other process has.
+func (b *beside) clients() int {
+	if b == nil || !b.present.Load() {
+		return 0
+	}
+	return int(b.other.clients.Load())
+}
+
+// backends is how many connections to app servers the other process has, with the sockets that are its own.
+func (b *beside) backends() int {
+	if b == nil || !b.present.Load() {
+		return 0
+	}
+	return int(b.other.backends.Load()) + ownSockets
+}
+
+// count tells the other process what this one has.
+func (b *beside) count(clients, backends int) {
+	if b != nil {
+		b.own.clients.Add(int64(clients))
+		b.own.backends.Add(int64(backends))
+	}
+}
--- /dev/null
+++ b/internal/node/beside_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Of two listeners on one address the later one gets all new connections, so that nothing waits at the older one when
+// it closes; the one that is left gets them all.
+func TestLaterListenerGetsAllNew(t *testing.T) {
+	t.Parallel()
+	listen := func(addr string) *net.TCPListener {
+		l, err := listenClients(netip.MustParseAddrPort(addr), true, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	came := func(l *net.TCPListener, count int) {
+		t.Helper()
+		for range count {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			l.SetDeadline(time.Now().Add(patient))
+			if _, err := l.Accept(); err != nil {
+				t.Fatalf("a new connection went to the other listener: %v", err)
+			}
+		}
+	}
+	first := listen("127.0.0.1:0")
+	came(first, 20)
+	second := listen(first.Addr().String())
+	came(second, 40)
+	first.Close()
+	came(second, 20)
+	third := listen(second.Addr().String())
+	came(third, 40)
+	third.Close() // the new process fails
+	came(second, 20)
+	if l, err := listenClients(netip.MustParseAddrPort(second.Addr().String()), false, quiet); err == nil {
+		l.Close()
+		t.Error("without a door a second process listens too")
+	}
+}
+
+// Each process of an upgrade takes the other's connections into its bounds, as long as the other lives.
+func TestLimitsAreShared(t *testing.T) {
+	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
+	open := func() *beside {
+		b, err := openBeside(c, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	end := func(b *beside) { syscall.Flock(int(b.place.Fd()), syscall.LOCK_UN) } // as the kernel does at a process's end
+	older := open()
+	if older.look(); older.present.Load() {
+		t.Error("alone it sees another process")
+	}
+	newer := open()
+	older.look()
+	newer.count(2, 3)
+	conns := &connections{limit: 3, beside: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+	if conns.count = 1; conns.crowded() {
+		t.Error("crowded with 1 client here and 2 there, of 3")
+	}
+	if conns.count = 2; !conns.crowded() {
+		t.Error("not crowded with 2 clients here and 2 there, of 3")
+	}
+	b := newBackends(c, ownSockets+4, quiet)
+	b.beside = older
+	addr := backend(t, func(net.Conn) {})
+	b.update(known(addr))
+	for i, want := range []error{nil, errTooMany} {
+		if _, err := b.connect(t.Context(), b.find(1), time.Now().Add(patient)); err != want {
+			t.Errorf("connection %d beside 3 of the other's, of 4: %v", i, err)
+		}
+	}
+	if got := newer.backends(); got != ownSockets+1 {
+		t.Errorf("the newer process sees %d connections to servers", got)
+	}
+	end(older)
+	newer.look()
+	if newer.present.Load() || newer.backends() != 0 {
+		t.Error("the older process has ended and is still counted")
+	}
+	next := open()
+	if got := next.backends(); got != ownSockets+3 {
+		t.Errorf("the next process sees %d connections to servers", got)
+	}
+	end(newer)
+	end(next)
+	// A place that can't be had stops nothing: the node goes without.
+	if err := os.RemoveAll(c.TempDir); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openBeside(c, quiet); err == nil {
+		t.Error("no error without a folder")
+	}
+	var none *beside
+	if none.count(1, 1); none.clients()+none.backends() != 0 {
+		t.Error("no other process has connections")
+	}
+}
+
+// A connection on which a request waits to be read is not closed as idle.
+func TestWaitingRequestKeepsItsConnection(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := &connections{idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+	var conns [2]net.Conn
+	for i := range conns {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		if conns[i], err = l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		defer conns[i].Close()
+		if i == 0 {
+			client.Write([]byte("G"))
+			for end := time.Now().Add(patient); quietSocket(conns[0]); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the byte does not come")
+				}
+			}
+		}
+		c.track(conns[i], 0)
+		c.idle[conns[i]] = time.Now()
+	}
+	c.closeIdle(0)
+	if c.shed[conns[0]] || !c.shed[conns[1]] {
+		t.Errorf("closed: %v with a request that waits, %v without", c.shed[conns[0]], c.shed[conns[1]])
+	}
+}
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -11,6 +11,8 @@
 	"time"
 )
 
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
 // call sends text to the operators' door and gives what comes back.
 func (n *testNode) call(t *testing.T, text string) string {
 	t.Helper()
@@ -30,7 +32,7 @@
 
 func TestDoorAnswersALine(t *testing.T) {
 	t.Parallel()
-	n := start(t, &Config{Settings: settings(), Known: known("127.0.0.1:1")})
+	n := start(t, &Config{Admin: anyPort, Settings: settings(), Known: known("127.0.0.1:1")})
 	n.waitReady(t, http.StatusOK)
 	for call, want := range map[string]string{
 		"readyz\n": "ACK\n", "readyz\r\n": "ACK\n", "activate\n": "ACK\n",
@@ -51,6 +53,7 @@
 	b := newBackends(c, 10, quiet)
 	f := newFrontend(newLoop(t.Context(), c, b, nil, nil, quiet), 10, quiet)
 	f.loop.able.Store(true)
+	f.listening.Store(true)
 	for range cap(f.loop.happened) { // nobody takes events: whoever waits for the loop waits for ever
 		f.loop.post(func() {})
 	}
@@ -89,7 +92,7 @@
 func TestEvacuateAndBack(t *testing.T) {
 	t.Parallel()
 	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
-	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	n := start(t, &Config{Admin: anyPort, Settings: settings(), Known: known(addr)})
 	idle, err := net.Dial("tcp", n.addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"starlingvalve/decide"
@@ -28,6 +29,7 @@
 	idleWait      = 2 * time.Minute
 	idleLeast     = 2 * time.Second // a client may count on its connection for so long
 	emptyEvery    = 100 * time.Millisecond
+	otherWait     = 2 * time.Millisecond // for a client of the other process to go
 	headerLimit   = 16 << 10
 	patienceLimit = time.Hour // no client waits longer
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
@@ -37,14 +39,15 @@
 
 // frontend serves clients.
 type frontend struct {
-	loop     *loop
-	log      *slog.Logger
-	classes  map[string]decide.Class
-	draining atomic.Bool  // the process ends
-	emptied  atomic.Bool  // by the operators, until they want it back
-	open     atomic.Int64 // requests
-	maxOpen  int64
-	conns    *connections
+	loop      *loop
+	log       *slog.Logger
+	classes   map[string]decide.Class
+	listening atomic.Bool  // for clients
+	draining  atomic.Bool  // the process ends
+	emptied   atomic.Bool  // by the operators, until they want it back
+	open      atomic.Int64 // requests
+	maxOpen   int64
+	conns     *connections
 }
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
@@ -73,7 +76,7 @@
 		return "the process ends"
 	case f.emptied.Load():
 		return "evacuated"
-	case !f.loop.able.Load():
+	case !f.loop.able.Load() || !f.listening.Load():
 		return "no app server is known to be ready"
 	}
 	return ""
@@ -92,7 +95,7 @@
 			return
 		case <-tick.C:
 			if f.emptied.Load() {
-				f.conns.closeIdle()
+				f.conns.closeIdle(idleLeast)
 			}
 		}
 	}
@@ -262,19 +265,22 @@
 // connections counts the clients' connections. Above the limit new requests are refused at once and those closed
 // that have been idle longest, so that there is always room to read and answer what has been accepted.
 type connections struct {
-	mu    sync.Mutex
-	count int
-	limit int
-	idle  map[net.Conn]time.Time // since when
-	shed  map[net.Conn]bool      // closed to make room; what still comes on them is not taken
+	mu     sync.Mutex
+	count  int
+	limit  int
+	beside *beside
+	idle   map[net.Conn]time.Time // since when
+	shed   map[net.Conn]bool      // closed to make room; what still comes on them is not taken
 }
 
 func (c *connections) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.count > c.limit
+	return c.over()
 }
 
+func (c *connections) over() bool { return c.count+c.beside.clients() > c.limit }
+
 func (c *connections) isShed(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -287,15 +293,15 @@
 	switch state {
 	case http.StateNew:
 		c.count++
-		if c.count > c.limit {
+		if c.over() {
 			var oldest net.Conn
 			for idle, since := range c.idle {
 				if oldest == nil || since.Before(c.idle[oldest]) {
 					oldest = idle
 				}
 			}
-			if oldest != nil {
-				c.closeLongIdle(oldest)
+			if oldest != nil && time.Since(c.idle[oldest]) >= idleLeast {
+				c.close(oldest)
 			}
 		}
 	case http.StateIdle:
@@ -309,30 +315,51 @@
 	}
 }
 
-// closeLongIdle closes a connection that is idle, unless its client may still count on it.
-func (c *connections) closeLongIdle(conn net.Conn) {
-	if time.Since(c.idle[conn]) >= idleLeast {
-		delete(c.idle, conn)
-		c.shed[conn] = true
-		conn.Close()
-	}
-}
-
-func (c *connections) closeIdle() {
+// closeIdle closes the connections that have been idle for that long, but none on which a request waits to be read:
+// its client would have to send it again.
+func (c *connections) closeIdle(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.idle {
-		c.closeLongIdle(conn)
+		if time.Since(c.idle[conn]) >= least && quietSocket(conn) {
+			c.close(conn)
+		}
 	}
 }
 
+func (c *connections) close(conn net.Conn) {
+	delete(c.idle, conn)
+	c.shed[conn] = true
+	conn.Close()
+}
+
+// quietSocket tells whether nothing has come that is not read yet, not even the end.
+func quietSocket(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true // closed already
+	}
+	quiet := true
+	raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return quiet
+}
+
 // capped accepts no more connections than there are descriptors for. Beyond it they wait, for the moment that
 // refusing takes. It keeps *net.TCPConn in sight, as a wrapper would hide CloseWrite from net/http, which then
 // resets connections with an answer on them.
 type capped struct {
 	*net.TCPListener
-	slots chan struct{}
-	ctx   context.Context
+	slots  chan struct{}
+	beside *beside
+	ctx    context.Context
 }
 
 type cappedConn struct {
@@ -351,10 +378,14 @@
 	case <-l.ctx.Done():
 		return nil, net.ErrClosed
 	}
+	for len(l.slots)+l.beside.clients() > cap(l.slots) && l.ctx.Err() == nil {
+		time.Sleep(otherWait)
+	}
 	conn, err := l.AcceptTCP()
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
-	return &cappedConn{conn, sync.OnceFunc(func() { <-l.slots })}, nil
+	l.beside.count(1, 0)
+	return &cappedConn{conn, sync.OnceFunc(func() { l.beside.count(-1, 0); <-l.slots })}, nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -64,12 +64,14 @@
 	bans     *bans // nil without a door
 	log      *slog.Logger
 
-	ctx      context.Context // of all that the loop sets going
-	happened chan func()
-	work     sync.WaitGroup
-	able     atomic.Bool // some backend is ready
-	began    time.Time
-	base     decide.Time // the clock's reading at began
+	ctx        context.Context // of all that the loop sets going
+	happened   chan func()
+	work       sync.WaitGroup
+	able       atomic.Bool   // some backend is ready
+	canServe   chan struct{} // closed when that is so for the first time
+	firstReady sync.Once
+	began      time.Time
+	base       decide.Time // the clock's reading at began
 
 	requests  map[decide.RequestID]*request
 	timers    timerHeap
@@ -87,7 +89,7 @@
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
 	now := time.Now()
 	return &loop{module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
-		ctx: ctx, happened: make(chan func(), eventQueue), began: now, base: time.Duration(now.UnixNano()),
+		ctx: ctx, happened: make(chan func(), eventQueue), canServe: make(chan struct{}), began: now, base: time.Duration(now.UnixNano()),
 		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}, names: map[decide.ServerID]string{},
 		out: map[string]bool{}, back: map[string]time.Time{}}
 }
@@ -372,6 +374,9 @@
 		e.Entries = append(e.Entries, s.Server)
 	}
 	l.able.Store(len(l.ready) > 0)
+	if len(l.ready) > 0 {
+		l.firstReady.Do(func() { close(l.canServe) })
+	}
 	l.bans.list(l.names)
 	l.handle(e)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,20 +21,19 @@
 	softPart   = 0.85
 
 	drainAccept = 600 * time.Millisecond // connections come for 0.4 s after SIGTERM; the rest is for the accept queue
+	drainLast   = 50 * time.Millisecond
+	drainSweep  = 10 * time.Millisecond
 	drainExtra  = 300 * time.Millisecond // beyond the longest deadline, to write the last answers
 )
 
 // Run serves until ctx ends and what has been taken by then is answered. On each signal of hup it takes
 // discovery's address from reload; a configuration that can't be read changes nothing.
 func Run(ctx context.Context, c *Config, hup <-chan os.Signal, reload func() (*Config, error), log *slog.Logger) error {
-	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Listen))
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
+	limitMemory(c.Limits.MemoryMB, false)
 	var admin *net.TCPListener
 	if c.Admin.IsValid() {
+		var err error
 		if admin, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Admin)); err != nil {
-			tcp.Close()
 			return fmt.Errorf("admin_addr: %w", err)
 		}
 	}
@@ -49,18 +48,28 @@
 			moves <- next.Discovery
 		}
 	}()
-	return serve(ctx, c, tcp, admin, moves, log)
+	listen := func() (*net.TCPListener, error) { return listenClients(c.Listen, admin != nil, log) }
+	return serve(ctx, c, listen, admin, moves, log)
 }
 
-// serve has no door for operators if admin is nil.
-func serve(ctx context.Context, c *Config, tcp, admin *net.TCPListener, moves <-chan netip.AddrPort, log *slog.Logger) error {
+// serve has no door for operators if admin is nil. With one, this may be an upgrade: it listens for clients once it
+// can serve them.
+func serve(ctx context.Context, c *Config, listen func() (*net.TCPListener, error), admin *net.TCPListener,
+	moves <-chan netip.AddrPort, log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	room := c.Limits.Sockets - ownSockets
 	clients := int(float64(room) * clientPart)
+	var tcp *net.TCPListener
+	var err error
+	if admin == nil {
+		if tcp, err = listen(); err != nil {
+			return err
+		}
+		defer tcp.Close()
+	}
 	p, err := listenPeers(c, log)
 	if err != nil {
-		tcp.Close()
 		return err
 	}
 	b := newBackends(c, room-clients, log)
@@ -68,8 +77,12 @@
 	l := newLoop(inner, c, b, d, p, log)
 	if admin != nil {
 		l.bans = openBans(c, b, log)
+		if b.beside, err = openBeside(c, log); err != nil {
+			log.Error("the limits are not shared with another process", "err", err)
+		}
 	}
 	f := newFrontend(l, int(float64(clients)*softPart), log)
+	f.conns.beside = b.beside
 	srv := f.server()
 
 	var running sync.WaitGroup
@@ -95,17 +108,29 @@
 		running.Go(func() { l.bans.follow(inner) })
 		running.Go(func() { f.letGo(inner) })
 	}
-	served := make(chan error, 1)
-	running.Go(func() {
-		served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), ctx: inner})
-	})
-	log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
-
-	select {
-	case err = <-served:
-		err = fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
-		f.drain(srv)
+	if b.beside != nil {
+		running.Go(func() { b.beside.run(inner) })
+	}
+	if tcp == nil {
+		select {
+		case <-l.canServe:
+			tcp, err = listen()
+		case <-ctx.Done():
+		}
+	}
+	if tcp != nil {
+		served := make(chan error, 1)
+		running.Go(func() {
+			served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), beside: b.beside, ctx: inner})
+		})
+		log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
+		f.listening.Store(true)
+		select {
+		case err = <-served:
+			err = fmt.Errorf("serve: %w", err)
+		case <-ctx.Done():
+			f.drain(srv)
+		}
 	}
 	stop()
 	srv.Close()
@@ -118,7 +143,14 @@
 func (f *frontend) drain(srv *http.Server) {
 	f.draining.Store(true)
 	f.log.Info("draining")
-	time.Sleep(drainAccept)
+	// Idle connections go early, as a newer process may need their places; the last ones before Shutdown, which would
+	// close those too on which a request waits to be read.
+	for begun := time.Now(); time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
+		f.conns.closeIdle(idleLeast)
+	}
+	for begun := time.Now(); time.Since(begun) < drainLast; time.Sleep(drainSweep) {
+		f.conns.closeIdle(0)
+	}
 	longest := drainExtra
 	for _, c := range f.classes {
 		longest = max(longest, c.Deadline+drainExtra)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -132,13 +132,20 @@
 	if !c.Discovery.IsValid() {
 		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
 	}
-	admin, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
+	var admin *net.TCPListener
+	door := ""
+	if c.Admin.IsValid() {
+		if admin, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Admin)); err != nil {
+			t.Fatal(err)
+		}
+		door = admin.Addr().String()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{door: admin.Addr().String(), addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), moves: make(chan netip.AddrPort)}
-	go func() { n.ended <- serve(ctx, c, tcp, admin, n.moves, quiet); close(n.ended) }()
+	n := &testNode{door: door, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), moves: make(chan netip.AddrPort)}
+	go func() {
+		n.ended <- serve(ctx, c, func() (*net.TCPListener, error) { return tcp, nil }, admin, n.moves, quiet)
+		close(n.ended)
+	}()
 	t.Cleanup(func() { stop(); <-n.ended })
 	return n // connections wait in the listener's queue until it serves
 }
