Take changed settings at SIGHUP, whole or not at all

From 5 s on half of all requests failed, from 20 s on all: Run (node.go) took discovery's address from the new file and nothing else, and the front end answered 404 to the new classes. Ruled out: a file that is not taken, as discovery moved.

settings.go checks the file, loop.change has module, connections and front end take it together; requests hold the settings and class they came under.

--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -35,13 +35,6 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	reload := func() (*node.Config, error) {
-		return node.LoadConfig(func(name string) string {
-			if name == "GW_DISCOVERY" { // it holds the address at the start: the file's is newer
-				return ""
-			}
-			return os.Getenv(name)
-		})
-	}
+	reload := func() (*node.Config, error) { return node.ReloadConfig(os.Getenv) }
 	return node.Run(ctx, c, hup, reload, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -60,8 +60,11 @@
 		t.Fatal(err)
 	}
 	defer discovery.Close()
-	const config = `{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1","settings":{
-		"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`
+	text, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := string(text)
 	cmd, _ := program(t, fmt.Sprintf(config, discovery.Addr()))
 	cmd.Env = append(cmd.Env, "GW_DISCOVERY="+discovery.Addr().String()) // as it was at the start
 	cmd.Stderr = nil
--- a/decide/api.go
+++ b/decide/api.go
@@ -266,6 +266,9 @@
 		Server ServerID
 		At     Time
 	}
+	// SettingsChanged brings other settings. What is open keeps the class
+	// and the limits that it came under.
+	SettingsChanged struct{ Settings Settings }
 )
 
 func (RequestArrived) event()   {}
@@ -278,6 +281,7 @@
 func (TimerFired) event()       {}
 func (ServerExcluded) event()   {}
 func (ServerIncluded) event()   {}
+func (SettingsChanged) event()  {}
 
 // Action is something the caller is to do. The types below are all there are.
 type Action interface{ action() }
--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -685,3 +685,61 @@
 		t.Log(early, late)
 	}
 }
+
+// Changed settings hold for requests that come from then on. One that is open keeps its class's effect, and the number
+// of attempts that it may have.
+func TestSettingsChangeUnderOpenRequests(t *testing.T) {
+	set := rigSettings()
+	m := decide.New(set, 5)
+	now := time.Hour
+	m.Handle(now, decide.ListUpdate{Kind: decide.ListCached, Entries: []decide.Server{{ID: 1}, {ID: 2}, {ID: 3}, {ID: 4}}})
+	sends := func(actions []decide.Action) (n int, last decide.Send) {
+		for _, a := range actions {
+			if s, ok := a.(decide.Send); ok {
+				n, last = n+1, s
+			}
+		}
+		return n, last
+	}
+	first := map[string]decide.Send{}
+	arrive := func(id, class string) {
+		t.Helper()
+		n, s := sends(m.Handle(now, decide.RequestArrived{ID: decide.RequestID(id), Class: class, Patience: time.Second}))
+		if n != 1 {
+			t.Fatalf("%s of class %s: %d sends", id, class, n)
+		}
+		first[id] = s
+	}
+	// again tells whether a request whose attempt failed is sent again.
+	again := func(id string, attempt int) int {
+		s := first[id]
+		n, next := sends(m.Handle(now, decide.AttemptEnded{ID: s.ID, Attempt: attempt, Server: s.Server, Code: decide.ServerError}))
+		first[id] = next
+		return n
+	}
+	arrive("old read", "dear")
+	arrive("old order", "once")
+	set.MaxAttempts = 1
+	set.Classes = []decide.Class{set.Classes[0], set.Classes[2], {Name: "new", Worth: 5, Aim: time.Second, Deadline: time.Second, Effect: decide.Safe}}
+	set.Classes[0].Effect, set.Classes[1].Effect = decide.Unsafe, decide.Safe
+	m.Handle(now, decide.SettingsChanged{Settings: set})
+	arrive("new read", "dear")
+	arrive("new order", "once")
+	arrive("new", "new")
+	for i, want := range []int{1, 1, 0} { // three attempts in all
+		if got := again("old read", i); got != want {
+			t.Errorf("the older read after %d failures: %d sends, want %d", i+1, got, want)
+		}
+	}
+	for _, id := range []string{"old order", "new read", "new order", "new"} { // unsafe, unsafe, one attempt, one attempt
+		if again(id, 0) != 0 {
+			t.Errorf("%s is sent again", id)
+		}
+	}
+	set.MaxAttempts = 3
+	m.Handle(now, decide.SettingsChanged{Settings: set})
+	arrive("later order", "once")
+	if again("later order", 0) != 1 {
+		t.Error("an order that has become safe is not sent again")
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,6 +112,9 @@
 		delete(m.excluded, e.Server)
 		m.back[e.Server] = e.At
 		m.banned(e.Server)
+	case SettingsChanged:
+		m.configure(e.Settings)
+		m.relist()
 	case TimerFired:
 		m.tick()
 		m.do(timer)
@@ -362,14 +365,14 @@
 
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
-		s.State != Ready || s.out || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
+	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, r.rules.MaxAttempts) ||
+		s.State != Ready || s.out || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
 		return false
 	}
 	for i := range r.attempts {
 		a, c := &r.attempts[i], r.class
 		if a.server == s || a.mayRun && c.Effect != Safe && (c.Effect == Unsafe ||
-			m.now+m.set.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
+			m.now+r.rules.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
 			c.KeyScope == ScopeCell && s.Cell != a.server.Cell) {
 			return false
 		}
@@ -419,7 +422,7 @@
 func (m *Module) close(r *request) {
 	r.done = true
 	for i := range r.attempts {
-		if m.set.MayCancel && !r.attempts[i].ended && !r.started {
+		if r.rules.MayCancel && !r.attempts[i].ended && !r.started {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
 		}
 	}
@@ -433,7 +436,7 @@
 		return
 	}
 	c := m.classOf(e.Class)
-	r := &request{id: e.ID, class: c, arrived: m.now, deadline: m.now + e.Patience}
+	r := &request{id: e.ID, class: c, rules: m.set, arrived: m.now, deadline: m.now + e.Patience}
 	m.requests[e.ID], m.open = r, append(m.open, r)
 	m.arrivals, m.arrivedAt = m.arrivals*decay(m.now-m.arrivedAt, rateMemory)+1/rateMemory, m.now
 	m.worth += classGain * (c.Worth - m.worth)
--- a/decide/state.go
+++ b/decide/state.go
@@ -58,6 +58,7 @@
 type request struct {
 	id                             RequestID
 	class                          *class
+	rules                          *Settings // those it came under
 	arrived, deadline              Time
 	attempts                       []attempt
 	out                            int
@@ -71,7 +72,7 @@
 
 // Module decides for one node. It is not safe for concurrent use.
 type Module struct {
-	set                Settings
+	set                *Settings
 	rng                uint64
 	now, periodAt      Time
 	out                []Action
@@ -108,22 +109,37 @@
 
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
-	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, classes: map[string]*class{},
-		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, excluded: map[ServerID]bool{}, back: map[ServerID]Time{}, requests: map[RequestID]*request{}}
-	m.set.Nodes = max(1, s.Nodes)
+	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, tenants: map[string]*tenant{}, known: map[ServerID]*server{},
+		excluded: map[ServerID]bool{}, back: map[ServerID]Time{}, requests: map[RequestID]*request{}}
+	m.configure(s)
 	m.share = 1 / float64(m.set.Nodes)
+	m.worth = m.top
+	return m
+}
+
+// configure takes the settings of the start, or changed ones. Of a class that has changed, what was learned holds.
+func (m *Module) configure(s Settings) {
+	s.Nodes = max(1, s.Nodes)
 	if !s.HoldOffs {
-		m.set.MaxHoldOff = 0
+		s.MaxHoldOff = 0
 	}
+	classes, tenants := m.classes, m.tenants
+	m.set, m.classes, m.order, m.top, m.tenants = &s, map[string]*class{}, nil, 0, map[string]*tenant{}
 	for _, c := range s.Classes {
 		k := m.classOf(c.Name)
+		if was := classes[c.Name]; was != nil {
+			*k = *was
+		}
 		k.Class, m.top = c, math.Max(m.top, c.Worth)
 	}
-	m.worth = m.top
 	for _, t := range s.Tenants {
-		m.tenants[t.Name] = &tenant{perNode: t.Quota / float64(m.set.Nodes)}
+		k := &tenant{}
+		if was := tenants[t.Name]; was != nil {
+			*k = *was
+		}
+		k.perNode = t.Quota / float64(s.Nodes)
+		m.tenants[t.Name] = k
 	}
-	return m
 }
 
 // classOf knows every class: one that the settings lack is unsafe and of no worth.
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -60,12 +60,18 @@
 }
 
 func newBackends(c *Config, limit int, log *slog.Logger) *backends {
-	idle := time.Duration(float64(c.Settings.ConnIdle) * idlePart)
-	if idle <= 0 {
-		idle = time.Minute
+	b := &backends{hosts: map[decide.ServerID]*host{}, out: map[decide.ServerID]bool{}, limit: limit, log: log}
+	b.configure(c.Settings)
+	return b
+}
+
+func (b *backends) configure(s decide.Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.connectTimeout, b.idleLimit = s.ConnectTimeout, time.Duration(float64(s.ConnIdle)*idlePart)
+	if b.idleLimit <= 0 {
+		b.idleLimit = time.Minute
 	}
-	return &backends{hosts: map[decide.ServerID]*host{}, out: map[decide.ServerID]bool{}, limit: limit, log: log,
-		connectTimeout: c.Settings.ConnectTimeout, idleLimit: idle}
 }
 
 // update follows the list. Connections of an address or a process that is no more are closed: a request on one
@@ -238,8 +244,8 @@
 		return nil, errTooMany
 	}
 	b.opened(1)
-	b.mu.Unlock()
 	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
+	b.mu.Unlock()
 	tcp, err := d.DialContext(ctx, "tcp", h.addr)
 	if err != nil {
 		b.mu.Lock()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -47,7 +47,20 @@
 )
 
 // LoadConfig reads the file that GW_CONFIG names. The other GW_ variables go before what it says.
-func LoadConfig(getenv func(string) string) (*Config, error) {
+func LoadConfig(getenv func(string) string) (*Config, error) { return load(getenv, false) }
+
+// ReloadConfig reads the file that a running node is to change to. It has to be whole, where a start makes do with
+// what it can run with. Discovery's address is the file's: the variable holds the one at the start.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	return load(func(name string) string {
+		if name == "GW_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	}, true)
+}
+
+func load(getenv func(string) string, whole bool) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, errors.New("GW_CONFIG is not set")
@@ -72,6 +85,11 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if whole {
+		if err := complete(raw); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	for variable, field := range map[string]*string{"GW_NAME": &in.Name, "GW_LISTEN": &in.Listen, "GW_DISCOVERY": &in.Discovery,
 		"GW_ADMIN_ADDR": &in.Admin} {
 		if v := getenv(variable); v != "" {
@@ -132,8 +150,8 @@
 	if c.Settings, err = wire.DecodeSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
-	if len(c.Settings.Classes) == 0 || c.Settings.ConnectTimeout <= 0 {
-		return nil, fmt.Errorf("%s: settings: want classes and caps.connect_timeout_ns", path)
+	if err := sensible(c.Settings); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
 	return c, nil
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -41,7 +41,6 @@
 type frontend struct {
 	loop      *loop
 	log       *slog.Logger
-	classes   map[string]decide.Class
 	listening atomic.Bool  // for clients
 	draining  atomic.Bool  // the process ends
 	emptied   atomic.Bool  // by the operators, until they want it back
@@ -51,14 +50,8 @@
 }
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, classes: map[string]decide.Class{}, maxOpen: int64(maxConns),
+	f := &frontend{loop: l, log: log, maxOpen: int64(maxConns),
 		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}}
-	if m := l.settings.MaxOpen; m > 0 {
-		f.maxOpen = min(f.maxOpen, int64(m))
-	}
-	for _, c := range l.settings.Classes {
-		f.classes[c.Name] = c
-	}
 	return f
 }
 
@@ -121,13 +114,14 @@
 		http.NotFound(w, r)
 		return
 	}
-	if f.open.Add(1) > f.maxOpen || f.conns.crowded() {
+	rules := f.loop.rules.Load()
+	if open := f.open.Add(1); open > f.maxOpen || rules.MaxOpen > 0 && open > int64(rules.MaxOpen) || f.conns.crowded() {
 		f.open.Add(-1)
 		f.write(w, answer{status: http.StatusServiceUnavailable, holdOff: busyHoldOff})
 		return
 	}
 	defer f.open.Add(-1)
-	req, status, err := f.read(w, r, class)
+	req, status, err := f.read(w, r, rules, class)
 	if err != nil {
 		w.Header().Set("Connection", "close") // what follows a bad request on its connection can't be trusted
 		http.Error(w, err.Error(), status)
@@ -155,8 +149,8 @@
 }
 
 // read takes in a request, or says what is wrong with it.
-func (f *frontend) read(w http.ResponseWriter, r *http.Request, class string) (*request, int, error) {
-	settings, known := f.classes[class]
+func (f *frontend) read(w http.ResponseWriter, r *http.Request, rules *rules, class string) (*request, int, error) {
+	settings, known := rules.classes[class]
 	id := r.Header.Get("X-Correlation-Id")
 	if !known { // an app server's answer to it would be held against the server
 		return nil, http.StatusNotFound, errors.New("no such path")
@@ -208,7 +202,7 @@
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
 		e.WorkHint, e.HasHint = time.Duration(us*float64(time.Microsecond)), true
 	}
-	return &request{arrived: e, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
+	return &request{arrived: e, class: settings, rules: rules, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
 		url:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		header: endToEnd(r.Header), answer: make(chan answer, 1)}, 0, nil
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,7 +25,9 @@
 // request is a client's request as the front end has read it.
 type request struct {
 	arrived  decide.RequestArrived // but for Patience
-	deadline time.Time             // the client has its answer by then
+	class    decide.Class          // as the rules had it when the request came
+	rules    *rules
+	deadline time.Time // the client has its answer by then
 	method   string
 	url      *url.URL
 	header   http.Header
@@ -36,7 +38,6 @@
 	over     bool
 	out      int
 	attempts []*attempt
-	window   time.Duration // for keyed ones: how long backends remember the key
 }
 
 // answer is a request's final answer.
@@ -57,7 +58,7 @@
 // is set going. Nothing in it waits for the network.
 type loop struct {
 	module   *decide.Module
-	settings decide.Settings
+	rules    atomic.Pointer[rules] // those for requests that come now; the loop's goroutine changes them
 	backends *backends
 	disco    *discovery
 	peers    *peers
@@ -88,10 +89,12 @@
 
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
 	now := time.Now()
-	return &loop{module: decide.New(c.Settings, c.Seed), settings: c.Settings, backends: b, disco: d, peers: p, log: log,
+	l := &loop{module: decide.New(c.Settings, c.Seed), backends: b, disco: d, peers: p, log: log,
 		ctx: ctx, happened: make(chan func(), eventQueue), canServe: make(chan struct{}), began: now, base: time.Duration(now.UnixNano()),
 		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}, names: map[decide.ServerID]string{},
 		out: map[string]bool{}, back: map[string]time.Time{}}
+	l.rules.Store(newRules(c.Settings))
+	return l
 }
 
 // now is the module's clock: it goes on evenly from the time of day at the start, so that the times at which
@@ -114,7 +117,7 @@
 	known.full = true
 	l.follow(known, decide.ListCached)
 	changed := l.bans.changes()
-	if !l.settings.AskForList {
+	if !l.rules.Load().AskForList {
 		since := known.version
 		l.work.Go(func() { l.disco.follow(l.ctx, since, func(n list) { l.post(func() { l.news(n) }) }) })
 	}
@@ -165,7 +168,7 @@
 	case decide.Fail:
 		l.finish(a.ID, answer{status: http.StatusBadGateway})
 	case decide.CancelAttempt:
-		if r := l.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && l.settings.MayCancel {
+		if r := l.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) && r.rules.MayCancel {
 			r.attempts[a.Attempt].cancel()
 		}
 	case decide.SetTimer:
@@ -188,6 +191,14 @@
 	}
 }
 
+// change takes other settings: those that are open keep theirs.
+func (l *loop) change(s decide.Settings) {
+	s.AskForList = l.rules.Load().AskForList // who follows the list is settled at the start
+	l.backends.configure(s)
+	l.handle(decide.SettingsChanged{Settings: s})
+	l.rules.Store(newRules(s))
+}
+
 // arrive takes a request from the front end. An id that is still open is not taken twice: the module would not
 // answer it, and its effect could happen twice.
 func (l *loop) arrive(r *request) {
@@ -195,10 +206,10 @@
 		r.answer <- answer{status: http.StatusConflict}
 		return
 	}
-	for _, c := range l.settings.Classes {
-		if c.Name == r.arrived.Class && c.Effect == decide.Keyed {
-			r.window = c.DedupWindow
-		}
+	if now := l.rules.Load(); r.rules != now && now.classes[r.class.Name] != r.class {
+		// It was read under rules that have just changed; the module would take it for one of the new class.
+		r.answer <- answer{status: http.StatusServiceUnavailable}
+		return
 	}
 	l.requests[r.arrived.ID] = r
 	r.arrived.Patience = time.Until(r.deadline)
@@ -240,7 +251,7 @@
 	n := len(r.attempts)
 	r.attempts = append(r.attempts, t)
 	r.out++
-	if r.over || n >= max(1, l.settings.MaxAttempts) || !now.Before(r.deadline) {
+	if r.over || n >= max(1, r.rules.MaxAttempts) || !now.Before(r.deadline) {
 		l.ended(a, n, result{code: decide.Moot})
 		return
 	}
@@ -249,8 +260,8 @@
 		x.deadline = now.Add(a.Timeout)
 	}
 	for _, earlier := range r.attempts[:n] {
-		if r.window > 0 && !earlier.neverRan {
-			x.writeBy = earlier.sent.Add(r.window - windowMargin)
+		if r.class.Effect == decide.Keyed && !earlier.neverRan {
+			x.writeBy = earlier.sent.Add(r.class.DedupWindow - windowMargin)
 			break
 		}
 	}
@@ -291,7 +302,7 @@
 func (l *loop) probe(id decide.ServerID) {
 	h := l.backends.find(id)
 	path := "/stats"
-	if l.settings.ReportVia == decide.ReportNone {
+	if l.rules.Load().ReportVia == decide.ReportNone {
 		path = "/health/live"
 	}
 	began := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -27,7 +26,7 @@
 )
 
 // Run serves until ctx ends and what has been taken by then is answered. On each signal of hup it takes
-// discovery's address from reload; a configuration that can't be read changes nothing.
+// discovery's address and the settings from reload; a configuration that is not whole changes nothing.
 func Run(ctx context.Context, c *Config, hup <-chan os.Signal, reload func() (*Config, error), log *slog.Logger) error {
 	limitMemory(c.Limits.MemoryMB, false)
 	var admin *net.TCPListener
@@ -37,7 +36,7 @@
 			return fmt.Errorf("admin_addr: %w", err)
 		}
 	}
-	moves := make(chan netip.AddrPort)
+	reloads := make(chan *Config)
 	go func() {
 		for range hup {
 			next, err := reload()
@@ -45,17 +44,17 @@
 				log.Error("configuration not taken", "err", err)
 				continue
 			}
-			moves <- next.Discovery
+			reloads <- next
 		}
 	}()
 	listen := func() (*net.TCPListener, error) { return listenClients(c.Listen, admin != nil, log) }
-	return serve(ctx, c, listen, admin, moves, log)
+	return serve(ctx, c, listen, admin, reloads, log)
 }
 
 // serve has no door for operators if admin is nil. With one, this may be an upgrade: it listens for clients once it
 // can serve them.
 func serve(ctx context.Context, c *Config, listen func() (*net.TCPListener, error), admin *net.TCPListener,
-	moves <-chan netip.AddrPort, log *slog.Logger) error {
+	reloads <-chan *Config, log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	room := c.Limits.Sockets - ownSockets
@@ -91,8 +90,10 @@
 	running.Go(func() {
 		for {
 			select {
-			case to := <-moves:
-				d.move(to)
+			case next := <-reloads:
+				d.move(next.Discovery)
+				l.post(func() { l.change(next.Settings) })
+				log.Info("configuration taken", "classes", len(next.Settings.Classes), "attempts", next.Settings.MaxAttempts)
 			case <-inner.Done():
 				return
 			}
@@ -152,7 +153,7 @@
 		f.conns.closeIdle(0)
 	}
 	longest := drainExtra
-	for _, c := range f.classes {
+	for _, c := range f.loop.rules.Load().Classes {
 		longest = max(longest, c.Deadline+drainExtra)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), longest)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -109,11 +109,12 @@
 
 // node is a running node.
 type testNode struct {
-	moves chan netip.AddrPort
-	addr  string
-	door  string
-	stop  context.CancelFunc
-	ended chan error
+	reloads chan *Config
+	addr    string
+	door    string
+	disco   netip.AddrPort
+	stop    context.CancelFunc
+	ended   chan error
 }
 
 func start(t *testing.T, c *Config) *testNode {
@@ -141,9 +142,9 @@
 		door = admin.Addr().String()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{door: door, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), moves: make(chan netip.AddrPort)}
+	n := &testNode{door: door, disco: c.Discovery, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), reloads: make(chan *Config)}
 	go func() {
-		n.ended <- serve(ctx, c, func() (*net.TCPListener, error) { return tcp, nil }, admin, n.moves, quiet)
+		n.ended <- serve(ctx, c, func() (*net.TCPListener, error) { return tcp, nil }, admin, n.reloads, quiet)
 		close(n.ended)
 	}()
 	t.Cleanup(func() { stop(); <-n.ended })
@@ -794,12 +795,12 @@
 		c.Settings.AskForList = !pushed
 		n := start(t, c)
 		<-held
-		n.moves <- registry(t, func(n int, q url.Values) string {
+		n.reloads <- &Config{Settings: c.Settings, Discovery: registry(t, func(n int, q url.Values) string {
 			if n > 1 {
 				return ""
 			}
 			return jsonList(2, true, "ready", addr)
-		})
+		})}
 		n.waitReady(t, 200)
 		n.stop()
 	}
@@ -850,7 +851,7 @@
 	}
 	ownAddr := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	l := newLoop(ctx, c, b, newDiscovery(c, quiet), p, quiet)
-	l.settings.AskForList = true // the loop asks only when told
+	l.rules.Load().AskForList = true // the loop asks only when told
 	var running sync.WaitGroup
 	running.Go(func() { l.run(c.Known) })
 	running.Go(func() { b.run(ctx) })
@@ -908,7 +909,7 @@
 		t.Errorf("heard %q", got)
 	}
 	r := &request{arrived: decide.RequestArrived{ID: "q", Class: "order"}, deadline: time.Now().Add(patient), method: "POST",
-		url: &url.URL{Path: "/order", Host: "h"}, answer: make(chan answer, 1)}
+		class: decide.Class{Name: "order"}, rules: l.rules.Load(), url: &url.URL{Path: "/order", Host: "h"}, answer: make(chan answer, 1)}
 	l.post(func() { l.arrive(r) })
 	expect("/order")
 	act(decide.CancelAttempt{ID: "q", Attempt: 0})
@@ -938,7 +939,7 @@
 
 const goodConfig = `{"name":"n0","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 	"peer_listen":"127.0.0.1:82","peers":["127.0.0.1:82"],"peers_all":"127.0.0.1:83","known":{"version":4,"full":true,"servers":[]},
-	"settings":{"balancers":3,"caps":{"connect_timeout_ns":250000000},"classes":[{"name":"c","effect":"fragile"}]}}`
+	"settings":{"balancers":3,"caps":{"connect_timeout_ns":250000000,"max_attempts":3},"classes":[{"name":"c","effect":"fragile","give_up_ns":9000000}]}}`
 
 // loadText loads a configuration file that holds text, with further variables.
 func loadText(t *testing.T, text string, more map[string]string) (*Config, error) {
@@ -961,7 +962,8 @@
 		t.Errorf("%+v, %v", c, err)
 	}
 	for _, bad := range [][2]string{{`{"name"`, `{"nam`}, {`"n0"`, `""`}, {`"127.0.0.1:80"`, `"x"`}, {`"127.0.0.1:81"`, `""`}, {`8c1f`, `xyz`},
-		{`1024`, `3`}, {`192`, `-1`}, {`"peers":["127`, `"peers":["x`}, {`"full":true`, `"full":3`}, {`"fragile"`, `"odd"`}, {`250000000`, `0`}, {`"settings"`, `"other"`}} {
+		{`1024`, `3`}, {`192`, `-1`}, {`"peers":["127`, `"peers":["x`}, {`"full":true`, `"full":3`}, {`"fragile"`, `"odd"`}, {`250000000`, `0`}, {`"max_attempts":3`, `"max_attempts":0`},
+		{`9000000`, `-1`}, {`"settings"`, `"other"`}} {
 		if _, err := loadText(t, strings.Replace(goodConfig, bad[0], bad[1], 1), nil); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s for %s: error %v", bad[1], bad[0], err)
 		}
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// wholeText is a configuration with every key that is not optional.
+const wholeText = `{"name":"n0","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"1","limits":{},"settings":{
+	"balancers":1,"slot_no":0,"zone":"z","failure_domains":["z"],"family":"proxy","kinds":["k"],"membership_mode":"pushed",
+	"over_share_worth":0.1,"tick_ns":5000000,"tier":0,"tiers":["t"],"weight_kind":"none","worth_by":"work","specifics":{},
+	"client_habits":{"marks_retry":true},"report":{"fields":[],"how":"none"},
+	"goal":{"whole":0.6,"worst_class":0.2,"worst_tenant":0.1,"worst_window":0.1},
+	"caps":{"cancel":true,"conn_idle_ns":15000000000,"connect_timeout_ns":200000000,"cpu_us_per_request":0,"cpu_us_per_s":8000,
+		"max_attempts":6,"max_retry_after_ns":750000000,"may_duplicate":false,"most_held":20000,"multiplex":1,"peers":false,
+		"probes":false,"retry_after":true},
+	"charges":{"connection":0,"cross_zone":0,"handshake":0,"late_fail":0,"membership_mode":0,"moves":0,"origin":0,"peer":0,
+		"probe":0,"waste":0},
+	"invariants":{"answer_slack_ns":20000000,"ask_within_ns":10000000000,"cold_from":0.4,"cold_ns":8700000000,
+		"drain_grace_ns":1000000000,"overload_factor":4,"tip_after_ns":1500000000},
+	"classes":[{"aim_ns":400000000,"dedup_window_ns":5000000000,"effect":"retryable","give_up_ns":1200000000,"importance":1,
+		"key_scope":"all","late_worth":0.25,"name":"view","streamed":false}]}}`
+
+// A configuration is taken at SIGHUP only if it is whole; what is missing or wrong is named.
+func TestReloadTakesOnlyAWholeFile(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "config.json")
+	reload := func(text string) (*Config, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReloadConfig(func(name string) string {
+			return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.1:1"}[name]
+		})
+	}
+	c, err := reload(wholeText)
+	if err != nil || c.Discovery.Port() != 81 || c.Settings.MaxAttempts != 6 {
+		t.Fatalf("a whole file: %+v, %v", c, err)
+	}
+	bad := map[string]string{"": "JSON", wholeText[:len(wholeText)/2]: "JSON", wholeText + "{": "after top-level", "null": "name is missing"}
+	for _, key := range append(wholeConfig, wholeClass...) {
+		last := key[strings.LastIndex(key, ".")+1:]
+		if strings.Count(wholeText, `"`+last+`":`) == 1 { // the others are keys at several places
+			bad[strings.Replace(wholeText, `"`+last+`":`, `"x":`, 1)] = key + " is missing"
+		}
+	}
+	if len(bad) < 50 {
+		t.Errorf("only %d bad files", len(bad))
+	}
+	for change, want := range map[[2]string]string{
+		{`"max_attempts":6`, `"max_attempts":0`}:                     "max_attempts",
+		{`"max_attempts":6`, `"max_attempts":"6"`}:                   "max_attempts",
+		{`"max_attempts":6`, `"max_attempts":null`}:                  "max_attempts",
+		{`"give_up_ns":1200000000`, `"give_up_ns":0`}:                "give_up_ns",
+		{`"give_up_ns":1200000000`, `"give_up_ns":-1`}:               "give_up_ns",
+		{`"retryable"`, `"sometimes"`}:                               "effect",
+		{`"name":"view"`, `"name":""`}:                               "name",
+		{`"connect_timeout_ns":200000000`, `"connect_timeout_ns":0`}: "connect_timeout_ns",
+	} {
+		bad[strings.Replace(wholeText, change[0], change[1], 1)] = want
+	}
+	for text, want := range bad {
+		if _, err := reload(text); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("want an error about %s: %v", want, err)
+		}
+	}
+}
+
+// Changed settings hold for requests that come from then on: classes come, go and change their effect, and attempts
+// get fewer. Those that are open keep the old rules.
+func TestSettingsChange(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan string, 9), make(chan string, 9)
+	failing := backend(t, answering(func(r *http.Request, _ []byte) string {
+		came <- r.Method + " " + r.URL.Path
+		if <-let == "ok" {
+			return ok("x")
+		}
+		return "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+	}))
+	set := settings()
+	set.Classes = set.Classes[:1] // read, which is safe
+	n := start(t, &Config{Settings: set, Known: known(failing, failing)})
+	held := make(chan int)
+	hold := func(method, path string) {
+		go func() {
+			resp, _ := n.ask(t, fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: %s%d\r\nX-Time-Left: 9\r\nContent-Length: 0\r\n\r\n",
+				method, path, path, ids.Add(1)))
+			held <- resp.StatusCode
+		}()
+	}
+	hold("GET", "read")
+	<-came
+	next := settings()
+	next.MaxAttempts = 1
+	next.Classes = []decide.Class{next.Classes[0], {Name: "buy", Worth: 1, Aim: 5 * time.Second, Deadline: 10 * time.Second, Effect: decide.Safe}}
+	next.Classes[0].Effect = decide.Unsafe
+	n.reloads <- &Config{Settings: next, Discovery: n.disco}
+	for end := time.Now().Add(patient); ; {
+		hold("GET", "buy")
+		select {
+		case status := <-held:
+			if status != http.StatusNotFound || time.Now().After(end) {
+				t.Fatalf("the new class: status %d", status)
+			}
+			continue
+		case got := <-came:
+			if got != "GET /buy" {
+				t.Errorf("came %q", got)
+			}
+		}
+		break
+	}
+	let <- "fail" // of either: the older request is tried again, the newer one is not
+	let <- "fail"
+	select {
+	case got := <-came:
+		if got != "GET /read" {
+			t.Errorf("tried again: %q", got)
+		}
+	case <-time.After(patient):
+		t.Fatal("the older request is not tried again")
+	}
+	if status := <-held; status == 200 {
+		t.Errorf("the newer request: status %d", status)
+	}
+	let <- "ok"
+	if status := <-held; status != 200 {
+		t.Errorf("the older request: status %d", status)
+	}
+	hold("GET", "read")
+	if status := <-held; status != http.StatusMethodNotAllowed {
+		t.Errorf("a class that has become unsafe is read: status %d", status)
+	}
+	next.Classes = next.Classes[1:]
+	n.reloads <- &Config{Settings: next, Discovery: n.disco}
+	for end := time.Now().Add(patient); ; {
+		hold("POST", "read")
+		select {
+		case <-came:
+			let <- "ok"
+			<-held
+		case status := <-held:
+			if status == http.StatusNotFound {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("a class that was dropped is served")
+		}
+	}
+}
+
+// A request that was read under older rules of its class than those in force is refused: nothing of it was sent.
+func TestRequestThatCrossesAChange(t *testing.T) {
+	t.Parallel()
+	c := &Config{Settings: settings()}
+	l := newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet)
+	old := l.rules.Load()
+	changed := settings()
+	changed.Classes[0].Effect = decide.Unsafe
+	l.change(changed)
+	r := &request{arrived: decide.RequestArrived{ID: "a", Class: "read"}, class: old.classes["read"], rules: old,
+		deadline: time.Now().Add(patient), answer: make(chan answer, 1)}
+	l.arrive(r)
+	if a := <-r.answer; a.status != http.StatusServiceUnavailable || len(l.requests) > 0 {
+		t.Errorf("%+v, %d open", a, len(l.requests))
+	}
+}
