--- a/decide/api.go
+++ b/decide/api.go
@@ -241,6 +241,13 @@
 		Server  ServerID
 		Elapsed time.Duration
 	}
+	// BodyStarted says that a part of a long request's body that is not
+	// kept is passed on: no further attempt can be made. The client's time
+	// counts from the body's end, and the caller keeps it from then on.
+	BodyStarted struct {
+		ID      RequestID
+		Attempt int
+	}
 	// RequestAbandoned says that the client is gone; nothing is owed.
 	RequestAbandoned struct{ ID RequestID }
 	// ProbeEnded is the result of a Probe.
@@ -275,6 +282,7 @@
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
+func (BodyStarted) event()      {}
 func (RequestAbandoned) event() {}
 func (ProbeEnded) event()       {}
 func (MessageReceived) event()  {}
--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -743,3 +743,32 @@
 		t.Error("an order that has become safe is not sent again")
 	}
 }
+
+// Attempts that last as long as their clients take over long bodies are no load: however many there are, others are sent.
+// One whose body has been passed on is not made again.
+func TestLongBodiesAreNoLoad(t *testing.T) {
+	r := newRig(t, rigSettings(), 3)
+	r.run(10*time.Second, 60, "dear")
+	for i := range 60 {
+		id := decide.RequestID(fmt.Sprint("long", i))
+		for _, a := range r.m.Handle(r.now, decide.RequestArrived{ID: id, Class: "dear", Patience: time.Minute}) {
+			if s, ok := a.(decide.Send); ok && i%2 == 0 {
+				r.m.Handle(r.now, decide.StreamStarted{ID: id, Server: s.Server, Elapsed: 50 * time.Millisecond})
+			} else if ok {
+				r.m.Handle(r.now, decide.BodyStarted{ID: id})
+				if i%10 == 1 {
+					for _, a := range r.m.Handle(r.now, decide.AttemptEnded{ID: id, Server: s.Server, Code: decide.ConnectFailed}) {
+						if _, again := a.(decide.Send); again {
+							t.Error("a body that was passed on is sent again")
+						}
+					}
+				}
+			}
+		}
+	}
+	r.reset()
+	r.run(2*time.Second, 60, "dear")
+	if r.refused > 0 {
+		t.Errorf("refused %d", r.refused)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -98,8 +98,15 @@
 		m.ended(e)
 	case StreamStarted:
 		if r := m.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
-			r.started = true
-			m.learn(r.attempts[e.Attempt].server, r.class, e.Elapsed)
+			a := &r.attempts[e.Attempt]
+			r.started, a.server.unanswered = true, 0
+			m.learn(a.server, r.class, e.Elapsed)
+			m.relieve(a)
+		}
+	case BodyStarted:
+		if r := m.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
+			r.sealed = true
+			m.relieve(&r.attempts[e.Attempt])
 		}
 	case RequestAbandoned:
 		if r := m.requests[e.ID]; r != nil && !r.done {
@@ -307,7 +314,7 @@
 	case OK:
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
 		s.backoff, s.errors = 0, s.errors*(1-errorGain)
-		if !r.started {
+		if !r.started && !r.sealed { // the client's time is in it
 			m.learn(s, r.class, e.Elapsed)
 		}
 		if s.strikes = 0; s.suspect && s.errors >= errorLift {
@@ -365,8 +372,8 @@
 
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, r.rules.MaxAttempts) ||
-		s.State != Ready || s.out || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
+	if r.done || r.started || r.sealed || m.now >= r.deadline || s.State != Ready || s.out ||
+		len(r.attempts) >= max(1, r.rules.MaxAttempts) || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
 		return false
 	}
 	for i := range r.attempts {
@@ -498,10 +505,7 @@
 	a := &r.attempts[e.Attempt]
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
-	a.server.n--
-	if a.stuck {
-		a.server.stuck--
-	}
+	m.relieve(a)
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
 	switch {
@@ -514,6 +518,18 @@
 	}
 }
 
+// relieve takes an attempt out of its server's count: it has ended, or lasts as long as its client takes over
+// a long body.
+func (m *Module) relieve(a *attempt) {
+	if !a.relieved {
+		a.relieved = true
+		a.server.n--
+		if a.stuck {
+			a.server.stuck--
+		}
+	}
+}
+
 // again makes a further attempt if rules, budget and servers allow, else ends the request.
 func (m *Module) again(r *request, costly bool) {
 	worthless := r.class.LateWorth == 0 && r.class.Aim > 0 && m.now-r.arrived >= r.class.Aim
@@ -552,14 +568,14 @@
 	m.fill, m.ticks = m.fill+fill/count, m.ticks+1
 	open := m.open[:0]
 	for _, r := range m.open {
-		if !r.done && !r.started && m.now >= r.deadline {
+		if !r.done && !r.started && !r.sealed && m.now >= r.deadline {
 			m.finish(r) // guards against an outcome that never comes
 		}
 		if !r.done {
 			open = append(open, r)
 		}
 		for i := range r.attempts {
-			if a := &r.attempts[i]; !a.ended && !a.stuck && m.answers >= 1/classGain &&
+			if a := &r.attempts[i]; !a.relieved && !a.stuck && m.answers >= 1/classGain &&
 				(m.now-a.sent).Seconds() > stuckFactor*m.mean*r.class.relative {
 				a.stuck = true
 				a.server.stuck++
--- a/decide/state.go
+++ b/decide/state.go
@@ -52,6 +52,7 @@
 	server        *server
 	sent          Time
 	ended, mayRun bool // mayRun: out, or ended without proof that it never ran
+	relieved      bool // no longer counted as the server's load
 	stuck         bool // out for so long that load alone does not explain it
 }
 
@@ -63,6 +64,7 @@
 	attempts                       []attempt
 	out                            int
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
+	sealed                         bool // its body can't be sent again
 }
 
 type tenant struct {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -312,6 +312,10 @@
 	body     []byte
 	deadline time.Time // the node waits no longer
 	writeBy  time.Time // if set, nothing is written from then on
+
+	upload *upload                                                     // what follows on body, or nil
+	sealed func()                                                      // called when some of that is about to be sent
+	begin  func(resp *http.Response, held []byte, rest *io.PipeReader) // takes a long answer; nil: none is taken
 }
 
 // result is how an exchange ended.
@@ -355,7 +359,7 @@
 	}
 	c.SetDeadline(x.deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	r, keep := roundTrip(c, x)
+	r, keep := roundTrip(ctx, c, x)
 	stopped := stop()
 	switch {
 	case r.err == nil:
@@ -375,10 +379,8 @@
 	return r
 }
 
-var errTruncated = errors.New("the answer's end can't be known")
-
-// roundTrip writes a request and reads its answer whole. keep tells whether the connection can take another.
-func roundTrip(c *conn, x *exchange) (r result, keep bool) {
+// roundTrip writes a request and reads its answer. keep tells whether the connection can take another.
+func roundTrip(ctx context.Context, c *conn, x *exchange) (r result, keep bool) {
 	left := max(0, time.Until(x.deadline))
 	header := x.header.Clone()
 	if header == nil {
@@ -392,6 +394,9 @@
 			req.Body = http.NoBody
 		}
 	}
+	if x.upload != nil {
+		return uploadTrip(ctx, c, x, req)
+	}
 	var text bytes.Buffer
 	text.Grow(1<<10 + len(x.body))
 	if err := req.Write(&text); err != nil {
@@ -400,24 +405,30 @@
 	if _, err := c.Write(text.Bytes()); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
 	}
-	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size
+	return answerOf(ctx, c, x, req)
+}
+
+// answerOf reads the answer to a request.
+func answerOf(ctx context.Context, c *conn, x *exchange, req *http.Request) (r result, keep bool) {
+	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size, and any number of interim answers
 	resp, err := http.ReadResponse(c.r, req)
-	for n := 0; err == nil && resp.StatusCode < 200 && n < 5; n++ {
-		resp, err = http.ReadResponse(c.r, req) // that was an interim answer
+	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		resp, err = http.ReadResponse(c.r, req)
 	}
 	if err != nil {
 		return result{code: decide.Reset, err: err}, false
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyLimit+1))
-	switch {
-	case err != nil:
-		return result{code: decide.Reset, err: err}, false
-	case len(body) > bodyLimit:
-		return result{code: decide.Reset, err: errors.New("the answer is too large")}, false
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		// A body that ends with its connection looks whole when the backend has died within it.
-		return result{code: decide.Reset, err: errTruncated}, false
+	body, whole, err := readAnswer(ctx, c, x, resp)
+	if err != nil {
+		code := decide.Reset
+		if errors.Is(err, errClient) {
+			code = decide.Cancelled
+		}
+		return result{code: code, err: err}, false
+	}
+	if !whole { // it has gone to the client
+		return result{code: decide.OK, report: parseReport(resp.Header.Get("X-Backend-Load"))}, !resp.Close
 	}
 	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
 	switch status := resp.StatusCode; {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +20,7 @@
 )
 
 const (
-	// requestWait is for a whole request, from its connection's start or its first bytes on. Peers that send no
+	// requestWait is for a request's head, from its connection's start or its first bytes on. Peers that send no
 	// request are owed an end within 3 s of connecting, and each holds a client's place until then.
 	requestWait   = 2200 * time.Millisecond
 	writeWait     = 5 * time.Second // for the client to take its answer
@@ -56,7 +54,7 @@
 }
 
 func (f *frontend) server() *http.Server {
-	return &http.Server{Handler: f, ReadTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
+	return &http.Server{Handler: f, ReadHeaderTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: headerLimit,
 		ConnState: f.conns.track, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		}, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
@@ -97,9 +95,16 @@
 type connKey struct{}
 
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && f.conns.isShed(conn) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if conn != nil && f.conns.isShed(conn) {
 		panic(http.ErrAbortHandler) // it crossed the close: its client sends it again on another connection
 	}
+	client, _ := conn.(*cappedConn)
+	if client != nil && client.framing.ambiguous.Load() {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "both Content-Length and Transfer-Encoding", http.StatusBadRequest)
+		return
+	}
 	if f.leaving() || f.conns.crowded() {
 		w.Header().Set("Connection", "close")
 	}
@@ -121,7 +126,7 @@
 		return
 	}
 	defer f.open.Add(-1)
-	req, status, err := f.read(w, r, rules, class)
+	req, status, err := f.read(w, r, rules, class, client)
 	if err != nil {
 		w.Header().Set("Connection", "close") // what follows a bad request on its connection can't be trusted
 		http.Error(w, err.Error(), status)
@@ -133,23 +138,50 @@
 	}
 	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
 	defer late.Stop()
-	select {
-	case a := <-req.answer:
-		f.write(w, a)
-	case <-r.Context().Done():
-		f.loop.post(func() { f.loop.abandon(req) })
-		panic(http.ErrAbortHandler) // else net/http would answer 200 to a client that reads on
-	case <-late.C:
-		f.loop.post(func() { f.loop.abandon(req) })
-		f.log.Warn("overdue", "id", req.arrived.ID)
-		f.write(w, answer{status: http.StatusGatewayTimeout})
-	case <-f.loop.ctx.Done():
-		f.write(w, answer{status: http.StatusBadGateway})
+	var uploaded <-chan struct{} // the client's time counts from then
+	if req.upload != nil {
+		defer req.upload.close()
+		uploaded = req.upload.finished
+	}
+	for {
+		select {
+		case a := <-req.answer:
+			f.answer(w, r, req, a)
+			return
+		case <-uploaded:
+			uploaded = nil
+			late.Reset(req.upload.patience + overdue)
+		case <-r.Context().Done():
+			f.loop.post(func() { f.loop.abandon(req) })
+			panic(http.ErrAbortHandler) // else net/http would answer 200 to a client that reads on
+		case <-late.C:
+			if uploaded != nil && req.upload.used() {
+				continue
+			}
+			f.loop.post(func() { f.loop.abandon(req) })
+			f.log.Warn("overdue", "id", req.arrived.ID)
+			f.answer(w, r, req, answer{status: http.StatusGatewayTimeout})
+			return
+		case <-f.loop.ctx.Done():
+			f.answer(w, r, req, answer{status: http.StatusBadGateway})
+			return
+		}
+	}
+}
+
+// answer gives a request its final answer.
+func (f *frontend) answer(w http.ResponseWriter, r *http.Request, req *request, a answer) {
+	if req.upload != nil && !req.upload.complete() {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
+	f.write(w, a)
+	if a.rest != nil {
+		f.relay(w, r, a)
 	}
 }
 
 // read takes in a request, or says what is wrong with it.
-func (f *frontend) read(w http.ResponseWriter, r *http.Request, rules *rules, class string) (*request, int, error) {
+func (f *frontend) read(w http.ResponseWriter, r *http.Request, rules *rules, class string, client *cappedConn) (*request, int, error) {
 	settings, known := rules.classes[class]
 	id := r.Header.Get("X-Correlation-Id")
 	if !known { // an app server's answer to it would be held against the server
@@ -167,10 +199,7 @@
 	if !r.ProtoAtLeast(1, 1) {
 		return nil, http.StatusHTTPVersionNotSupported, errors.New("HTTP/1.1 only")
 	}
-	if len(r.TransferEncoding) > 0 {
-		return nil, http.StatusLengthRequired, errors.New("Content-Length only")
-	}
-	if r.ContentLength > 0 && method == http.MethodGet {
+	if r.ContentLength != 0 && method == http.MethodGet {
 		return nil, http.StatusBadRequest, errors.New("GET has no body")
 	}
 	if id == "" {
@@ -183,26 +212,36 @@
 	if err != nil || math.IsNaN(left) || math.Abs(left) > patienceLimit.Seconds() {
 		return nil, http.StatusBadRequest, errors.New("X-Time-Left is not a number of seconds")
 	}
+	if r.ContentLength > longLimit {
+		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	}
 	var body []byte
+	var rest *upload
+	control := http.NewResponseController(w)
 	if r.ContentLength != 0 {
-		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
-			if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-				return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too large")
-			}
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil, http.StatusRequestTimeout, errors.New("the body does not come")
-			}
-			return nil, http.StatusBadRequest, errors.New("the body is malformed")
+		paced := &pacedBody{Reader: http.MaxBytesReader(w, r.Body, longLimit), control: control, by: client.bodyBy()}
+		var more bool
+		if body, more, err = paced.readBody(r.ContentLength); err != nil {
+			status, err := bodyStatus(err)
+			return nil, status, err
+		}
+		if more {
+			rest = &upload{body: paced, length: r.ContentLength, finished: make(chan struct{})}
 		}
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
-	patience := time.Duration(max(left, 0) * float64(time.Second))
+	if rest == nil {
+		control.SetReadDeadline(time.Time{}) // else it would end the wait for the client's going
+	}
+	patience := time.Duration(max(left, 0)*float64(time.Second)) - answerMargin
+	if rest != nil {
+		rest.patience = patience
+	}
 	e := decide.RequestArrived{ID: decide.RequestID(id), Class: class, Tenant: r.Header.Get("X-Account"),
 		Key: r.URL.Query().Get("obj"), Repeat: r.Header.Get("X-Repeat") == "1", Write: fact(r.Header.Get("X-Facts"), "write")}
 	if us, err := strconv.ParseFloat(r.Header.Get("X-Weight-Hint"), 64); err == nil && us >= 0 && us < patienceLimit.Seconds()*1e6 {
 		e.WorkHint, e.HasHint = time.Duration(us*float64(time.Microsecond)), true
 	}
-	return &request{arrived: e, class: settings, rules: rules, deadline: time.Now().Add(patience - answerMargin), method: r.Method, body: body,
+	return &request{arrived: e, class: settings, rules: rules, deadline: time.Now().Add(patience), method: r.Method, body: body, upload: rest,
 		url:    &url.URL{Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
 		header: endToEnd(r.Header), answer: make(chan answer, 1)}, 0, nil
 }
@@ -247,13 +286,20 @@
 	if f.leaving() { // it may have begun while the request was out
 		h.Set("Connection", "close")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	h.Del("Content-Length")
+	if a.rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	} else if a.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
 	if a.holdOff > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
 	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
 	w.WriteHeader(a.status)
-	w.Write(a.body)
+	if a.rest == nil {
+		w.Write(a.body)
+	}
 }
 
 // connections counts the clients' connections. Above the limit new requests are refused at once and those closed
@@ -364,7 +410,30 @@
 
 type cappedConn struct {
 	*net.TCPConn
-	free func()
+	free    func()
+	framing framing
+	came    time.Time
+	kept    atomic.Bool // a request on it has been read
+}
+
+func (c *cappedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.framing.follow(p[:n])
+	return n, err
+}
+
+// bodyBy is when a body that does not begin is given up.
+func (c *cappedConn) bodyBy() time.Time {
+	least := time.Now().Add(bodyWait)
+	switch {
+	case c == nil:
+		return least
+	case c.kept.Swap(true):
+		return time.Now().Add(bodyKept)
+	case c.came.Add(bodyBy).After(least):
+		return c.came.Add(bodyBy)
+	}
+	return least
 }
 
 func (c *cappedConn) Close() error {
@@ -387,5 +456,6 @@
 		return nil, err
 	}
 	l.beside.count(1, 0)
-	return &cappedConn{conn, sync.OnceFunc(func() { l.beside.count(-1, 0); <-l.slots })}, nil
+	free := sync.OnceFunc(func() { l.beside.count(-1, 0); <-l.slots })
+	return &cappedConn{TCPConn: conn, free: free, came: time.Now()}, nil
 }
--- /dev/null
+++ b/internal/node/long_test.go
@@ -0,0 +1,351 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// dial opens a client's connection.
+func (n *testNode) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patient))
+	return c, bufio.NewReader(c)
+}
+
+func orderHead(framing string) string {
+	return fmt.Sprintf("POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: long%d\r\nX-Time-Left: 9\r\n%s\r\n\r\n", ids.Add(1), framing)
+}
+
+// A long body gets to the server as it is, in either framing, and so does the connection's next request.
+func TestLongBody(t *testing.T) {
+	t.Parallel()
+	for _, length := range []int{bodyLimit - 1, bodyLimit, bodyLimit + 1, 3 << 20} {
+		body := bytes.Repeat([]byte("0123456789abcde\n"), length/16+1)[:length]
+		var got atomic.Int64
+		addr := backend(t, answering(func(r *http.Request, b []byte) string {
+			if len(b) > 1 && !bytes.Equal(b, body) {
+				return ""
+			}
+			got.Add(1)
+			return ok(fmt.Sprint(len(b)))
+		}))
+		n := start(t, &Config{Settings: settings(), Known: known(addr)})
+		c, r := n.dial(t)
+		for _, chunked := range []bool{false, true} {
+			if chunked {
+				io.WriteString(c, orderHead("Transfer-Encoding: chunked"))
+				w := httputil.NewChunkedWriter(c)
+				for b := body; len(b) > 0; b = b[min(len(b), 9999):] {
+					w.Write(b[:min(len(b), 9999)])
+				}
+				w.Close()
+				io.WriteString(c, "X-Sum: 1\r\n\r\n") // a trailer
+			} else {
+				io.WriteString(c, orderHead(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d", length)))
+				if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 100 {
+					t.Fatalf("%+v, %v", resp, err)
+				}
+				c.Write(body)
+			}
+			io.WriteString(c, message("order", "9.5", "x")) // pipelined
+			for _, want := range []int{length, 1} {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if text, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(text) != fmt.Sprint(want) {
+					t.Errorf("%d bytes, chunked %v: status %d, %q, want %d", length, chunked, resp.StatusCode, text, want)
+				}
+			}
+		}
+		if got.Load() != 4 {
+			t.Errorf("%d bytes: the server got %d requests", length, got.Load())
+		}
+	}
+}
+
+// What a client breaks off, or makes too long, does not get to a server whole.
+func TestLongBodyBrokenOff(t *testing.T) {
+	t.Parallel()
+	var whole, cut atomic.Int64
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				cut.Add(1)
+				return
+			}
+			whole.Add(1)
+			io.WriteString(c, ok("x"))
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	c, _ := n.dial(t)
+	io.WriteString(c, orderHead("Content-Length: 1000000")+strings.Repeat("b", 200000))
+	c.Close()
+	c, r := n.dial(t)
+	io.WriteString(c, orderHead("Transfer-Encoding: chunked")+"30D40\r\n"+strings.Repeat("b", 200000)+"\r\nzz\r\n")
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("malformed: %+v, %v", resp, err)
+	}
+	c, r = n.dial(t)
+	io.WriteString(c, orderHead("Transfer-Encoding: chunked"))
+	go func() {
+		piece := "100000\r\n" + strings.Repeat("b", 1<<20) + "\r\n"
+		for range 2 * longLimit >> 20 {
+			if _, err := io.WriteString(c, piece); err != nil {
+				return
+			}
+		}
+	}()
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 413 || !resp.Close {
+		t.Errorf("too long: %+v, %v", resp, err)
+	}
+	for end := time.Now().Add(patient); cut.Load() < 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the server saw %d bodies cut off", cut.Load())
+		}
+	}
+	if whole.Load() > 0 {
+		t.Errorf("%d got to the server whole", whole.Load())
+	}
+	if resp, _ := n.ask(t, message("order", "9.5", "")); resp.StatusCode != 200 {
+		t.Errorf("after that: status %d", resp.StatusCode)
+	}
+}
+
+// A long body can be sent once: an attempt that fails within it is not made again, one that fails before it is.
+func TestLongBodyIsSentOnce(t *testing.T) {
+	t.Parallel()
+	var served atomic.Int64
+	good := backend(t, answering(func(*http.Request, []byte) string { served.Add(1); return ok("x") }))
+	early := backend(t, func(c net.Conn) { // answers within the body
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		io.Copy(io.Discard, c)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := l.Addr().String()
+	l.Close()
+	body := strings.Repeat("b", 4<<20)
+	for first, want := range map[string]int{dead: 200, early: 503} {
+		set := settings()
+		b := known(first)
+		n := start(t, &Config{Settings: set, Known: b})
+		if first == dead { // the other server is listed after a failure, so that the first attempt goes to the dead one
+			n.stop()
+			n = start(t, &Config{Settings: set, Known: known(dead, good)})
+			for range 4 {
+				if resp, _ := n.ask(t, orderHead(fmt.Sprintf("Content-Length: %d", len(body)))+body); resp.StatusCode != want {
+					t.Errorf("beside a dead server: status %d", resp.StatusCode)
+				}
+			}
+			continue
+		}
+		c, r := n.dial(t)
+		io.WriteString(c, orderHead(fmt.Sprintf("Content-Length: %d", len(body)))+body[:200000])
+		if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != want || !resp.Close {
+			t.Errorf("turned away within the body: %+v, %v", resp, err)
+		}
+	}
+	if served.Load() != 4 {
+		t.Errorf("served %d", served.Load())
+	}
+}
+
+// A long answer gets to the client as it comes, whatever its framing, and it shows if it is not whole.
+func TestLongAnswer(t *testing.T) {
+	t.Parallel()
+	const length = 1 << 20
+	body := strings.Repeat("0123456789abcde\n", length/16)
+	type answering struct {
+		framing string
+		half    chan bool // whether the rest follows
+	}
+	var how atomic.Value
+	addr := backend(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		as := how.Load().(answering)
+		framing := as.framing
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n")
+		var w io.Writer = c
+		if strings.HasPrefix(framing, "Transfer") {
+			w = httputil.NewChunkedWriter(c)
+		}
+		io.WriteString(w, body[:length/2])
+		if <-as.half {
+			io.WriteString(w, body[length/2:])
+			if cw, ok := w.(io.Closer); ok && w != c {
+				cw.Close()
+				io.WriteString(c, "\r\n")
+			}
+		} else if tcp := c.(*net.TCPConn); strings.HasPrefix(framing, "X") {
+			tcp.SetLinger(0) // a reset, where a close would be the end
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n", length), "Transfer-Encoding: chunked\r\n", "X: close\r\n"} {
+		for _, whole := range []bool{true, false} {
+			as := answering{framing, make(chan bool, 1)}
+			how.Store(as)
+			c, r := n.dial(t)
+			io.WriteString(c, message("read", "9.5", ""))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%q: %+v, %v", framing, resp, err)
+			}
+			got := make([]byte, length/2)
+			if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != body[:length/2] {
+				t.Fatalf("%q: the first half: %v", framing, err)
+			}
+			as.half <- whole
+			rest, err := io.ReadAll(resp.Body)
+			if whole != (err == nil) || whole && string(rest) != body[length/2:] {
+				t.Errorf("%q, whole %v: %d bytes more, %v", framing, whole, len(rest), err)
+			}
+		}
+	}
+}
+
+// An answer that breaks off while it is held is not begun: the request gets another attempt.
+func TestHeldAnswerIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if calls.Add(1) == 1 {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n")
+				return
+			}
+			io.WriteString(c, ok("whole"))
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr, addr)})
+	if resp, body := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 200 || body != "whole" {
+		t.Errorf("status %d, %q", resp.StatusCode, body)
+	}
+}
+
+// Many long answers that nobody reads take little memory each, and their requests end.
+func TestMemoryUnderLongAnswers(t *testing.T) {
+	const count, length = 40, 8 << 20
+	piece := make([]byte, 1<<16)
+	addr := backend(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length)
+		for range length / len(piece) {
+			if _, err := c.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	var readers []*http.Response
+	for range count {
+		c, r := n.dial(t)
+		io.WriteString(c, message("read", "9.5", ""))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		readers = append(readers, resp)
+	}
+	if used := (heap() - before) / count; used > 256<<10 {
+		t.Errorf("%d KB for each answer of %d MB", used>>10, length>>20)
+	}
+	for _, resp := range readers {
+		if got, err := io.Copy(io.Discard, resp.Body); got != length {
+			t.Fatalf("%d bytes, %v", got, err)
+		}
+	}
+}
+
+// A request with two ends is seen wherever it begins on its connection; proper ones are not taken for it.
+func TestFraming(t *testing.T) {
+	const both = "POST /order HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+	proper := "\r\nGET /read HTTP/1.1\r\nHost: h\r\n\r\nPOST /order HTTP/1.1\r\ncontent-length: 90\r\n\r\n" + both + strings.Repeat("b", 90-len(both)) +
+		"POST /order HTTP/1.1\ntransfer-encoding: chunked\n\n" + fmt.Sprintf("%x;x=y\r\n%s\r\n", len(both), both) + "0\r\nContent-Length: 3\r\n\r\n"
+	for text, want := range map[string]bool{proper: false, proper + proper: false, both: true, proper + both: true,
+		"POST /order HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX: " + strings.Repeat("x", 9999) + "\r\ncontent-length: 0\r\n\r\n": true,
+		"POST /order HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n" + both:                                                 false} {
+		for _, size := range []int{1, 7, len(text)} {
+			var f framing
+			for p := []byte(text); len(p) > 0; p = p[min(size, len(p)):] {
+				f.follow(p[:min(size, len(p))])
+			}
+			if f.ambiguous.Load() != want {
+				t.Errorf("%.60q in pieces of %d: two ends %v", text, size, !want)
+			}
+		}
+	}
+}
+
+// How long a body may take to begin: until just before a silent peer is owed an end, but never no time at all.
+func TestBodyBy(t *testing.T) {
+	now := time.Now()
+	c := &cappedConn{came: now}
+	if by := c.bodyBy().Sub(now); by < 2*time.Second || by >= 3*time.Second {
+		t.Errorf("a new connection: %v", by)
+	}
+	if by := c.bodyBy().Sub(now); by < 2*time.Second {
+		t.Errorf("a kept connection: %v", by)
+	}
+	c = &cappedConn{came: now.Add(-requestWait)}
+	if by := c.bodyBy().Sub(now); by < bodyWait || by >= 3*time.Second-requestWait {
+		t.Errorf("after a slow head: %v", by)
+	}
+}
+
+// The end of a context ends an upload that waits for its client.
+func TestUploadIsInterrupted(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r := n.dial(t)
+	io.WriteString(c, orderHead("Content-Length: 1000000")+strings.Repeat("b", 200000))
+	time.Sleep(10 * time.Millisecond)
+	n.stop()
+	c.(*net.TCPConn).CloseWrite() // the client goes in the middle
+	resp, err := http.ReadResponse(r, nil)
+	if err == nil && resp.StatusCode == 200 {
+		t.Errorf("%+v", resp)
+	}
+	select {
+	case <-n.ended:
+	case <-time.After(patient):
+		t.Error("the node does not end")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -32,6 +33,7 @@
 	url      *url.URL
 	header   http.Header
 	body     []byte
+	upload   *upload     // what follows on a long body's beginning, or nil
 	answer   chan answer // holds one: the final answer
 
 	// The rest belongs to the loop.
@@ -46,6 +48,8 @@
 	header  http.Header
 	body    []byte
 	holdOff time.Duration
+	rest    *io.PipeReader // what follows on a long answer's beginning, or nil
+	length  int64          // of a long answer; -1 if it is not known
 }
 
 type attempt struct {
@@ -222,6 +226,13 @@
 		l.close(r)
 		l.handle(decide.RequestAbandoned{ID: r.arrived.ID})
 	}
+	select {
+	case a := <-r.answer: // which nobody takes any more
+		if a.rest != nil {
+			a.rest.CloseWithError(errClient)
+		}
+	default:
+	}
 }
 
 func (l *loop) finish(id decide.RequestID, a answer) {
@@ -255,7 +266,13 @@
 		l.ended(a, n, result{code: decide.Moot})
 		return
 	}
-	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline}
+	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
+	x.sealed = func() { l.post(func() { l.handle(decide.BodyStarted{ID: a.ID, Attempt: n}) }) }
+	x.begin = func(resp *http.Response, held []byte, rest *io.PipeReader) {
+		l.post(func() {
+			l.begin(a, n, answer{status: resp.StatusCode, header: resp.Header, body: held, rest: rest, length: resp.ContentLength})
+		})
+	}
 	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.deadline) {
 		x.deadline = now.Add(a.Timeout)
 	}
@@ -273,6 +290,18 @@
 	})
 }
 
+// begin passes a long answer on to the client: it is the final one.
+func (l *loop) begin(a decide.Send, n int, long answer) {
+	r := l.requests[a.ID]
+	if r == nil || r.over {
+		long.rest.CloseWithError(errClient)
+		return
+	}
+	r.over = true
+	r.answer <- long
+	l.handle(decide.StreamStarted{ID: a.ID, Attempt: n, Server: a.Server, Elapsed: time.Since(r.attempts[n].sent)})
+}
+
 // ended tells the module of an attempt's end; the first answer goes to the client.
 func (l *loop) ended(a decide.Send, n int, res result) {
 	r := l.requests[a.ID]
@@ -284,6 +313,12 @@
 		r.answer <- answer{status: http.StatusOK, header: res.header, body: res.body}
 		r.over = true
 	}
+	if client, ok := res.err.(uploadError); ok && !r.over {
+		status, _ := bodyStatus(client.error)
+		r.answer <- answer{status: status}
+		r.over = true
+		l.handle(decide.RequestAbandoned{ID: a.ID})
+	}
 	if res.err != nil {
 		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.code, "err", res.err)
 	}
