Close no idle connection on which a request is being read; test a whole upgrade

By reading: net/http says that a connection is active once it has read a head; between the first byte and that it stands as idle, and with its bytes in net/http's buffer the socket is quiet. closeIdle would close it. The test reads a byte on such a connection; without the flag it is closed.

The upgrade's test starts the program twice beside an older process, under requests on new connections: each is answered, and a server that was taken out at the first stays out.

--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -4,15 +4,21 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // The test binary is the program when this is set.
@@ -117,3 +123,142 @@
 		t.Error(err)
 	}
 }
+
+// sharedPort gives an address that nobody but the processes which share it can take: a socket stays bound to it.
+func sharedPort(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
+// An upgrade: the program is started again beside the older process, with another door. Requests go on being served,
+// each on a new connection, while the newer process says yes and the older one is ended; a ban goes over.
+func TestUpgrade(t *testing.T) {
+	text, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var banned atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { banned.Add(1) }))
+	defer other.Close()
+	listen := sharedPort(t)
+	entry := `{"id":"s-0000000%d","addr":%q,"zone":"z","kind":"k","cell":0,"state":"ready","weight":1,"started_ms":0}`
+	config := strings.Replace(fmt.Sprintf(string(text), listen), `"limits":{}`, `"limits":{},"known":{"version":1,"full":true,"servers":[`+
+		fmt.Sprintf(entry, 1, server.Listener.Addr())+","+fmt.Sprintf(entry, 2, other.Listener.Addr())+`]}`, 1)
+	dir := t.TempDir()
+	run := func() (*exec.Cmd, string) {
+		cmd, _ := program(t, config)
+		cmd.Env = append(cmd.Env, "GW_LISTEN="+listen, "GW_ADMIN_ADDR=127.0.0.1:0", "TMPDIR="+dir)
+		cmd.Stderr = nil
+		log, err := cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+		door := make(chan string, 1)
+		go func() {
+			for lines := bufio.NewScanner(log); lines.Scan(); {
+				if _, rest, found := strings.Cut(lines.Text(), "door="); found {
+					addr, _, _ := strings.Cut(rest, " ")
+					door <- addr
+				}
+			}
+		}()
+		select {
+		case addr := <-door:
+			return cmd, addr
+		case <-time.After(20 * time.Second):
+			t.Fatal("no door")
+			return nil, ""
+		}
+	}
+	call := func(door, line, want string) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			c, err := net.Dial("tcp", door)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.SetDeadline(end)
+			fmt.Fprintln(c, line)
+			got, _ := io.ReadAll(c)
+			c.Close()
+			if strings.HasPrefix(string(got), want) {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: %q", line, got)
+			}
+		}
+	}
+	var served, wrong atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	ask := func() {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/c", nil)
+		req.Header.Set("X-Correlation-Id", fmt.Sprint("id", served.Add(1)))
+		req.Header.Set("X-Time-Left", "1")
+		req.Close = true
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			wrong.Add(1)
+			return
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d", resp.StatusCode)
+			wrong.Add(1)
+		}
+	}
+	older, door := run()
+	call(door, "readyz", "ACK")
+	call(door, "exclude s-00000002", "ACK")
+	for range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					ask()
+				}
+			}
+		})
+	}
+	for range 2 {
+		newer, newDoor := run()
+		call(newDoor, "readyz", "ACK")
+		older.Process.Signal(syscall.SIGTERM)
+		if err := older.Wait(); err != nil {
+			t.Errorf("the older process: %v", err)
+		}
+		older = newer
+	}
+	for n := served.Load(); served.Load() < n+50 && wrong.Load() == 0; {
+		time.Sleep(time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if banned.Load() > 0 {
+		t.Errorf("the server that is out got %d requests", banned.Load())
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -163,20 +163,11 @@
 
 // run retires idle connections until ctx ends, and then closes them all.
 func (b *backends) run(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			for _, h := range b.hosts {
-				b.retire(h)
-			}
-			return
-		case <-tick.C:
-			b.sweep()
-		}
+	every(ctx, sweepEvery, b.sweep)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range b.hosts {
+		b.retire(h)
 	}
 }
 
--- a/internal/node/bans.go
+++ b/internal/node/bans.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -169,20 +168,6 @@
 	return errors.New("it can't be put on file")
 }
 
-// follow keeps to what the other process of an upgrade puts on file, until ctx ends.
-func (s *bans) follow(ctx context.Context) {
-	tick := time.NewTicker(bansEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			s.look()
-		}
-	}
-}
-
 // list says which app servers there are.
 func (s *bans) list(names map[decide.ServerID]string) {
 	if s != nil {
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -145,19 +145,6 @@
 	debug.SetMemoryLimit(int64(limit))
 }
 
-func (b *beside) run(ctx context.Context) {
-	tick := time.NewTicker(besideEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			b.look()
-		}
-	}
-}
-
 // clients is how many clients the other process has.
 func (b *beside) clients() int {
 	if b == nil || !b.present.Load() {
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"syscall"
@@ -121,7 +122,7 @@
 	}
 	defer l.Close()
 	c := &connections{idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
-	var conns [2]net.Conn
+	var conns [3]net.Conn
 	for i := range conns {
 		client, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
@@ -132,6 +133,12 @@
 			t.Fatal(err)
 		}
 		defer conns[i].Close()
+		if i == 2 { // what has come has been read, but is not yet a request
+			conns[i] = &cappedConn{TCPConn: conns[i].(*net.TCPConn), free: func() {}}
+			client.Write([]byte("G"))
+			c.track(conns[i], http.StateIdle)
+			conns[i].Read(make([]byte, 1))
+		}
 		if i == 0 {
 			client.Write([]byte("G"))
 			for end := time.Now().Add(patient); quietSocket(conns[0]); time.Sleep(time.Millisecond) {
@@ -140,11 +147,11 @@
 				}
 			}
 		}
-		c.track(conns[i], 0)
 		c.idle[conns[i]] = time.Now()
 	}
 	c.closeIdle(0)
-	if c.shed[conns[0]] || !c.shed[conns[1]] {
-		t.Errorf("closed: %v with a request that waits, %v without", c.shed[conns[0]], c.shed[conns[1]])
+	if c.shed[conns[0]] || !c.shed[conns[1]] || c.shed[conns[2]] {
+		t.Errorf("closed: %v with a request that waits, %v without, %v with one being read",
+			c.shed[conns[0]], c.shed[conns[1]], c.shed[conns[2]])
 	}
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -39,6 +39,7 @@
 	defer d.work.Wait()
 	stop := context.AfterFunc(d.ctx, func() { l.Close() })
 	defer stop()
+	d.log.Info("operators may call", "door", l.Addr())
 	places := make(chan struct{}, doorPlaces)
 	for {
 		c, err := l.AcceptTCP()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -77,18 +77,9 @@
 func (f *frontend) leaving() bool { return f.draining.Load() || f.emptied.Load() }
 
 // letGo closes, while the node is emptied, connections that are idle and that their clients can't count on.
-func (f *frontend) letGo(ctx context.Context) {
-	tick := time.NewTicker(emptyEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if f.emptied.Load() {
-				f.conns.closeIdle(idleLeast)
-			}
-		}
+func (f *frontend) letGo() {
+	if f.emptied.Load() {
+		f.conns.closeIdle(idleLeast)
 	}
 }
 
@@ -352,6 +343,9 @@
 		}
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
+		if own, ok := conn.(*cappedConn); ok {
+			own.heard.Store(false)
+		}
 	case http.StateActive:
 		delete(c.idle, conn)
 	case http.StateClosed, http.StateHijacked:
@@ -361,19 +355,23 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for that long, but none on which a request waits to be read:
-// its client would have to send it again.
+// closeIdle closes the connections that have been idle for that long.
 func (c *connections) closeIdle(least time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn := range c.idle {
-		if time.Since(c.idle[conn]) >= least && quietSocket(conn) {
+	for conn, since := range c.idle {
+		if time.Since(since) >= least {
 			c.close(conn)
 		}
 	}
 }
 
+// close closes an idle connection, but not one on which a request has come or is being read: its client would have to
+// send it again.
 func (c *connections) close(conn net.Conn) {
+	if own, ok := conn.(*cappedConn); ok && own.heard.Load() || !quietSocket(conn) {
+		return
+	}
 	delete(c.idle, conn)
 	c.shed[conn] = true
 	conn.Close()
@@ -414,11 +412,15 @@
 	framing framing
 	came    time.Time
 	kept    atomic.Bool // a request on it has been read
+	heard   atomic.Bool // something has come since it was last idle
 }
 
 func (c *cappedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	c.framing.follow(p[:n])
+	if n > 0 {
+		c.heard.Store(true)
+		c.framing.follow(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,11 +103,11 @@
 	if admin != nil {
 		o := &door{front: f, bans: l.bans, ctx: inner, log: log}
 		running.Go(func() { o.run(admin) })
-		running.Go(func() { l.bans.follow(inner) })
-		running.Go(func() { f.letGo(inner) })
+		running.Go(func() { every(inner, bansEvery, l.bans.look) })
+		running.Go(func() { every(inner, emptyEvery, f.letGo) })
 	}
 	if b.beside != nil {
-		running.Go(func() { b.beside.run(inner) })
+		running.Go(func() { every(inner, besideEvery, b.beside.look) })
 	}
 	if tcp == nil {
 		select {
@@ -136,6 +136,20 @@
 	return err
 }
 
+// every does something again and again until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			do()
+		}
+	}
+}
+
 // drain lets the node go. Clients still come for a moment, and what the kernel has accepted counts as taken: so
 // the listener stays open for that long, and each answer closes its connection. It does not use Server.Shutdown, which
 // drops requests that are being read when it is called.
