--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -92,12 +92,15 @@
 	default:
 		no = d.call(string(line))
 	}
-	reply := "ACK\n"
+	reply := "ACK"
 	if no != nil {
-		reply = "NAK " + no.Error() + "\n"
+		reply = "NAK " + no.Error()
+	}
+	if call := strings.TrimSpace(string(line)); call != "readyz" { // which may come every moment
+		d.log.Info("operators' call", "call", call, "answer", reply)
 	}
 	c.SetDeadline(time.Now().Add(lingerWait))
-	if _, err := io.WriteString(c, reply); err != nil {
+	if _, err := io.WriteString(c, reply+"\n"); err != nil {
 		return
 	}
 	c.CloseWrite()
@@ -130,11 +133,7 @@
 	case call.argument != "" && len(words) != 2:
 		return errors.New(words[0] + " takes one argument, " + call.argument)
 	}
-	err := call.do(argument)
-	if words[0] != "readyz" { // which may come every moment
-		d.log.Info("operators' call", "call", strings.Join(words, " "), "refused", err)
-	}
-	return err
+	return call.do(argument)
 }
 
 func (d *door) readyz(string) error {
