Make room for the newer process's clients when the older one drains

Suspected: Accept of the newer process waits while the older one's idle connections, some 110 of 128, hold the places until 0.6 s after SIGTERM. Now they go at once if there are too many in all.

--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -155,3 +155,31 @@
 			c.shed[conns[0]], c.shed[conns[1]], c.shed[conns[2]])
 	}
 }
+
+// At SIGTERM idle connections make room for the newer process's clients, also those that would have had more time.
+func TestRoomForTheNewerProcess(t *testing.T) {
+	c := &Config{Name: "n", TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
+	older, err := openBeside(c, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer, err := openBeside(c, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	older.look()
+	conns := &connections{limit: 3, beside: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+	conn, _ := net.Pipe()
+	conns.track(conn, http.StateNew)
+	conns.track(conn, http.StateIdle)
+	for _, clients := range []int{2, 1} {
+		if conns.shed[conn] {
+			t.Error("closed with room for all")
+		}
+		newer.count(clients, 0)
+		conns.makeRoom()
+	}
+	if !conns.shed[conn] {
+		t.Error("with 3 clients there and 1 here, of 3, the idle one keeps its place")
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -366,6 +366,15 @@
 	}
 }
 
+// makeRoom closes those that a client can't count on, or all if there are too many with those of a newer process.
+func (c *connections) makeRoom() {
+	least := idleLeast
+	if c.crowded() {
+		least = 0
+	}
+	c.closeIdle(least)
+}
+
 // close closes an idle connection, but not one on which a request has come or is being read: its client would have to
 // send it again.
 func (c *connections) close(conn net.Conn) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,9 +160,9 @@
 	for _, c := range f.loop.rules.Load().Classes {
 		longest = max(longest, c.Deadline+drainExtra)
 	}
-	// Idle connections go early, as a newer process may need their places.
+	// Idle connections go early, and at once if a newer process needs their places for its clients.
 	for begun := time.Now(); time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
-		f.conns.closeIdle(idleLeast)
+		f.conns.makeRoom()
 	}
 	l.Close()
 	for begun := time.Now(); f.conns.open() > 0; time.Sleep(drainSweep) {
