Pace cold servers by the most that warm ones gave of late

The normal ones were the cold ones with their budgets spent, the four warm ones blocked. paced (decide.go) fills a budget by what warm servers answer at present, so a jam takes the cold ones' part down too, which deepens it.

Ruled out: the newer process's empty knowledge (upgrade alone refuses none), suspects (0 or 1), stuck attempts (0).

--- a/decide/behaviour_test.go
+++ b/decide/behaviour_test.go
@@ -772,3 +772,26 @@
 		t.Errorf("refused %d", r.refused)
 	}
 }
+
+// When a jam makes warm servers answer less, cold ones are not sent less for it.
+func TestJamLeavesColdServersTheirPace(t *testing.T) {
+	r := newRig(t, rigSettings(), 6)
+	r.run(10*time.Second, 240, "dear")
+	for _, id := range []decide.ServerID{1, 2, 3} {
+		r.feed(decide.ListUpdate{Kind: decide.ListChanges, Entries: []decide.Server{{ID: id, Zone: "z", StartedAt: r.now}}})
+	}
+	r.delay = func(s decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if s > 3 {
+			return time.Second, decide.OK
+		}
+		return 50 * time.Millisecond, decide.OK
+	}
+	r.run(2*time.Second, 240, "dear")
+	r.reset()
+	r.run(time.Second, 240, "dear")
+	for _, id := range []decide.ServerID{1, 2, 3} { // warm ones got 40 a second each; these can do half of that by now
+		if n := r.sent[id]; n < 15 || n > 30 {
+			t.Errorf("cold server %d is sent %d in a second", id, n)
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,6 +144,7 @@
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
 	m.fleetRate = rate / math.Max(1, count)
+	m.able = math.Max(m.fleetRate, m.able*decay(tickEvery, rateMemory))
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few tell little
@@ -358,14 +359,16 @@
 
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
 // by now of what a warm one gives this node: the budgets of all nodes then sum up to a part of one server's
-// capacity, however many are cold. Nodes that do not have it in their subsets send nothing.
+// capacity, however many are cold. That is the most that warm ones gave of late: in a jam they answer less,
+// and cold ones that got less for it would deepen the jam. Nodes that do not have it in their subsets send
+// nothing.
 func (m *Module) paced(s *server) bool {
 	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return false
 	}
 	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.fleetRate, coldStart/m.sharers())
+	rate := part * math.Max(m.able, coldStart/m.sharers())
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -96,6 +96,7 @@
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
 	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
+	able               float64 // the most that it has been of late
 	recent             float64 // s; a faster mean
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
