Refuse what has not come whole when the drain closes

A body that comes slowly over the SIGTERM makes its request one that came after it, and SIGKILL loses that. Ruled out: the drain's own end, which is 0.2 s after SIGKILL there; no line "drained with connections held".

What comes whole after the listener has closed, and a long body that is still being passed on then, gets a 503; it has not run, and the newer process has room for it.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -39,16 +39,17 @@
 type frontend struct {
 	loop      *loop
 	log       *slog.Logger
-	listening atomic.Bool  // for clients
-	draining  atomic.Bool  // the process ends
-	emptied   atomic.Bool  // by the operators, until they want it back
-	open      atomic.Int64 // requests
+	listening atomic.Bool   // for clients
+	draining  atomic.Bool   // the process ends
+	closing   chan struct{} // closed when the drain takes no more
+	emptied   atomic.Bool   // by the operators, until they want it back
+	open      atomic.Int64  // requests
 	maxOpen   int64
 	conns     *connections
 }
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, maxOpen: int64(maxConns),
+	f := &frontend{loop: l, log: log, closing: make(chan struct{}), maxOpen: int64(maxConns),
 		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}}
 	return f
 }
@@ -73,6 +74,16 @@
 	return ""
 }
 
+// shut tells whether the drain takes no more.
+func (f *frontend) shut() bool {
+	select {
+	case <-f.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // leaving tells whether clients are to go: each answer closes its connection.
 func (f *frontend) leaving() bool { return f.draining.Load() || f.emptied.Load() }
 
@@ -123,6 +134,11 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if f.shut() { // what comes whole so late may have no answer by SIGKILL; another process has room for it
+		w.Header().Set("Connection", "close")
+		f.write(w, answer{status: http.StatusServiceUnavailable})
+		return
+	}
 	if !f.loop.post(func() { f.loop.arrive(req) }) {
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
@@ -130,10 +146,10 @@
 	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
 	defer late.Stop()
 	gone := r.Context().Done()
-	var uploaded <-chan struct{} // the client's time counts from then
+	var uploaded, closing <-chan struct{} // the client's time counts from uploaded
 	if req.upload != nil {
 		defer req.upload.close()
-		uploaded, gone = req.upload.finished, nil // a body that is no longer read ends the context too
+		uploaded, closing, gone = req.upload.finished, f.closing, nil // a body that is no longer read ends the context too
 	}
 	for {
 		select {
@@ -141,8 +157,12 @@
 			f.answer(w, r, req, a)
 			return
 		case <-uploaded:
-			uploaded, gone = nil, r.Context().Done()
+			uploaded, closing, gone = nil, nil, r.Context().Done()
 			late.Reset(req.upload.patience + overdue)
+		case <-closing:
+			f.loop.post(func() { f.loop.abandon(req) })
+			f.answer(w, r, req, answer{status: http.StatusServiceUnavailable})
+			return
 		case <-gone:
 			f.loop.post(func() { f.loop.abandon(req) })
 			panic(http.ErrAbortHandler) // else net/http would answer 200 to a client that reads on
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,6 +164,7 @@
 	for begun := time.Now(); time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
 		f.conns.makeRoom()
 	}
+	close(f.closing)
 	l.Close()
 	for begun := time.Now(); f.conns.open() > 0; time.Sleep(drainSweep) {
 		if time.Since(begun) > longest {
