Let a long answer pause once it has begun

Cause: readAnswer sets a new deadline before each read, but an answer of unknown length begins by a timer while a read waits, and that read kept the deadline by which the beginning was due. A server that pauses past it was cut off. Ruled out: memory (15 of 32 MB) and stallWait, as the test shows it with a pause of 2 s: "begun", unexpected EOF without the change.

--- a/internal/node/long.go
+++ b/internal/node/long.go
@@ -313,7 +313,15 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetReadBuffer(kernelSize)
 	}
-	d := &download{ctx: ctx, begin: func(held []byte, rest *io.PipeReader) { x.begin(resp, held, rest) }}
+	patient := func() { // from its beginning on an answer may take its time, also the piece that is waited for
+		if c.SetReadDeadline(time.Now().Add(stallWait)); ctx.Err() != nil {
+			c.SetReadDeadline(time.Unix(1, 0)) // as the end of ctx does
+		}
+	}
+	d := &download{ctx: ctx, begin: func(held []byte, rest *io.PipeReader) {
+		patient()
+		x.begin(resp, held, rest)
+	}}
 	if resp.ContentLength > bodyLimit {
 		d.start()
 	} else {
@@ -323,11 +331,7 @@
 	defer pieces.Put(piece)
 	for total := 0; ; {
 		if d.hasBegun() {
-			c.SetReadDeadline(time.Now().Add(stallWait))
-			if ctx.Err() != nil { // its end has set a deadline that has passed
-				err = ctx.Err()
-				break
-			}
+			patient()
 		}
 		var n int
 		n, err = resp.Body.Read(piece[:])
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -229,6 +229,31 @@
 	}
 }
 
+// A long answer may pause beyond the time in which its beginning was due, however little of it has come.
+func TestLongAnswerPauses(t *testing.T) {
+	t.Parallel()
+	begun := make(chan struct{})
+	addr := backend(t, func(c net.Conn) {
+		http.ReadRequest(bufio.NewReader(c))
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n")
+		<-begun
+		io.WriteString(c, "5\r\nended\r\n0\r\n\r\n")
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r := n.dial(t)
+	const left = 2 * time.Second
+	io.WriteString(c, message("read", fmt.Sprint(left.Seconds()), ""))
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	time.Sleep(left)
+	close(begun)
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "begunended" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
 // An answer that breaks off while it is held is not begun: the request gets another attempt.
 func TestHeldAnswerIsTriedAgain(t *testing.T) {
 	t.Parallel()
