--- /dev/null
+++ b/internal/invariants/invariants_test.go
@@ -0,0 +1,64 @@
+package invariants
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func clean() Run {
+	return Run{
+		Sent: []Sent{{ID: "a", Class: "place-order", At: 10 * ms, Done: 90 * ms, Status: 200},
+			{ID: "b", Class: "schedule-view", At: 20 * ms, Done: 60 * ms, Status: 200}},
+		Attempts: []Attempt{{ID: "a", Class: "place-order", Server: "s1", Start: 12 * ms, End: 40 * ms, Ran: false},
+			{ID: "a", Class: "place-order", Server: "s2", Start: 41 * ms, End: 80 * ms, Ran: true},
+			{ID: "b", Class: "schedule-view", Server: "s1", Start: 21 * ms, End: 50 * ms, Ran: true}},
+		Fragile: map[string]bool{"place-order": true},
+		Grace:   100 * ms, Slack: 50 * ms, End: time.Second,
+	}
+}
+
+func TestCleanRunHasNoBreach(t *testing.T) {
+	if b := Check(clean()); len(b) != 0 {
+		t.Fatal(b)
+	}
+}
+
+func TestEachRuleIsCaught(t *testing.T) {
+	for _, c := range []struct {
+		rule   string
+		change func(*Run)
+	}{
+		{"twice", func(r *Run) { r.Attempts[0].Ran = true }},
+		{"overlap", func(r *Run) { r.Attempts[1].Start = 30 * ms }},
+		{"unsent", func(r *Run) { r.Attempts = append(r.Attempts, Attempt{ID: "z", Server: "s1", Start: ms}) }},
+		{"answer", func(r *Run) { r.Sent[1].Status, r.Sent[1].Err = 0, "reset" }},
+		{"answer", func(r *Run) { r.Sent = append(r.Sent, r.Sent[0]) }},
+		{"after-grace", func(r *Run) { r.Changes = []Change{{Server: "s1", State: "draining", At: 0}}; r.Attempts[2].Start = 400 * ms }},
+	} {
+		r := clean()
+		c.change(&r)
+		b := Check(r)
+		if len(b) != 1 || b[0].Rule != c.rule {
+			t.Errorf("%s: %v", c.rule, b)
+		}
+	}
+}
+
+func TestExcusesAndGrace(t *testing.T) {
+	r := clean()
+	r.Sent[1].Status, r.Sent[1].Err = 0, "reset"
+	r.Excuses = []Excuse{{Node: 0, From: 50 * ms, To: 70 * ms, Why: "kill"}}
+	if b := Check(r); len(b) != 0 {
+		t.Errorf("an excused loss is a breach: %v", b)
+	}
+	r = clean()
+	r.Changes = []Change{{Server: "s1", State: "gone", At: 0}, {Server: "s1", State: "ready", At: 300 * ms}}
+	r.Attempts[2].Start = 140 * ms // within slack and grace
+	r.Attempts = append(r.Attempts, Attempt{ID: "b", Server: "s1", Start: 500 * ms, End: 510 * ms})
+	r.Attempts[2].End = 150 * ms
+	if b := Check(r); len(b) != 0 {
+		t.Errorf("within the grace, or back: %v", b)
+	}
+}
--- /dev/null
+++ b/internal/lab/standin/appserver.go
@@ -0,0 +1,241 @@
+// Package standin holds the lab's stand-ins of what a node talks to, written from PROTOCOL: app servers
+// ("Nodes to app servers") and a discovery agent ("Discovery"). They run in the lab's process, on loopback, and
+// record what they receive for the invariant checker.
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"starlingvalve/internal/invariants"
+)
+
+// Mode is how an app server misbehaves.
+type Mode int32
+
+const (
+	Healthy Mode = iota
+	Slow         // ten times its latency
+	Failing      // answers 500 after its work
+	Reset        // breaks each connection once a request has come
+	Silent       // takes requests and never answers, as a machine cut off
+)
+
+// ParseMode reads a mode's name: healthy, slow, failing, reset or silent.
+func ParseMode(s string) (Mode, error) {
+	for m, name := range []string{"healthy", "slow", "failing", "reset", "silent"} {
+		if s == name {
+			return Mode(m), nil
+		}
+	}
+	return 0, errors.New("mode " + s + " is none of healthy, slow, failing, reset, silent")
+}
+
+// ServerSpec is one app server's make. Latencies are log-normal round Latency with Spread as sigma.
+type ServerSpec struct {
+	ID, Zone  string
+	Capacity  int           // requests worked on at once; as many again wait, more are turned away
+	Latency   time.Duration // median of the work
+	Spread    float64
+	MaxConns  int           // connections held; more are turned away
+	IdleClose time.Duration // an idle connection is closed after this
+	ColdFor   time.Duration // after a restart it works three times slower for this long
+}
+
+// Recorder keeps what the stand-ins and the load saw, as offsets from Start. Safe for concurrent use.
+type Recorder struct {
+	Start    time.Time
+	mu       sync.Mutex
+	sent     map[string]bool
+	attempts []invariants.Attempt
+}
+
+// NewRecorder starts the run's clock.
+func NewRecorder() *Recorder { return &Recorder{Start: time.Now(), sent: map[string]bool{}} }
+
+// Since is the run's clock.
+func (r *Recorder) Since() time.Duration { return time.Since(r.Start) }
+
+// Sending marks an id as sent by a client, before its first byte goes.
+func (r *Recorder) Sending(id string) { r.mu.Lock(); r.sent[id] = true; r.mu.Unlock() }
+
+func (r *Recorder) wasSent(id string) bool { r.mu.Lock(); defer r.mu.Unlock(); return r.sent[id] }
+
+func (r *Recorder) attempt(a invariants.Attempt) { r.mu.Lock(); r.attempts = append(r.attempts, a); r.mu.Unlock() }
+
+// Attempts gives a copy of every attempt recorded.
+func (r *Recorder) Attempts() []invariants.Attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]invariants.Attempt(nil), r.attempts...)
+}
+
+// AppServer is a stand-in app server on a loopback address that stays its own across restarts.
+type AppServer struct {
+	Spec    ServerSpec
+	Addr    string
+	nodeOf  func(remote string) int
+	rec     *Recorder
+	mode    atomic.Int32
+	coldTil atomic.Int64 // unix ns
+	slots   chan struct{}
+	waiting atomic.Int64
+	conns   atomic.Int64
+	served  atomic.Int64
+
+	mu  sync.Mutex
+	srv *http.Server
+	rnd *rand.Rand
+}
+
+// NewAppServer listens on addr ("127.0.0.1:0" for any port). nodeOf tells which node a connection's source address belongs to.
+func NewAppServer(spec ServerSpec, addr string, nodeOf func(string) int, rec *Recorder, seed uint64) (*AppServer, error) {
+	s := &AppServer{Spec: spec, nodeOf: nodeOf, rec: rec, slots: make(chan struct{}, max(spec.Capacity, 1)),
+		rnd: rand.New(rand.NewPCG(seed, 0x5e7e))}
+	if err := s.listen(addr); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *AppServer) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.Addr = ln.Addr().String()
+	srv := &http.Server{Handler: s, IdleTimeout: s.Spec.IdleClose, ConnState: s.track}
+	s.mu.Lock()
+	s.srv = srv
+	s.mu.Unlock()
+	go srv.Serve(ln)
+	return nil
+}
+
+func (s *AppServer) track(_ net.Conn, st http.ConnState) {
+	switch st {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	}
+}
+
+// SetMode changes how it behaves from now on.
+func (s *AppServer) SetMode(m Mode) { s.mode.Store(int32(m)) }
+
+// Served counts the requests it worked on.
+func (s *AppServer) Served() int64 { return s.served.Load() }
+
+// Stop ends it as a process that dies: its connections reset, new ones are refused.
+func (s *AppServer) Stop() {
+	s.mu.Lock()
+	srv := s.srv
+	s.mu.Unlock()
+	srv.Close()
+}
+
+// Restart stops it, waits down, and starts it again on the same address, cold.
+func (s *AppServer) Restart(down time.Duration) error {
+	s.Stop()
+	time.Sleep(down)
+	s.coldTil.Store(time.Now().Add(s.Spec.ColdFor).UnixNano())
+	return s.listen(s.Addr)
+}
+
+func (s *AppServer) work() time.Duration {
+	s.mu.Lock()
+	z := s.rnd.NormFloat64()
+	s.mu.Unlock()
+	d := time.Duration(float64(s.Spec.Latency) * math.Exp(z*s.Spec.Spread))
+	if Mode(s.mode.Load()) == Slow {
+		d *= 10
+	}
+	if time.Now().UnixNano() < s.coldTil.Load() {
+		d *= 3
+	}
+	return d
+}
+
+func turnAway(w http.ResponseWriter) {
+	w.Header().Set("X-Unprocessed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// ServeHTTP answers as PROTOCOL's app server does.
+func (s *AppServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body) // it begins once the last byte has come
+	id := r.Header.Get("X-Correlation-Id")
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	a := invariants.Attempt{ID: id, Class: class, Server: s.Spec.ID, Node: s.nodeOf(r.RemoteAddr), Start: s.rec.Since()}
+	defer func() { a.End = s.rec.Since(); s.rec.attempt(a) }()
+	if id == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !s.rec.wasSent(id) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch Mode(s.mode.Load()) {
+	case Reset:
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tc, ok := c.(*net.TCPConn); ok {
+				tc.SetLinger(0)
+			}
+			c.Close()
+		}
+		return
+	case Silent:
+		<-r.Context().Done()
+		return
+	}
+	if s.Spec.MaxConns > 0 && s.conns.Load() > int64(s.Spec.MaxConns) {
+		turnAway(w)
+		return
+	}
+	if s.waiting.Add(1) > int64(cap(s.slots)) {
+		s.waiting.Add(-1)
+		turnAway(w)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		s.waiting.Add(-1)
+	case <-r.Context().Done():
+		s.waiting.Add(-1)
+		return
+	}
+	defer func() { <-s.slots }()
+	a.Ran = true
+	s.served.Add(1)
+	if !sleep(r.Context(), s.work()) {
+		return
+	}
+	if Mode(s.mode.Load()) == Failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	io.WriteString(w, "done "+id+"\n")
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
