--- a/internal/invariants/invariants_test.go
+++ b/internal/invariants/invariants_test.go
@@ -35,7 +35,10 @@
 		{"unsent", func(r *Run) { r.Attempts = append(r.Attempts, Attempt{ID: "z", Server: "s1", Start: ms}) }},
 		{"answer", func(r *Run) { r.Sent[1].Status, r.Sent[1].Err = 0, "reset" }},
 		{"answer", func(r *Run) { r.Sent = append(r.Sent, r.Sent[0]) }},
-		{"after-grace", func(r *Run) { r.Changes = []Change{{Server: "s1", State: "draining", At: 0}}; r.Attempts[2].Start = 400 * ms }},
+		{"after-grace", func(r *Run) {
+			r.Changes = []Change{{Server: "s1", State: "draining", At: 0}}
+			r.Attempts[2].Start = 400 * ms
+		}},
 	} {
 		r := clean()
 		c.change(&r)
--- a/internal/lab/standin/appserver.go
+++ b/internal/lab/standin/appserver.go
@@ -70,7 +70,11 @@
 
 func (r *Recorder) wasSent(id string) bool { r.mu.Lock(); defer r.mu.Unlock(); return r.sent[id] }
 
-func (r *Recorder) attempt(a invariants.Attempt) { r.mu.Lock(); r.attempts = append(r.attempts, a); r.mu.Unlock() }
+func (r *Recorder) attempt(a invariants.Attempt) {
+	r.mu.Lock()
+	r.attempts = append(r.attempts, a)
+	r.mu.Unlock()
+}
 
 // Attempts gives a copy of every attempt recorded.
 func (r *Recorder) Attempts() []invariants.Attempt {
