--- /dev/null
+++ b/cmd/fleetlab/main.go
@@ -0,0 +1,165 @@
+// Command fleetlab runs the project's fleet lab: real node processes on loopback against stand-in app servers
+// and discovery, with faults between them, under a scenario's timeline (docs/lab.md).
+//
+//	fleetlab list                 the bundled scenarios
+//	fleetlab run NAME|FILE.toml   one run; its directory holds node logs, records.json, report.json and plots
+//	fleetlab report RUN_DIR       the report again from a run's records
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/lab"
+	"starlingvalve/internal/lab/report"
+	"starlingvalve/lab/scenarios"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
+		SilenceUsage: true}
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd())
+	return cmd
+}
+
+func listCmd() *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "List the bundled scenarios", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			for _, name := range scenarios.Names() {
+				text, _ := scenarios.Read(name)
+				s, err := lab.ParseScenario(name, text)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%-16s %3d nodes %4d servers %4.0f s  %s\n", name, s.Fleet.Nodes, s.Fleet.Servers,
+					s.DurationS, s.About)
+			}
+			return nil
+		}}
+}
+
+// load reads a scenario by bundled name or by path.
+func load(arg string) (*lab.Scenario, error) {
+	text, err := scenarios.Read(arg)
+	name := arg
+	if err != nil {
+		if text, err = os.ReadFile(arg); err != nil {
+			return nil, fmt.Errorf("scenario %s: neither bundled (fleetlab list) nor a file: %w", arg, err)
+		}
+		name = strings.TrimSuffix(filepath.Base(arg), ".toml")
+	}
+	return lab.ParseScenario(name, text)
+}
+
+func runCmd() *cobra.Command {
+	var out, binary string
+	var seed uint64
+	var nodes int
+	cmd := &cobra.Command{Use: "run NAME|FILE.toml", Short: "Run a scenario and write its report", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := load(args[0])
+			if err != nil {
+				return err
+			}
+			if binary != "" {
+				s.Fleet.NodeBinary = binary
+			}
+			if seed != 0 {
+				s.Seed = seed
+			}
+			if nodes != 0 {
+				s.Fleet.Nodes = nodes
+			}
+			dir := filepath.Join(out, fmt.Sprintf("%s-%s", s.Name, time.Now().UTC().Format("20060102T150405")))
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			logFile, err := os.Create(filepath.Join(dir, "lab.log"))
+			if err != nil {
+				return err
+			}
+			defer logFile.Close()
+			log := slog.New(slog.NewJSONHandler(logFile, nil)).With("run", filepath.Base(dir))
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			log.Info("run", "scenario", s.Name, "nodes", s.Fleet.Nodes, "servers", s.Fleet.Servers, "seed", s.Seed)
+			recs, err := lab.Run(ctx, s, lab.Options{Dir: dir, Log: log})
+			if err != nil {
+				log.Error("run ended", "err", err)
+				return err
+			}
+			raw, err := json.Marshal(recs)
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(dir, "records.json"), raw, 0o644); err != nil {
+				return err
+			}
+			return writeReport(c, dir, recs)
+		}}
+	cmd.Flags().StringVar(&out, "out", "logs/lab", "where run directories are made")
+	cmd.Flags().StringVar(&binary, "node-binary", "", "the node program (default: the scenario's, bin/starlingvalve)")
+	cmd.Flags().Uint64Var(&seed, "seed", 0, "a seed other than the scenario's")
+	cmd.Flags().IntVar(&nodes, "nodes", 0, "a number of nodes other than the scenario's")
+	return cmd
+}
+
+func reportCmd() *cobra.Command {
+	return &cobra.Command{Use: "report RUN_DIR", Short: "Write a run's report again from its records", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(filepath.Join(args[0], "records.json"))
+			if err != nil {
+				return err
+			}
+			var recs lab.Records
+			if err := json.Unmarshal(raw, &recs); err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			return writeReport(c, args[0], &recs)
+		}}
+}
+
+func writeReport(c *cobra.Command, dir string, recs *lab.Records) error {
+	rep := report.Build(recs)
+	if err := report.Write(dir, recs, rep); err != nil {
+		return err
+	}
+	w := c.OutOrStdout()
+	fmt.Fprintf(w, "%s: %s\n", rep.Scenario, dir)
+	fmt.Fprintf(w, "%-16s %7s %7s %7s %7s %9s %8s %8s %8s\n", "phase from", "sent", "served", "refused", "failed", "goodput/s",
+		"p50 ms", "p99 ms", "p99.9 ms")
+	for _, p := range append(rep.Phases, rep.Whole) {
+		fmt.Fprintf(w, "%5.1f %-10s %7d %7d %7d %7d %9.1f %8.1f %8.1f %8.1f\n", p.From, p.Event, p.Sent, p.Served, p.Refused,
+			p.Failed, p.GoodputPS, p.P50MS, p.P99MS, p.P999MS)
+	}
+	fmt.Fprintf(w, "cpu: lab %.2f s, nodes %.2f s, lab's share %.3f; links %d; descriptors %d of %d; skipped %d\n",
+		rep.CPU.LabS, rep.CPU.NodesS, rep.LabShare, rep.Links, rep.NoFile[0], rep.NoFile[1], rep.Skipped)
+	if len(rep.NeverUp) > 0 {
+		fmt.Fprintf(w, "never came up: %s\n", strings.Join(rep.NeverUp, " "))
+	}
+	fmt.Fprintf(w, "breaches: %d\n", len(rep.Breaches))
+	for i, b := range rep.Breaches {
+		if i == 20 {
+			fmt.Fprintf(w, "  ... %d more in report.json\n", len(rep.Breaches)-20)
+			break
+		}
+		fmt.Fprintf(w, "  %s\n", b)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,173 @@
+// Package lab runs a fleet of real node processes on loopback against the lab's stand-ins, with faults between
+// them, under a scenario's timeline, and keeps what happened for the invariant checker and the report.
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Scenario is a lab run as a TOML file gives it (docs/lab.md). Times are in seconds from the run's start.
+type Scenario struct {
+	Name      string   `toml:"name"`
+	About     string   `toml:"about"`
+	Seed      uint64   `toml:"seed"`
+	DurationS float64  `toml:"duration_s"`
+	Fleet     Fleet    `toml:"fleet"`
+	Servers   Servers  `toml:"servers"`
+	Load      Load     `toml:"load"`
+	Events    []Event  `toml:"events"`
+	Checks    []string `toml:"expect_breaches"` // rules this scenario is meant to break (a test of the checker)
+}
+
+// Fleet is the processes of the run.
+type Fleet struct {
+	Nodes      int      `toml:"nodes"`
+	Servers    int      `toml:"servers"`
+	Zones      []string `toml:"zones"`
+	ReadyS     float64  `toml:"ready_s"`        // how long a node may take to answer /health/ready
+	NoticeS    float64  `toml:"front_notice_s"` // how long the front goes on dealing to a node that died
+	NodeBinary string   `toml:"node_binary"`
+}
+
+// Servers is the make of every stand-in app server.
+type Servers struct {
+	Capacity  int     `toml:"capacity"`
+	LatencyMS float64 `toml:"latency_ms"`
+	Spread    float64 `toml:"spread"`
+	MaxConns  int     `toml:"max_conns"`
+	IdleS     float64 `toml:"idle_close_s"`
+	ColdS     float64 `toml:"cold_s"`
+}
+
+// Load is the open-loop load.
+type Load struct {
+	Rate        float64 `toml:"rate"`
+	MaxRequests int     `toml:"max_requests"`
+	FromS       float64 `toml:"from_s"`
+	ForS        float64 `toml:"for_s"`
+}
+
+// Event is one step of the timeline. Which fields count depends on Do:
+//
+//	kill, term, hup, restart, stop, cont   nodes
+//	partition                              between (two selectors), or nodes with servers/zone
+//	heal                                   (all links)
+//	link                                   between, delay_ms, jitter_ms, bytes_per_s, refuse, blackhole, duplicate
+//	degrade                                servers or zone, mode (healthy, slow, failing, reset, silent)
+//	restart-servers                        servers or zone, down_s
+//	list                                   servers or zone, state (ready, draining, gone)
+type Event struct {
+	AtS       float64   `toml:"at_s"`
+	Do        string    `toml:"do"`
+	Nodes     string    `toml:"nodes"`   // "0.7" a share from the first, "3" one, "0-4" a range, "all"
+	Servers   string    `toml:"servers"` // the same, over servers
+	Zone      string    `toml:"zone"`
+	Between   [2]string `toml:"between"` // "clients", "discovery", "nodes:SEL", "servers:SEL", "zone:NAME"
+	Mode      string    `toml:"mode"`
+	State     string    `toml:"state"`
+	DownS     float64   `toml:"down_s"`
+	DelayMS   float64   `toml:"delay_ms"`
+	JitterMS  float64   `toml:"jitter_ms"`
+	BytesPerS int       `toml:"bytes_per_s"`
+	Refuse    bool      `toml:"refuse"`
+	Blackhole bool      `toml:"blackhole"`
+	Duplicate bool      `toml:"duplicate"`
+}
+
+var actions = map[string]bool{"kill": true, "term": true, "hup": true, "restart": true, "stop": true, "cont": true,
+	"partition": true, "heal": true, "link": true, "degrade": true, "restart-servers": true, "list": true}
+
+// ParseScenario reads a scenario and fills in what it leaves out. A key it does not know, or a value it can't
+// use, is one plain error that names it.
+func ParseScenario(name string, text []byte) (*Scenario, error) {
+	s := Scenario{Seed: 1, DurationS: 20, Fleet: Fleet{Nodes: 4, Servers: 6, Zones: []string{"a", "b"}, ReadyS: 20, NoticeS: 2,
+		NodeBinary: "bin/starlingvalve"},
+		Servers: Servers{Capacity: 8, LatencyMS: 20, Spread: 0.3, MaxConns: 256, IdleS: 15, ColdS: 5},
+		Load:    Load{Rate: 100, MaxRequests: 100000, FromS: 1}}
+	md, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&s)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	if un := md.Undecoded(); len(un) > 0 {
+		return nil, fmt.Errorf("scenario %s: unknown key %q", name, un[0].String())
+	}
+	if s.Name == "" {
+		s.Name = name
+	}
+	if s.Load.ForS == 0 {
+		s.Load.ForS = s.DurationS - s.Load.FromS - 1
+	}
+	switch {
+	case s.Fleet.Nodes < 1 || s.Fleet.Nodes > 1000:
+		return nil, fmt.Errorf("scenario %s: fleet.nodes %d is not within 1 to 1000", name, s.Fleet.Nodes)
+	case s.Fleet.Servers < 1 || s.Fleet.Servers > 2000:
+		return nil, fmt.Errorf("scenario %s: fleet.servers %d is not within 1 to 2000", name, s.Fleet.Servers)
+	case len(s.Fleet.Zones) == 0:
+		return nil, fmt.Errorf("scenario %s: fleet.zones is empty", name)
+	case s.DurationS <= 0 || s.DurationS > 3600:
+		return nil, fmt.Errorf("scenario %s: duration_s %v is not within 0 to 3600", name, s.DurationS)
+	case s.Load.Rate <= 0 || s.Load.ForS <= 0 || s.Load.FromS+s.Load.ForS > s.DurationS:
+		return nil, fmt.Errorf("scenario %s: load must have a rate and end within duration_s", name)
+	}
+	sort.SliceStable(s.Events, func(i, j int) bool { return s.Events[i].AtS < s.Events[j].AtS })
+	for i, e := range s.Events {
+		if !actions[e.Do] {
+			return nil, fmt.Errorf("scenario %s: events[%d]: do %q is not an action", name, i, e.Do)
+		}
+		if e.AtS < 0 || e.AtS > s.DurationS {
+			return nil, fmt.Errorf("scenario %s: events[%d]: at_s %v is outside the run", name, i, e.AtS)
+		}
+		for _, sel := range []struct {
+			text string
+			n    int
+		}{{e.Nodes, s.Fleet.Nodes}, {e.Servers, s.Fleet.Servers}} {
+			if _, err := Select(sel.text, sel.n); err != nil {
+				return nil, fmt.Errorf("scenario %s: events[%d]: %w", name, i, err)
+			}
+		}
+	}
+	return &s, nil
+}
+
+// Select reads a selector over n things: "" none, "all", "3" one, "2-5" a range, "0.7" a share from the first.
+func Select(text string, n int) ([]int, error) {
+	var out []int
+	switch {
+	case text == "":
+	case text == "all":
+		for i := range n {
+			out = append(out, i)
+		}
+	case strings.Contains(text, "-"):
+		a, b, _ := strings.Cut(text, "-")
+		lo, err1 := strconv.Atoi(a)
+		hi, err2 := strconv.Atoi(b)
+		if err1 != nil || err2 != nil || lo > hi || lo < 0 || hi >= n {
+			return nil, fmt.Errorf("selector %q is not a range within 0-%d", text, n-1)
+		}
+		for i := lo; i <= hi; i++ {
+			out = append(out, i)
+		}
+	case strings.Contains(text, "."):
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || f <= 0 || f > 1 {
+			return nil, fmt.Errorf("selector %q is not a share within 0 and 1", text)
+		}
+		for i := range int(f*float64(n) + 0.5) {
+			out = append(out, i)
+		}
+	default:
+		i, err := strconv.Atoi(text)
+		if err != nil || i < 0 || i >= n {
+			return nil, fmt.Errorf("selector %q is not one of 0-%d", text, n-1)
+		}
+		out = []int{i}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/lab/scenarios/scenarios.go
@@ -0,0 +1,26 @@
+// Package scenarios holds the lab's bundled scenarios, one TOML file each (docs/lab.md gives the format).
+package scenarios
+
+import (
+	"embed"
+	"io/fs"
+	"sort"
+	"strings"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Names lists the bundled scenarios.
+func Names() []string {
+	entries, _ := fs.ReadDir(files, ".")
+	var out []string
+	for _, e := range entries {
+		out = append(out, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Read gives a bundled scenario's text.
+func Read(name string) ([]byte, error) { return files.ReadFile(name + ".toml") }
