--- /dev/null
+++ b/cmd/fleetlab/main_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The lab and the node are built as the README's line builds them; the tests run them as processes.
+func build(t *testing.T) (lab, node string) {
+	t.Helper()
+	dir := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/fleetlab", "starlingvalve/cmd/starlingvalve")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return filepath.Join(dir, "fleetlab"), filepath.Join(dir, "starlingvalve")
+}
+
+type labReport struct {
+	Phases []struct {
+		Sent, Served int
+	} `json:"phases"`
+	Whole struct {
+		Sent, Served int
+		P99MS        float64 `json:"p99_ms"`
+	} `json:"whole"`
+	PerNode   map[string]int   `json:"per_node"`
+	PerServer map[string]int64 `json:"per_server"`
+	Breaches  []struct{ Rule, ID string }
+	NeverUp   []string `json:"never_up"`
+	Plots     []string `json:"plots"`
+}
+
+func run(t *testing.T, lab, node, scenario string) (labReport, string) {
+	t.Helper()
+	out := t.TempDir()
+	cmd := exec.Command(lab, "run", scenario, "--out", out, "--node-binary", node)
+	var stdout bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stdout
+	guard := time.AfterFunc(3*time.Minute, func() { cmd.Process.Kill() })
+	defer guard.Stop()
+	if err := cmd.Run(); err != nil {
+		t.Fatalf("%s: %v\n%s", scenario, err, stdout.String())
+	}
+	dirs, _ := filepath.Glob(filepath.Join(out, "*"))
+	if len(dirs) != 1 {
+		t.Fatalf("run directories %v", dirs)
+	}
+	raw, err := os.ReadFile(filepath.Join(dirs[0], "report.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r labReport
+	if err := json.Unmarshal(raw, &r); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range r.Plots {
+		if st, err := os.Stat(filepath.Join(dirs[0], p)); err != nil || st.Size() == 0 {
+			t.Errorf("plot %s: %v", p, err)
+		}
+	}
+	return r, dirs[0]
+}
+
+// The CI's scenario: four nodes, a kill, a drain and a partition, with no rule broken and every section there.
+func TestSmallScenarioBreaksNoRule(t *testing.T) {
+	lab, node := build(t)
+	r, dir := run(t, lab, node, "small")
+	if len(r.Breaches) != 0 {
+		t.Errorf("breaches: %v (see %s)", r.Breaches, dir)
+	}
+	if len(r.Phases) != 6 || len(r.PerNode) != 4 || len(r.PerServer) != 6 || len(r.Plots) != 3 || len(r.NeverUp) != 0 {
+		t.Errorf("report lacks a section: %+v", r)
+	}
+	if r.Whole.Sent < 1000 || float64(r.Whole.Served) < 0.8*float64(r.Whole.Sent) || r.Whole.P99MS <= 0 {
+		t.Errorf("whole run: %+v", r.Whole)
+	}
+	logs, _ := filepath.Glob(filepath.Join(dir, "nodes", "*", "node.log"))
+	if len(logs) != 4 {
+		t.Errorf("node logs: %v", logs)
+	}
+}
+
+// A relay that sends a request twice is caught by the checker, with the request's id.
+func TestCheckerCatchesADuplicatedAttempt(t *testing.T) {
+	lab, node := build(t)
+	r, _ := run(t, lab, node, "duplicate")
+	if len(r.Breaches) == 0 {
+		t.Fatal("no breach found where a relay duplicates attempts")
+	}
+	for _, b := range r.Breaches {
+		if (b.Rule != "overlap" && b.Rule != "twice") || b.ID == "" {
+			t.Errorf("breach %+v", b)
+		}
+	}
+}
+
+func TestBadScenarioKeyIsOnePlainError(t *testing.T) {
+	lab, _ := build(t)
+	path := filepath.Join(t.TempDir(), "bad.toml")
+	os.WriteFile(path, []byte("duration_s = 5\n[fleet]\nnodez = 3\n"), 0o644)
+	out, err := exec.Command(lab, "run", path, "--out", t.TempDir()).CombinedOutput()
+	if err == nil || !strings.Contains(string(out), `unknown key "fleet.nodez"`) || strings.Count(string(out), "\n") > 2 {
+		t.Errorf("%v: %q", err, out)
+	}
+}
+
+// Ctrl-C in the middle of a run ends every node by its own pid: none is left behind.
+func TestInterruptLeavesNoProcess(t *testing.T) {
+	if runtime.GOOS != "linux" {
+		t.Skip("reads /proc")
+	}
+	lab, node := build(t)
+	out := t.TempDir()
+	cmd := exec.Command(lab, "run", "small", "--out", out, "--node-binary", node)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var pids []int
+	for end := time.Now().Add(time.Minute); len(pids) < 4 && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		files, _ := filepath.Glob(filepath.Join(out, "*", "pids"))
+		pids = nil
+		for _, f := range files {
+			raw, _ := os.ReadFile(f)
+			for _, line := range strings.Fields(string(raw)) {
+				if pid, err := strconv.Atoi(line); err == nil {
+					pids = append(pids, pid)
+				}
+			}
+		}
+	}
+	if len(pids) < 4 {
+		cmd.Process.Kill()
+		t.Fatalf("nodes started: %v", pids)
+	}
+	cmd.Process.Signal(syscall.SIGINT)
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		cmd.Process.Kill()
+		t.Fatal("the lab did not end at SIGINT")
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		var left []int
+		for _, pid := range pids {
+			if st, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat"); err == nil && !strings.Contains(string(st), ") Z ") {
+				left = append(left, pid)
+			}
+		}
+		if len(left) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("left running: %v", left)
+		}
+	}
+}
