--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -143,13 +143,13 @@
 	loadDone := make(chan struct{})
 	go func() {
 		defer close(loadDone)
-		if !sleepCtx(ctx, seconds(s.Load.FromS)) {
+		if !standin.Sleep(ctx, seconds(s.Load.FromS)) {
 			return
 		}
 		result = load.Run(ctx, f.loadSpec(), f, f.rec)
 	}()
 	for _, e := range s.Events {
-		if !sleepCtx(ctx, seconds(e.AtS)-f.rec.Since()) {
+		if !standin.Sleep(ctx, seconds(e.AtS)-f.rec.Since()) {
 			break
 		}
 		detail, err := f.do(e)
@@ -165,7 +165,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	sleepCtx(ctx, seconds(s.DurationS)-f.rec.Since())
+	standin.Sleep(ctx, seconds(s.DurationS)-f.rec.Since())
 	end := f.rec.Since()
 	f.end()
 	f.closeExcuses(end)
@@ -196,20 +196,6 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func sleepCtx(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // raiseNoFile lifts the soft limit on descriptors to the hard one: 50 nodes by 100 servers are many links.
 func raiseNoFile() [2]uint64 {
 	var l syscall.Rlimit
--- /dev/null
+++ b/internal/lab/scenario_test.go
@@ -0,0 +1,44 @@
+package lab
+
+import (
+	"strings"
+	"testing"
+
+	"starlingvalve/lab/scenarios"
+)
+
+func TestBundledScenariosParse(t *testing.T) {
+	names := scenarios.Names()
+	for _, want := range []string{"calm", "herd", "roll", "zone-loss", "partition", "slow-discovery", "small"} {
+		if !strings.Contains(" "+strings.Join(names, " ")+" ", " "+want+" ") {
+			t.Errorf("scenario %s is not bundled", want)
+		}
+	}
+	for _, name := range names {
+		text, _ := scenarios.Read(name)
+		if _, err := ParseScenario(name, text); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestScenarioErrorsNameTheirCause(t *testing.T) {
+	for text, want := range map[string]string{
+		"[load]\nrat = 3\n":                                  `unknown key "load.rat"`,
+		"[[events]]\nat_s = 1\ndo = \"explode\"\n":           `do "explode" is not an action`,
+		"[[events]]\nat_s = 1\ndo = \"kill\"\nnodes = \"9\"": `selector "9" is not one of 0-3`,
+		"[fleet]\nnodes = 0\n":                               "fleet.nodes 0",
+	} {
+		if _, err := ParseScenario("x", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestSelect(t *testing.T) {
+	for text, want := range map[string]int{"": 0, "all": 10, "3": 1, "2-5": 4, "0.7": 7} {
+		if got, err := Select(text, 10); err != nil || len(got) != want {
+			t.Errorf("%q: %v %v", text, got, err)
+		}
+	}
+}
--- a/internal/lab/standin/appserver.go
+++ b/internal/lab/standin/appserver.go
@@ -222,7 +222,7 @@
 	defer func() { <-s.slots }()
 	a.Ran = true
 	s.served.Add(1)
-	if !sleep(r.Context(), s.work()) {
+	if !Sleep(r.Context(), s.work()) {
 		return
 	}
 	if Mode(s.mode.Load()) == Failing {
@@ -233,7 +233,11 @@
 	io.WriteString(w, "done "+id+"\n")
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits d, or less where ctx ends first, and says whether it waited the whole of d.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
