--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,217 @@
+// Package registry is the core of listd, the project's discovery service: the list of app servers under one
+// revision, leases that lapse, and the answers to PROTOCOL's reads and watches. It does no I/O and reads no
+// clock: every command carries the time it is applied at, chosen once by the leader, so that every replica that
+// applies the same log holds the same list. It is the state machine that package raft replicates.
+package registry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sort"
+	"time"
+)
+
+// Entry is one app server as PROTOCOL's "Discovery" gives it.
+type Entry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"` // ready, draining, gone
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+// Op is what a command does.
+type Op string
+
+const (
+	Register   Op = "register"   // puts an entry under a new lease, or renews and changes it
+	Renew      Op = "renew"      // extends a lease
+	Drain      Op = "drain"      // its owner says: finish what you have, nothing new
+	Deregister Op = "deregister" // gone at once
+	Expire     Op = "expire"     // the leader's sweep: every lease lapsed at Now is gone
+)
+
+// Command is one entry of the replicated log. NowMS is the leader's clock when it proposed it, Unix ms.
+type Command struct {
+	Op    Op     `json:"op"`
+	Entry Entry  `json:"entry,omitzero"`
+	ID    string `json:"id,omitempty"`
+	TTLMS int64  `json:"ttl_ms,omitempty"`
+	NowMS int64  `json:"now_ms"`
+}
+
+// Errors a command can meet. They change nothing.
+var (
+	ErrUnknown = errors.New("no such registration")
+	ErrInvalid = errors.New("invalid registration")
+)
+
+// Limits on leases, in ms: a TTL outside them is taken as the nearest.
+const (
+	MinTTLMS = 500
+	MaxTTLMS = 60_000
+)
+
+type record struct {
+	Entry     Entry  `json:"entry"`
+	ExpiresMS int64  `json:"expires_ms"` // 0 once gone
+	Rev       uint64 `json:"rev"`        // of its last change
+}
+
+// State is the whole list. The zero State is not ready: use New.
+type State struct {
+	Rev     uint64             `json:"rev"`
+	Floor   uint64             `json:"floor"` // changes at or below it are compacted: older watches get the whole list
+	Records map[string]*record `json:"records"`
+	keep    int
+}
+
+// New gives an empty list at revision 0 that keeps gone entries for keep revisions before compaction.
+func New(keep int) *State { return &State{Records: map[string]*record{}, keep: max(keep, 1)} }
+
+// Apply carries out one command and says whether it changed the list (and so made a new revision).
+func (s *State) Apply(c Command) (bool, error) {
+	switch c.Op {
+	case Register:
+		if err := valid(c.Entry); err != nil {
+			return false, err
+		}
+		ttl := min(max(c.TTLMS, MinTTLMS), MaxTTLMS)
+		e := c.Entry
+		if e.State == "" || e.State == "gone" {
+			e.State = "ready"
+		}
+		r := s.Records[e.ID]
+		if r != nil && r.ExpiresMS != 0 && r.Entry == e {
+			r.ExpiresMS = c.NowMS + ttl // a renewal by registering again is no change
+			return false, nil
+		}
+		s.Rev++
+		s.Records[e.ID] = &record{Entry: e, ExpiresMS: c.NowMS + ttl, Rev: s.Rev}
+		return true, nil
+	case Renew:
+		r := s.Records[c.ID]
+		if r == nil || r.ExpiresMS == 0 {
+			return false, fmt.Errorf("%w: %s", ErrUnknown, c.ID)
+		}
+		r.ExpiresMS = c.NowMS + min(max(c.TTLMS, MinTTLMS), MaxTTLMS)
+		return false, nil
+	case Drain, Deregister:
+		r := s.Records[c.ID]
+		if r == nil || r.ExpiresMS == 0 {
+			return false, fmt.Errorf("%w: %s", ErrUnknown, c.ID)
+		}
+		state := map[Op]string{Drain: "draining", Deregister: "gone"}[c.Op]
+		if r.Entry.State == state {
+			return false, nil
+		}
+		s.change(r, state)
+		return true, nil
+	case Expire:
+		var lapsed []*record
+		for _, r := range s.Records {
+			if r.ExpiresMS != 0 && r.ExpiresMS <= c.NowMS {
+				lapsed = append(lapsed, r)
+			}
+		}
+		sort.Slice(lapsed, func(i, j int) bool { return lapsed[i].Entry.ID < lapsed[j].Entry.ID })
+		for _, r := range lapsed {
+			s.change(r, "gone")
+		}
+		s.compact()
+		return len(lapsed) > 0, nil
+	}
+	return false, fmt.Errorf("unknown op %q", c.Op)
+}
+
+func (s *State) change(r *record, state string) {
+	s.Rev++
+	r.Entry.State, r.Rev = state, s.Rev
+	if state == "gone" {
+		r.ExpiresMS = 0
+	}
+}
+
+// compact forgets gone entries older than keep revisions; watches from before them get the whole list.
+func (s *State) compact() {
+	for id, r := range s.Records {
+		if r.ExpiresMS == 0 && r.Rev+uint64(s.keep) <= s.Rev {
+			delete(s.Records, id)
+			s.Floor = max(s.Floor, r.Rev)
+		}
+	}
+}
+
+func valid(e Entry) error {
+	if e.ID == "" || len(e.ID) > 64 {
+		return fmt.Errorf("%w: id %q", ErrInvalid, e.ID)
+	}
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
+		return fmt.Errorf("%w: addr %q: %v", ErrInvalid, e.Addr, err)
+	}
+	if e.State != "" && e.State != "ready" && e.State != "draining" {
+		return fmt.Errorf("%w: state %q", ErrInvalid, e.State)
+	}
+	if e.Weight < 0 || e.StartedMS < 0 {
+		return fmt.Errorf("%w: weight or started_ms below 0", ErrInvalid)
+	}
+	return nil
+}
+
+// Answer is PROTOCOL's body of a read or a watch.
+type Answer struct {
+	Version uint64  `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Read answers a whole read (since 0, watch false) or a watch from since: the entries changed after it, or the
+// whole list where since is compacted away or ahead of this list. Gone entries appear only among changes.
+func (s *State) Read(since uint64, watch bool) Answer {
+	full := !watch || since < s.Floor || since > s.Rev
+	a := Answer{Version: s.Rev, Full: full, Servers: []Entry{}}
+	for _, r := range s.Records {
+		if full && r.Entry.State != "gone" || !full && r.Rev > since {
+			a.Servers = append(a.Servers, r.Entry)
+		}
+	}
+	sort.Slice(a.Servers, func(i, j int) bool { return a.Servers[i].ID < a.Servers[j].ID })
+	return a
+}
+
+// NextExpiry is the soonest time a lease lapses, Unix ms, or 0 where none is held.
+func (s *State) NextExpiry() int64 {
+	var next int64
+	for _, r := range s.Records {
+		if r.ExpiresMS != 0 && (next == 0 || r.ExpiresMS < next) {
+			next = r.ExpiresMS
+		}
+	}
+	return next
+}
+
+// Snapshot is the state as bytes, for raft's snapshots.
+func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+
+// Restore replaces the state with a snapshot's.
+func (s *State) Restore(raw []byte) error {
+	next := State{keep: s.keep}
+	if err := json.Unmarshal(raw, &next); err != nil {
+		return fmt.Errorf("registry snapshot: %w", err)
+	}
+	if next.Records == nil {
+		next.Records = map[string]*record{}
+	}
+	*s = next
+	return nil
+}
+
+// TTL is a lease's length as a duration, within the limits.
+func TTL(ms int64) time.Duration {
+	return time.Duration(min(max(ms, MinTTLMS), MaxTTLMS)) * time.Millisecond
+}
