--- /dev/null
+++ b/cmd/listd/main_test.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+type cluster struct {
+	t     *testing.T
+	bin   string
+	dirs  []string
+	https []string
+	peers []string
+	procs []*exec.Cmd
+}
+
+func startCluster(t *testing.T, n int) *cluster {
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	c := &cluster{t: t, bin: filepath.Join(dir, "listd"), procs: make([]*exec.Cmd, n)}
+	for i := range n {
+		ip := fmt.Sprintf("127.3.%d.%d", time.Now().UnixNano()%200+1, i+1) // an address of its own per run and replica
+		c.https = append(c.https, ip+":8000")
+		c.peers = append(c.peers, fmt.Sprintf("r%d=%s:7000=%s:8000", i, ip, ip))
+		c.dirs = append(c.dirs, filepath.Join(dir, fmt.Sprint("r", i)))
+	}
+	for i := range n {
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for _, p := range c.procs {
+			if p != nil {
+				p.Process.Kill()
+				p.Wait()
+			}
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(i int) {
+	args := []string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.dirs[i]}
+	for _, p := range c.peers {
+		args = append(args, "--peer", p)
+	}
+	cmd := exec.Command(c.bin, args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.procs[i] = cmd
+}
+
+func (c *cluster) kill(i int) { c.procs[i].Process.Kill(); c.procs[i].Wait(); c.procs[i] = nil }
+
+var client = http.Client{Timeout: 10 * time.Second}
+
+type status struct {
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+}
+
+func (c *cluster) status(i int) (status, error) {
+	var s status
+	resp, err := client.Get("http://" + c.https[i] + "/registry/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+func (c *cluster) leader() int {
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i := range c.https {
+			if s, err := c.status(i); err == nil && s.State == "Leader" {
+				return i
+			}
+		}
+	}
+	c.t.Fatal("no leader in 30 s")
+	return -1
+}
+
+// register tries each replica in turn, following X-Leader, until one acknowledges or 30 s pass.
+func (c *cluster) register(id string, from int) bool {
+	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
+	target := c.https[from]
+	for end, i := time.Now().Add(30*time.Second), from; time.Now().Before(end); {
+		resp, err := client.Post("http://"+target+"/registry/v1/register", "application/json", bytes.NewReader(body))
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+			if l := resp.Header.Get("X-Leader"); l != "" {
+				target = l
+				continue
+			}
+		}
+		i = (i + 1) % len(c.https)
+		target = c.https[i]
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+type answer struct {
+	Version uint64 `json:"version"`
+	Full    bool   `json:"full"`
+	Servers []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	} `json:"servers"`
+}
+
+func (c *cluster) read(i int, query string) (answer, error) {
+	var a answer
+	resp, err := client.Get("http://" + c.https[i] + "/registry/instances" + query)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return a, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return a, json.NewDecoder(resp.Body).Decode(&a)
+}
+
+// The leader is killed during a burst of registrations: none acknowledged is lost on any replica, the killed one
+// catches up when it is back, and a watcher never sees a revision twice or out of order.
+func TestLeaderKilledDuringBurst(t *testing.T) {
+	c := startCluster(t, 3)
+	lead := c.leader()
+	watched := (lead + 1) % 3
+	var acked sync.Map
+	var ackCount atomic.Int64
+	var killedAt, firstAfter atomic.Int64 // unix ns
+	stop := make(chan struct{})
+	var watchErr error
+	var watcher sync.WaitGroup
+	watcher.Go(func() {
+		var since uint64
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a, err := c.read(watched, fmt.Sprintf("?since=%d&timeout_ms=1000", since))
+			if err != nil {
+				time.Sleep(20 * time.Millisecond) // stale or between leaders: the watcher keeps its list
+				continue
+			}
+			if a.Version < since || (!a.Full && a.Version == since && len(a.Servers) > 0) {
+				watchErr = fmt.Errorf("revision %d after %d (full %v)", a.Version, since, a.Full)
+				return
+			}
+			since = a.Version
+		}
+	})
+	var writers sync.WaitGroup
+	for w := range 4 {
+		writers.Go(func() {
+			for k := range 75 {
+				id := fmt.Sprintf("s-%d-%03d", w, k)
+				if c.register(id, lead) {
+					acked.Store(id, true)
+					ackCount.Add(1)
+					if k := killedAt.Load(); k != 0 {
+						firstAfter.CompareAndSwap(0, time.Now().UnixNano())
+					}
+				}
+			}
+		})
+	}
+	for ackCount.Load() < 80 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	killedAt.Store(time.Now().UnixNano())
+	c.kill(lead)
+	writers.Wait()
+	t.Logf("acknowledged %d of 300; first acknowledged write %v after the leader's kill", ackCount.Load(),
+		time.Duration(firstAfter.Load()-killedAt.Load()))
+	c.start(lead)
+	next := c.leader()
+	want, _ := c.status(next)
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if s, err := c.status(lead); err == nil && s.Revision >= want.Revision {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the restarted replica did not catch up in 30 s")
+		}
+	}
+	close(stop)
+	watcher.Wait()
+	if watchErr != nil {
+		t.Error(watchErr)
+	}
+	if ackCount.Load() < 250 {
+		t.Errorf("only %d of 300 acknowledged", ackCount.Load())
+	}
+	for i := range 3 {
+		var a answer
+		var err error
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if a, err = c.read(i, ""); err == nil {
+				break
+			}
+		}
+		if err != nil {
+			t.Fatalf("replica %d: %v", i, err)
+		}
+		have := map[string]bool{}
+		for _, s := range a.Servers {
+			have[s.ID] = true
+		}
+		acked.Range(func(k, _ any) bool {
+			if !have[k.(string)] {
+				t.Errorf("replica %d lost acknowledged %s", i, k)
+			}
+			return true
+		})
+	}
+}
