Add listd agent: watch the replicas, fail over, never roll back, serve the node

Measured: a replica answering well once, then cut-off JSON, revision 3 after 5, a bad entry, and a stall mid-body: the agent dropped each (4 or more), kept revision 5 and its one entry (unit test, -race).

--- a/cmd/listd/main.go
+++ b/cmd/listd/main.go
@@ -1,13 +1,18 @@
 // Command listd is the project's discovery service (docs/discovery.md).
 //
 //	listd serve --id a --peer a=RAFT=HTTP --peer b=RAFT=HTTP --peer c=RAFT=HTTP --dir DATA
+//	listd agent --replica HTTP --replica HTTP --listen 127.0.0.1:PORT
 //
-// serves PROTOCOL's GET /registry/instances and the registration API as one replica of three or five.
+// serve runs one replica of three or five: PROTOCOL's GET /registry/instances and the registration API.
+// agent runs beside a node and serves it the list it watches from the replicas.
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,12 +20,13 @@
 
 	"github.com/spf13/cobra"
 
+	"starlingvalve/internal/registry/agent"
 	"starlingvalve/internal/registry/replica"
 )
 
 func main() {
 	root := &cobra.Command{Use: "listd", Short: "The list of app servers, replicated", SilenceUsage: true}
-	root.AddCommand(serveCmd())
+	root.AddCommand(serveCmd(), agentCmd())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -71,3 +77,33 @@
 	cmd.Flags().IntVar(&keep, "keep-revisions", 1000, "revisions a gone entry is kept before watches from before it get the whole list")
 	return cmd
 }
+
+func agentCmd() *cobra.Command {
+	var replicas []string
+	var listen string
+	cmd := &cobra.Command{Use: "agent", Short: "Serve a node the list watched from the replicas", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if len(replicas) == 0 {
+				return fmt.Errorf("--replica is needed, once for each replica's HTTP address")
+			}
+			log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("agent", listen)
+			ln, err := net.Listen("tcp", listen)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			a := agent.New(replicas, log)
+			go a.Watch(ctx)
+			srv := &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
+			go func() { <-ctx.Done(); srv.Close() }()
+			log.Info("serving", "listen", ln.Addr().String(), "replicas", len(replicas))
+			if err := srv.Serve(ln); err != http.ErrServerClosed {
+				return err
+			}
+			return nil
+		}}
+	cmd.Flags().StringArrayVar(&replicas, "replica", nil, "a replica's HTTP address; once for each")
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where the node asks, on loopback")
+	return cmd
+}
--- /dev/null
+++ b/internal/registry/agent/agent_test.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A replica that answers well, then garbage, then a revision behind, then stalls mid-body: the agent keeps the
+// list it had and its revision, and serves it.
+func TestBadAnswersChangeNothing(t *testing.T) {
+	var turn atomic.Int64
+	replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch turn.Add(1) {
+		case 1:
+			io.WriteString(w, `{"version":5,"full":true,"servers":[{"id":"s1","addr":"127.0.0.1:1","state":"ready"}]}`)
+		case 2:
+			io.WriteString(w, `{"version":9,"full":true,"servers":[{"id":"s1"`)
+		case 3:
+			io.WriteString(w, `{"version":3,"full":true,"servers":[]}`)
+		case 4:
+			io.WriteString(w, `{"version":7,"full":true,"servers":[{"id":"","state":"ready"}]}`)
+		default:
+			w.Write([]byte(`{"version":8,`))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	defer replica.Close()
+	a := New([]string{replica.Listener.Addr().String()}, slog.New(slog.DiscardHandler))
+	a.client.Timeout = 300 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	go a.Watch(ctx)
+	for end := time.Now().Add(20 * time.Second); turn.Load() < 6 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	rec := httptest.NewRecorder()
+	a.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/registry/instances", nil))
+	var got struct {
+		Version uint64
+		Servers []struct{ ID string }
+	}
+	json.Unmarshal(rec.Body.Bytes(), &got)
+	if got.Version != 5 || len(got.Servers) != 1 || got.Servers[0].ID != "s1" || rec.Header().Get("X-List-Age-Ms") == "" {
+		t.Errorf("after bad answers: %s %v", rec.Body, rec.Header())
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.Dropped < 4 {
+		t.Errorf("dropped %d answers", a.Dropped)
+	}
+}
