--- a/cmd/listd/main.go
+++ b/cmd/listd/main.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -34,12 +35,19 @@
 
 func serveCmd() *cobra.Command {
 	var id, dir string
-	var peers []string
+	var peers, routes []string
 	var staleness time.Duration
 	var keep int
 	cmd := &cobra.Command{Use: "serve", Short: "Run one replica", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			cfg := replica.Config{Dir: dir, Staleness: staleness, KeepRevs: keep}
+			cfg := replica.Config{Dir: dir, Staleness: staleness, KeepRevs: keep, Routes: map[string]string{}}
+			for _, r := range routes {
+				peer, addr, ok := strings.Cut(r, "=")
+				if !ok {
+					return fmt.Errorf("--route %q is not ID=ADDR", r)
+				}
+				cfg.Routes[peer] = addr
+			}
 			for _, text := range peers {
 				p, err := replica.ParsePeer(text)
 				if err != nil {
@@ -72,6 +80,7 @@
 		}}
 	cmd.Flags().StringVar(&id, "id", "", "this replica's id, one of the --peer ids")
 	cmd.Flags().StringArrayVar(&peers, "peer", nil, "ID=RAFT_ADDR=HTTP_ADDR of each replica, this one too")
+	cmd.Flags().StringArrayVar(&routes, "route", nil, "ID=ADDR: dial that peer's raft at ADDR, as through a relay")
 	cmd.Flags().StringVar(&dir, "dir", "", "where raft's log, stable store and snapshots are kept")
 	cmd.Flags().DurationVar(&staleness, "staleness", 2*time.Second, "the longest a follower answers reads without a leader's word")
 	cmd.Flags().IntVar(&keep, "keep-revisions", 1000, "revisions a gone entry is kept before watches from before it get the whole list")
--- a/cmd/listd/main_test.go
+++ b/cmd/listd/main_test.go
@@ -4,14 +4,18 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"starlingvalve/internal/lab/faults"
 )
 
 type cluster struct {
@@ -21,6 +25,8 @@
 	https []string
 	peers []string
 	procs []*exec.Cmd
+	links map[[2]int]*faults.Link // raft traffic from replica i to replica j
+	raft  []string
 }
 
 func startCluster(t *testing.T, n int) *cluster {
@@ -28,13 +34,26 @@
 	if out, err := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	c := &cluster{t: t, bin: filepath.Join(dir, "listd"), procs: make([]*exec.Cmd, n)}
+	c := &cluster{t: t, bin: filepath.Join(dir, "listd"), procs: make([]*exec.Cmd, n), links: map[[2]int]*faults.Link{}}
 	for i := range n {
 		ip := fmt.Sprintf("127.3.%d.%d", time.Now().UnixNano()%200+1, i+1) // an address of its own per run and replica
 		c.https = append(c.https, ip+":8000")
+		c.raft = append(c.raft, ip+":7000")
 		c.peers = append(c.peers, fmt.Sprintf("r%d=%s:7000=%s:8000", i, ip, ip))
 		c.dirs = append(c.dirs, filepath.Join(dir, fmt.Sprint("r", i)))
 	}
+	for i := range n {
+		for j := range n {
+			if i != j {
+				l, err := faults.Open(fmt.Sprint("r", i), fmt.Sprint("r", j), "127.0.0.1:0", c.raft[j], "", uint64(i*n+j))
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(l.Close)
+				c.links[[2]int{i, j}] = l
+			}
+		}
+	}
 	for i := range n {
 		c.start(i)
 	}
@@ -54,6 +73,11 @@
 	for _, p := range c.peers {
 		args = append(args, "--peer", p)
 	}
+	for j := range c.peers {
+		if l := c.links[[2]int{i, j}]; l != nil {
+			args = append(args, "--route", fmt.Sprintf("r%d=%s", j, l.Addr))
+		}
+	}
 	cmd := exec.Command(c.bin, args...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -93,6 +117,26 @@
 	return -1
 }
 
+// cut sets a fault on every link to and from replica i.
+func (c *cluster) cut(i int, f faults.Fault) {
+	for pair, l := range c.links {
+		if pair[0] == i || pair[1] == i {
+			l.Set(f)
+		}
+	}
+}
+
+// registerAt makes one try at one replica and gives the status.
+func (c *cluster) registerAt(id string, i int) int {
+	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
+	resp, err := client.Post("http://"+c.https[i]+"/registry/v1/register", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
 // register tries each replica in turn, following X-Leader, until one acknowledges or 30 s pass.
 func (c *cluster) register(id string, from int) bool {
 	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
@@ -235,3 +279,83 @@
 		})
 	}
 }
+
+// A partition isolates the leader: it stops acknowledging writes, the majority elects another that does, and an
+// agent that watches only the minority keeps its list and says how old it is; after the heal it has the new entry.
+func TestPartitionedLeaderStopsAcknowledging(t *testing.T) {
+	c := startCluster(t, 3)
+	lead := c.leader()
+	for k := range 20 {
+		if !c.register(fmt.Sprintf("s-%02d", k), lead) {
+			t.Fatal("registration not acknowledged before the partition")
+		}
+	}
+	agent := exec.Command(c.bin, "agent", "--replica", c.https[lead], "--listen", "127.0.0.1:0")
+	agent.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	logs, _ := agent.StderrPipe()
+	if err := agent.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { agent.Process.Kill(); agent.Wait() }()
+	var line struct{ Listen string }
+	for dec := json.NewDecoder(logs); line.Listen == ""; {
+		if err := dec.Decode(&line); err != nil {
+			t.Fatalf("agent: %v", err)
+		}
+	}
+	go io.Copy(io.Discard, logs)
+	fromAgent := func() (answer, time.Duration) {
+		resp, err := client.Get("http://" + line.Listen + "/registry/instances")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var a answer
+		json.NewDecoder(resp.Body).Decode(&a)
+		ms, _ := strconv.Atoi(resp.Header.Get("X-List-Age-Ms"))
+		return a, time.Duration(ms) * time.Millisecond
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if a, _ := fromAgent(); len(a.Servers) == 20 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the agent never had the list")
+		}
+	}
+	c.cut(lead, faults.Fault{Blackhole: true})
+	if code := c.registerAt("s-minority", lead); code == http.StatusOK {
+		t.Error("the isolated leader acknowledged a write")
+	}
+	var next int
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		next = -1
+		for i := range 3 {
+			if s, err := c.status(i); i != lead && err == nil && s.State == "Leader" {
+				next = i
+			}
+		}
+		if next >= 0 && c.registerAt("s-majority", next) == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the majority acknowledged no write in 30 s")
+		}
+	}
+	time.Sleep(3 * time.Second) // past the staleness bound
+	a, age := fromAgent()
+	if len(a.Servers) != 20 || age < 2*time.Second {
+		t.Errorf("the agent on the minority: %d entries, age %v", len(a.Servers), age)
+	}
+	c.cut(lead, faults.Fault{})
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		a, age := fromAgent()
+		if len(a.Servers) == 21 && age < 2*time.Second {
+			t.Logf("after the heal the agent has %d entries at revision %d", len(a.Servers), a.Version)
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("after the heal the agent has %d entries, age %v", len(a.Servers), age)
+		}
+	}
+}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -52,10 +52,32 @@
 	Peers     []Peer // all replicas, itself among them
 	Dir       string // raft's log, stable store and snapshots
 	Staleness time.Duration
-	KeepRevs  int // gone entries kept for this many revisions before compaction
+	KeepRevs  int               // gone entries kept for this many revisions before compaction
+	Routes    map[string]string // by peer id, an address to dial it at other than its raft address (a relay)
 	Log       *slog.Logger
 }
 
+type routed map[raft.ServerID]raft.ServerAddress
+
+func (r routed) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	if a, ok := r[id]; ok {
+		return a, nil
+	}
+	return "", fmt.Errorf("no replica %s", id)
+}
+
+// routes gives the address each peer is dialed at: its own, or its route.
+func routes(cfg Config) routed {
+	out := routed{}
+	for _, p := range cfg.Peers {
+		out[raft.ServerID(p.ID)] = raft.ServerAddress(p.Raft)
+		if a, ok := cfg.Routes[p.ID]; ok {
+			out[raft.ServerID(p.ID)] = raft.ServerAddress(a)
+		}
+	}
+	return out
+}
+
 // fsm is the state machine that raft feeds.
 type fsm struct {
 	mu    sync.Mutex
@@ -155,7 +177,8 @@
 		store.Close()
 		return nil, err
 	}
-	transport, err := raft.NewTCPTransportWithLogger(cfg.Self.Raft, addr, 8, 2*time.Second, logFile)
+	transport, err := raft.NewTCPTransportWithConfig(cfg.Self.Raft, addr, &raft.NetworkTransportConfig{MaxPool: 8,
+		Timeout: 2 * time.Second, Logger: logFile, ServerAddressProvider: routes(cfg)})
 	if err != nil {
 		store.Close()
 		return nil, fmt.Errorf("raft transport: %w", err)
