Check listd's histories for linearizability with porcupine; add consistent reads

Reads from any replica are only bounded-stale, so a linearizable read path was needed to check against. Change: ?consistent=1 reads are served by the leader after VerifyLeader and a Barrier. internal/registry/linear checks each id's projection with porcupine (a write sets it; a read says whether it held it; a write with no known outcome may land at any later time). The leader-kill test records every write try and consistent read.

--- a/cmd/listd/main_test.go
+++ b/cmd/listd/main_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 	"time"
 
 	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/registry/linear"
 )
 
 type cluster struct {
@@ -25,6 +27,8 @@
 	https []string
 	peers []string
 	procs []*exec.Cmd
+	mu    sync.Mutex
+	ops   []linear.Op             // the history of writes and consistent reads, for the linearizability check
 	links map[[2]int]*faults.Link // raft traffic from replica i to replica j
 	raft  []string
 }
@@ -137,21 +141,34 @@
 	return resp.StatusCode
 }
 
-// register tries each replica in turn, following X-Leader, until one acknowledges or 30 s pass.
+func (c *cluster) record(o linear.Op) { c.mu.Lock(); c.ops = append(c.ops, o); c.mu.Unlock() }
+
+// register tries each replica in turn, following X-Leader, until one acknowledges or 30 s pass. Each try is
+// recorded: acknowledged, or of unknown outcome unless the replica said at once that it does not lead.
 func (c *cluster) register(id string, from int) bool {
 	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
 	target := c.https[from]
 	for end, i := time.Now().Add(30*time.Second), from; time.Now().Before(end); {
+		op := linear.Op{Client: 2, Write: true, ID: id, Call: time.Now().UnixNano()}
 		resp, err := client.Post("http://"+target+"/registry/v1/register", "application/json", bytes.NewReader(body))
+		op.Return, op.Unknown = time.Now().UnixNano(), true
 		if err == nil {
+			msg, _ := io.ReadAll(resp.Body)
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
+				op.Unknown = false
+				c.record(op)
 				return true
 			}
+			if !strings.Contains(string(msg), "not the leader") {
+				c.record(op)
+			}
 			if l := resp.Header.Get("X-Leader"); l != "" {
 				target = l
 				continue
 			}
+		} else {
+			c.record(op)
 		}
 		i = (i + 1) % len(c.https)
 		target = c.https[i]
@@ -214,6 +231,27 @@
 			since = a.Version
 		}
 	})
+	var reader sync.WaitGroup
+	reader.Go(func() { // consistent reads at whoever leads, for the linearizability check
+		for i := 0; ; i = (i + 1) % 3 {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			op := linear.Op{Client: 1, Call: time.Now().UnixNano()}
+			a, err := c.read(i, "?consistent=1")
+			op.Return = time.Now().UnixNano()
+			if err != nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			for _, s := range a.Servers {
+				op.IDs = append(op.IDs, s.ID)
+			}
+			c.record(op)
+		}
+	})
 	var writers sync.WaitGroup
 	for w := range 4 {
 		writers.Go(func() {
@@ -250,9 +288,25 @@
 	}
 	close(stop)
 	watcher.Wait()
+	reader.Wait()
 	if watchErr != nil {
 		t.Error(watchErr)
 	}
+	c.mu.Lock()
+	history := c.ops
+	c.mu.Unlock()
+	reads := 0
+	for _, o := range history {
+		if !o.Write {
+			reads++
+		}
+	}
+	lin := linear.Check(history, 10*time.Second)
+	t.Logf("linearizability: %d ids, %d operations (%d consistent reads), %d violations, %d unknown", lin.Ids, len(history),
+		reads, len(lin.Violations), len(lin.Unknown))
+	if len(lin.Violations) > 0 || reads < 10 {
+		t.Errorf("violations at %v; %d reads", lin.Violations, reads)
+	}
 	if ackCount.Load() < 250 {
 		t.Errorf("only %d of 300 acknowledged", ackCount.Load())
 	}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -286,6 +286,21 @@
 	if ms, err := strconv.Atoi(q.Get("timeout_ms")); err == nil && ms > 0 {
 		wait = time.Duration(min(ms, 60_000)) * time.Millisecond
 	}
+	if q.Has("consistent") { // linearizable: the leader confirms it still leads and has applied all it committed
+		if rep.raft.State() != raft.Leader {
+			rep.notLeader(w)
+			return
+		}
+		if err := rep.raft.VerifyLeader().Error(); err != nil {
+			rep.notLeader(w)
+			return
+		}
+		if err := rep.raft.Barrier(5 * time.Second).Error(); err != nil {
+			http.Error(w, "not confirmed: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		watching, wait = false, 0
+	}
 	rep.fsm.mu.Lock()
 	if watching && since >= rep.fsm.state.Rev && wait > 0 {
 		news := rep.fsm.news
