Measure listd in the lab: writes/s, fan-out to 300 watchers, failover, catch-up

Change: internal/lab/listdlab runs replicas as processes with raft through relays and measures each; fleetlab discovery prints and keeps figures.json.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -21,6 +21,7 @@
 	"github.com/spf13/cobra"
 
 	"starlingvalve/internal/lab"
+	"starlingvalve/internal/lab/listdlab"
 	"starlingvalve/internal/lab/report"
 	"starlingvalve/lab/scenarios"
 )
@@ -34,7 +35,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd())
 	return cmd
 }
 
@@ -163,3 +164,32 @@
 	}
 	return nil
 }
+
+func discoveryCmd() *cobra.Command {
+	var p listdlab.Plan
+	var out, binary string
+	cmd := &cobra.Command{Use: "discovery", Short: "Measure listd: writes/s, fan-out, memory per watcher, failover, catch-up",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			dir := filepath.Join(out, "discovery-"+time.Now().UTC().Format("20060102T150405"))
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			log := slog.New(slog.NewJSONHandler(c.ErrOrStderr(), nil)).With("run", filepath.Base(dir))
+			f, err := listdlab.Experiment(binary, dir, p, log)
+			if f != nil {
+				raw, _ := json.MarshalIndent(f, "", "  ")
+				os.WriteFile(filepath.Join(dir, "figures.json"), raw, 0o644)
+				fmt.Fprintf(c.OutOrStdout(), "%s\n", raw)
+			}
+			return err
+		}}
+	cmd.Flags().IntVar(&p.Replicas, "replicas", 3, "replicas")
+	cmd.Flags().IntVar(&p.Watchers, "watchers", 300, "watchers for the fan-out")
+	cmd.Flags().IntVar(&p.Kills, "kills", 10, "leader kills for failover")
+	cmd.Flags().IntVar(&p.Revisions, "revisions", 10000, "revisions a replica misses before its catch-up")
+	cmd.Flags().IntVar(&p.Writers, "writers", 16, "concurrent writers")
+	cmd.Flags().DurationVar(&p.WriteFor, "write-for", 3*time.Second, "how long writes/s is measured")
+	cmd.Flags().StringVar(&out, "out", "logs/lab", "where the run directory is made")
+	cmd.Flags().StringVar(&binary, "listd-binary", "bin/listd", "the listd program")
+	return cmd
+}
--- /dev/null
+++ b/internal/lab/listdlab/listdlab.go
@@ -0,0 +1,307 @@
+// Package listdlab runs listd replicas as processes on loopback, each raft link through the lab's relays, and
+// measures them: committed writes a second, fan-out of a change to many watchers, memory per watcher, failover
+// after the leader's kill, and the catch-up of a replica that was down.
+package listdlab
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingvalve/internal/lab/faults"
+)
+
+// Cluster is a set of listd replicas.
+type Cluster struct {
+	Bin   string
+	Dirs  []string
+	HTTP  []string
+	Raft  []string
+	Links map[[2]int]*faults.Link // raft traffic from replica i to replica j
+	peers []string
+	procs []*exec.Cmd
+	logs  []*os.File
+}
+
+// Start runs n replicas of bin with their data under dir, on addresses 127.3.NET.i.
+func Start(bin, dir string, n int, net int) (*Cluster, error) {
+	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*exec.Cmd, n), logs: make([]*os.File, n)}
+	for i := range n {
+		ip := fmt.Sprintf("127.3.%d.%d", net%250+1, i+1)
+		c.HTTP = append(c.HTTP, ip+":8000")
+		c.Raft = append(c.Raft, ip+":7000")
+		c.peers = append(c.peers, fmt.Sprintf("r%d=%s:7000=%s:8000", i, ip, ip))
+		c.Dirs = append(c.Dirs, filepath.Join(dir, fmt.Sprint("r", i)))
+	}
+	for i := range n {
+		for j := range n {
+			if i == j {
+				continue
+			}
+			l, err := faults.Open(fmt.Sprint("r", i), fmt.Sprint("r", j), "127.0.0.1:0", c.Raft[j], "", uint64(i*n+j))
+			if err != nil {
+				c.Close()
+				return nil, err
+			}
+			c.Links[[2]int{i, j}] = l
+		}
+	}
+	for i := range n {
+		if err := c.Restart(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Restart starts replica i on its store; it must not be running.
+func (c *Cluster) Restart(i int) error {
+	args := []string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.Dirs[i]}
+	for _, p := range c.peers {
+		args = append(args, "--peer", p)
+	}
+	for j := range c.peers {
+		if l := c.Links[[2]int{i, j}]; l != nil {
+			args = append(args, "--route", fmt.Sprintf("r%d=%s", j, l.Addr))
+		}
+	}
+	if err := os.MkdirAll(c.Dirs[i], 0o755); err != nil {
+		return err
+	}
+	logFile, err := os.OpenFile(c.Dirs[i]+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(c.Bin, args...)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		logFile.Close()
+		return err
+	}
+	c.procs[i], c.logs[i] = cmd, logFile
+	return nil
+}
+
+// Kill ends replica i with SIGKILL.
+func (c *Cluster) Kill(i int) {
+	if p := c.procs[i]; p != nil {
+		p.Process.Kill()
+		p.Wait()
+		c.logs[i].Close()
+		c.procs[i] = nil
+	}
+}
+
+// Pid is replica i's process id, or 0.
+func (c *Cluster) Pid(i int) int {
+	if p := c.procs[i]; p != nil {
+		return p.Process.Pid
+	}
+	return 0
+}
+
+// Close ends every replica and relay.
+func (c *Cluster) Close() {
+	for i := range c.procs {
+		c.Kill(i)
+	}
+	for _, l := range c.Links {
+		l.Close()
+	}
+}
+
+// Cut sets a fault on every raft link to and from replica i.
+func (c *Cluster) Cut(i int, f faults.Fault) {
+	for pair, l := range c.Links {
+		if pair[0] == i || pair[1] == i {
+			l.Set(f)
+		}
+	}
+}
+
+var client = http.Client{Timeout: 10 * time.Second}
+
+// Status is what a replica says of itself.
+type Status struct {
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+}
+
+// Status asks replica i.
+func (c *Cluster) Status(i int) (Status, error) {
+	var s Status
+	resp, err := client.Get("http://" + c.HTTP[i] + "/registry/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// Leader waits up to limit for a replica that says it leads, other than skip (-1 for none).
+func (c *Cluster) Leader(limit time.Duration, skip int) (int, error) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i := range c.HTTP {
+			if s, err := c.Status(i); i != skip && err == nil && s.State == "Leader" {
+				return i, nil
+			}
+		}
+	}
+	return -1, fmt.Errorf("no leader in %v", limit)
+}
+
+// Register makes one registration try at replica i: its status (0 where the connection failed) and body.
+func (c *Cluster) Register(i int, id string, ttlMS int) (int, string) {
+	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": ttlMS})
+	resp, err := client.Post("http://"+c.HTTP[i]+"/registry/v1/register", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	msg, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(msg)
+}
+
+// Answer is PROTOCOL's body of a read.
+type Answer struct {
+	Version uint64 `json:"version"`
+	Full    bool   `json:"full"`
+	Servers []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+	} `json:"servers"`
+}
+
+// Read reads from replica i with a query ("" for the whole list).
+func (c *Cluster) Read(i int, query string) (Answer, error) {
+	var a Answer
+	resp, err := client.Get("http://" + c.HTTP[i] + "/registry/instances" + query)
+	if err != nil {
+		return a, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return a, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return a, json.NewDecoder(resp.Body).Decode(&a)
+}
+
+// RSS is a process's resident memory in KiB, from /proc.
+func RSS(pid int) int {
+	raw, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	for _, line := range strings.Split(string(raw), "\n") {
+		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(v), " kB"))
+			return n
+		}
+	}
+	return 0
+}
+
+// Quantile of sorted durations, q in 0..1.
+func Quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
+	return d[min(int(q*float64(len(d))), len(d)-1)]
+}
+
+// Figures are one experiment's results.
+type Figures struct {
+	Replicas        int             `json:"replicas"`
+	WritesPerS      float64         `json:"writes_per_s"`
+	Watchers        int             `json:"watchers"`
+	FanoutP50       time.Duration   `json:"fanout_p50_ns"`
+	FanoutP99       time.Duration   `json:"fanout_p99_ns"`
+	FanoutMissed    int             `json:"fanout_missed"`
+	KiBPerWatcher   float64         `json:"kib_per_watcher"`
+	Failovers       []time.Duration `json:"failovers_ns"`
+	CatchUpRevs     int             `json:"catch_up_revisions"`
+	CatchUp         time.Duration   `json:"catch_up_ns"`
+	WritesCommitted int             `json:"writes_committed"`
+}
+
+// Writes has writers register new ids at the leader for d, and counts what was acknowledged.
+func (c *Cluster) Writes(leader, writers int, d time.Duration, prefix string) int {
+	var mu sync.Mutex
+	acked := 0
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for w := range writers {
+		wg.Go(func() {
+			for k := 0; time.Now().Before(end); k++ {
+				if code, _ := c.Register(leader, fmt.Sprintf("%s-%d-%d", prefix, w, k), 60000); code == http.StatusOK {
+					mu.Lock()
+					acked++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return acked
+}
+
+// Fanout opens watchers on replica at, makes one change at leader, and times its arrival at each watcher from
+// the moment the change was sent.
+func (c *Cluster) Fanout(leader, at, watchers int) (lat []time.Duration, missed int, kib float64) {
+	base, err := c.Read(at, "")
+	if err != nil {
+		return nil, watchers, 0
+	}
+	before := RSS(c.Pid(at))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var sent time.Time
+	ready := make(chan struct{}, watchers)
+	for range watchers {
+		wg.Go(func() {
+			tr := &http.Transport{}
+			defer tr.CloseIdleConnections()
+			cl := http.Client{Transport: tr, Timeout: 30 * time.Second}
+			req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/registry/instances?since=%d&timeout_ms=20000", c.HTTP[at], base.Version), nil)
+			ready <- struct{}{}
+			resp, err := cl.Do(req)
+			got := time.Now()
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missed++
+				return
+			}
+			var a Answer
+			json.NewDecoder(resp.Body).Decode(&a)
+			resp.Body.Close()
+			if a.Version <= base.Version || sent.IsZero() {
+				missed++
+				return
+			}
+			lat = append(lat, got.Sub(sent))
+		})
+	}
+	for range watchers {
+		<-ready
+	}
+	time.Sleep(time.Second) // every watcher is waiting at the replica
+	during := RSS(c.Pid(at))
+	mu.Lock()
+	sent = time.Now()
+	mu.Unlock()
+	c.Register(leader, fmt.Sprintf("fanout-%d", time.Now().UnixNano()), 60000)
+	wg.Wait()
+	return lat, missed, float64(during-before) / float64(watchers)
+}
