Share watch parsing and waiting; let listd's tests drive the lab's cluster

Change: registry.ParseWatch and registry.Await serve all three; the stand-in uses registry.Entry and Answer; cmd/listd's tests run on listdlab.Cluster with their recording wrapper only. Behaviour and assertions stay.

--- a/cmd/listd/main_test.go
+++ b/cmd/listd/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,20 +16,15 @@
 	"time"
 
 	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/listdlab"
 	"starlingvalve/internal/registry/linear"
 )
 
 type cluster struct {
-	t     *testing.T
-	bin   string
-	dirs  []string
-	https []string
-	peers []string
-	procs []*exec.Cmd
-	mu    sync.Mutex
-	ops   []linear.Op             // the history of writes and consistent reads, for the linearizability check
-	links map[[2]int]*faults.Link // raft traffic from replica i to replica j
-	raft  []string
+	*listdlab.Cluster
+	t   *testing.T
+	mu  sync.Mutex
+	ops []linear.Op // the history of writes and consistent reads, for the linearizability check
 }
 
 func startCluster(t *testing.T, n int) *cluster {
@@ -38,167 +32,42 @@
 	if out, err := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	c := &cluster{t: t, bin: filepath.Join(dir, "listd"), procs: make([]*exec.Cmd, n), links: map[[2]int]*faults.Link{}}
-	for i := range n {
-		ip := fmt.Sprintf("127.3.%d.%d", time.Now().UnixNano()%200+1, i+1) // an address of its own per run and replica
-		c.https = append(c.https, ip+":8000")
-		c.raft = append(c.raft, ip+":7000")
-		c.peers = append(c.peers, fmt.Sprintf("r%d=%s:7000=%s:8000", i, ip, ip))
-		c.dirs = append(c.dirs, filepath.Join(dir, fmt.Sprint("r", i)))
-	}
-	for i := range n {
-		for j := range n {
-			if i != j {
-				l, err := faults.Open(fmt.Sprint("r", i), fmt.Sprint("r", j), "127.0.0.1:0", c.raft[j], "", uint64(i*n+j))
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(l.Close)
-				c.links[[2]int{i, j}] = l
-			}
-		}
-	}
-	for i := range n {
-		c.start(i)
-	}
-	t.Cleanup(func() {
-		for _, p := range c.procs {
-			if p != nil {
-				p.Process.Kill()
-				p.Wait()
-			}
-		}
-	})
-	return c
-}
-
-func (c *cluster) start(i int) {
-	args := []string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.dirs[i]}
-	for _, p := range c.peers {
-		args = append(args, "--peer", p)
-	}
-	for j := range c.peers {
-		if l := c.links[[2]int{i, j}]; l != nil {
-			args = append(args, "--route", fmt.Sprintf("r%d=%s", j, l.Addr))
-		}
-	}
-	cmd := exec.Command(c.bin, args...)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		c.t.Fatal(err)
-	}
-	c.procs[i] = cmd
-}
-
-func (c *cluster) kill(i int) { c.procs[i].Process.Kill(); c.procs[i].Wait(); c.procs[i] = nil }
-
-var client = http.Client{Timeout: 10 * time.Second}
-
-type status struct {
-	State    string `json:"state"`
-	Revision uint64 `json:"revision"`
-}
-
-func (c *cluster) status(i int) (status, error) {
-	var s status
-	resp, err := client.Get("http://" + c.https[i] + "/registry/v1/status")
+	lc, err := listdlab.Start(filepath.Join(dir, "listd"), dir, n, int(time.Now().UnixNano()%200))
 	if err != nil {
-		return s, err
+		t.Fatal(err)
 	}
-	defer resp.Body.Close()
-	return s, json.NewDecoder(resp.Body).Decode(&s)
+	t.Cleanup(lc.Close)
+	return &cluster{Cluster: lc, t: t}
 }
 
 func (c *cluster) leader() int {
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		for i := range c.https {
-			if s, err := c.status(i); err == nil && s.State == "Leader" {
-				return i
-			}
-		}
-	}
-	c.t.Fatal("no leader in 30 s")
-	return -1
-}
-
-// cut sets a fault on every link to and from replica i.
-func (c *cluster) cut(i int, f faults.Fault) {
-	for pair, l := range c.links {
-		if pair[0] == i || pair[1] == i {
-			l.Set(f)
-		}
-	}
-}
-
-// registerAt makes one try at one replica and gives the status.
-func (c *cluster) registerAt(id string, i int) int {
-	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
-	resp, err := client.Post("http://"+c.https[i]+"/registry/v1/register", "application/json", bytes.NewReader(body))
+	i, err := c.Leader(30*time.Second, -1)
 	if err != nil {
-		return 0
+		c.t.Fatal(err)
 	}
-	resp.Body.Close()
-	return resp.StatusCode
+	return i
 }
 
 func (c *cluster) record(o linear.Op) { c.mu.Lock(); c.ops = append(c.ops, o); c.mu.Unlock() }
 
-// register tries each replica in turn, following X-Leader, until one acknowledges or 30 s pass. Each try is
-// recorded: acknowledged, or of unknown outcome unless the replica said at once that it does not lead.
+// register tries each replica in turn, following X-Leader's replica, until one acknowledges or 30 s pass. Each
+// try is recorded: acknowledged, or of unknown outcome unless the replica said at once that it does not lead.
 func (c *cluster) register(id string, from int) bool {
-	body, _ := json.Marshal(map[string]any{"id": id, "addr": "127.0.0.1:9000", "zone": "a", "kind": "k", "weight": 1, "ttl_ms": 60000})
-	target := c.https[from]
-	for end, i := time.Now().Add(30*time.Second), from; time.Now().Before(end); {
+	for end, i := time.Now().Add(30*time.Second), from; time.Now().Before(end); i = (i + 1) % len(c.HTTP) {
 		op := linear.Op{Client: 2, Write: true, ID: id, Call: time.Now().UnixNano()}
-		resp, err := client.Post("http://"+target+"/registry/v1/register", "application/json", bytes.NewReader(body))
-		op.Return, op.Unknown = time.Now().UnixNano(), true
-		if err == nil {
-			msg, _ := io.ReadAll(resp.Body)
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				op.Unknown = false
-				c.record(op)
-				return true
-			}
-			if !strings.Contains(string(msg), "not the leader") {
-				c.record(op)
-			}
-			if l := resp.Header.Get("X-Leader"); l != "" {
-				target = l
-				continue
-			}
-		} else {
+		code, msg := c.Register(i, id, 60000)
+		op.Return, op.Unknown = time.Now().UnixNano(), code != http.StatusOK
+		if !strings.Contains(msg, "not the leader") {
 			c.record(op)
 		}
-		i = (i + 1) % len(c.https)
-		target = c.https[i]
-		time.Sleep(50 * time.Millisecond)
+		if code == http.StatusOK {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
 	return false
 }
 
-type answer struct {
-	Version uint64 `json:"version"`
-	Full    bool   `json:"full"`
-	Servers []struct {
-		ID    string `json:"id"`
-		State string `json:"state"`
-	} `json:"servers"`
-}
-
-func (c *cluster) read(i int, query string) (answer, error) {
-	var a answer
-	resp, err := client.Get("http://" + c.https[i] + "/registry/instances" + query)
-	if err != nil {
-		return a, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return a, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return a, json.NewDecoder(resp.Body).Decode(&a)
-}
-
 // The leader is killed during a burst of registrations: none acknowledged is lost on any replica, the killed one
 // catches up when it is back, and a watcher never sees a revision twice or out of order.
 func TestLeaderKilledDuringBurst(t *testing.T) {
@@ -219,7 +88,7 @@
 				return
 			default:
 			}
-			a, err := c.read(watched, fmt.Sprintf("?since=%d&timeout_ms=1000", since))
+			a, err := c.Read(watched, fmt.Sprintf("?since=%d&timeout_ms=1000", since))
 			if err != nil {
 				time.Sleep(20 * time.Millisecond) // stale or between leaders: the watcher keeps its list
 				continue
@@ -240,7 +109,7 @@
 			default:
 			}
 			op := linear.Op{Client: 1, Call: time.Now().UnixNano()}
-			a, err := c.read(i, "?consistent=1")
+			a, err := c.Read(i, "?consistent=1")
 			op.Return = time.Now().UnixNano()
 			if err != nil {
 				time.Sleep(10 * time.Millisecond)
@@ -271,15 +140,15 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	killedAt.Store(time.Now().UnixNano())
-	c.kill(lead)
+	c.Kill(lead)
 	writers.Wait()
 	t.Logf("acknowledged %d of 300; first acknowledged write %v after the leader's kill", ackCount.Load(),
 		time.Duration(firstAfter.Load()-killedAt.Load()))
-	c.start(lead)
+	c.Restart(lead)
 	next := c.leader()
-	want, _ := c.status(next)
+	want, _ := c.Status(next)
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if s, err := c.status(lead); err == nil && s.Revision >= want.Revision {
+		if s, err := c.Status(lead); err == nil && s.Revision >= want.Revision {
 			break
 		}
 		if time.Now().After(end) {
@@ -311,10 +180,10 @@
 		t.Errorf("only %d of 300 acknowledged", ackCount.Load())
 	}
 	for i := range 3 {
-		var a answer
+		var a listdlab.Answer
 		var err error
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-			if a, err = c.read(i, ""); err == nil {
+			if a, err = c.Read(i, ""); err == nil {
 				break
 			}
 		}
@@ -344,7 +213,7 @@
 			t.Fatal("registration not acknowledged before the partition")
 		}
 	}
-	agent := exec.Command(c.bin, "agent", "--replica", c.https[lead], "--listen", "127.0.0.1:0")
+	agent := exec.Command(c.Bin, "agent", "--replica", c.HTTP[lead], "--listen", "127.0.0.1:0")
 	agent.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	logs, _ := agent.StderrPipe()
 	if err := agent.Start(); err != nil {
@@ -358,13 +227,13 @@
 		}
 	}
 	go io.Copy(io.Discard, logs)
-	fromAgent := func() (answer, time.Duration) {
-		resp, err := client.Get("http://" + line.Listen + "/registry/instances")
+	fromAgent := func() (listdlab.Answer, time.Duration) {
+		resp, err := http.Get("http://" + line.Listen + "/registry/instances")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer resp.Body.Close()
-		var a answer
+		var a listdlab.Answer
 		json.NewDecoder(resp.Body).Decode(&a)
 		ms, _ := strconv.Atoi(resp.Header.Get("X-List-Age-Ms"))
 		return a, time.Duration(ms) * time.Millisecond
@@ -377,19 +246,19 @@
 			t.Fatal("the agent never had the list")
 		}
 	}
-	c.cut(lead, faults.Fault{Blackhole: true})
-	if code := c.registerAt("s-minority", lead); code == http.StatusOK {
+	c.Cut(lead, faults.Fault{Blackhole: true})
+	if code, _ := c.Register(lead, "s-minority", 60000); code == http.StatusOK {
 		t.Error("the isolated leader acknowledged a write")
 	}
 	var next int
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		next = -1
 		for i := range 3 {
-			if s, err := c.status(i); i != lead && err == nil && s.State == "Leader" {
+			if s, err := c.Status(i); i != lead && err == nil && s.State == "Leader" {
 				next = i
 			}
 		}
-		if next >= 0 && c.registerAt("s-majority", next) == http.StatusOK {
+		if next >= 0 && func() bool { code, _ := c.Register(next, "s-majority", 60000); return code == http.StatusOK }() {
 			break
 		}
 		if time.Now().After(end) {
@@ -401,7 +270,7 @@
 	if len(a.Servers) != 20 || age < 2*time.Second {
 		t.Errorf("the agent on the minority: %d entries, age %v", len(a.Servers), age)
 	}
-	c.cut(lead, faults.Fault{})
+	c.Cut(lead, faults.Fault{})
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
 		a, age := fromAgent()
 		if len(a.Servers) == 21 && age < 2*time.Second {
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -4,28 +4,16 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
+
+	"starlingvalve/internal/registry"
 )
 
 // Entry is one app server in the list, as PROTOCOL's "Discovery" gives it. Addr is filled in for each node.
-type Entry struct {
-	ID        string  `json:"id"`
-	Addr      string  `json:"addr"`
-	Zone      string  `json:"zone"`
-	Kind      string  `json:"kind"`
-	Cell      int     `json:"cell"`
-	State     string  `json:"state"`
-	Weight    float64 `json:"weight"`
-	StartedMS int64   `json:"started_ms"`
-}
+type Entry = registry.Entry
 
-type answer struct {
-	Version uint64  `json:"version"`
-	Full    bool    `json:"full"`
-	Servers []Entry `json:"servers"`
-}
+type answer = registry.Answer
 
 // Discovery is a stand-in discovery agent with one version for the whole list and watches. Each node has a view
 // of its own, on an address of its own, in which every server's address is the one that node is to use.
@@ -103,30 +91,17 @@
 		http.NotFound(w, r)
 		return
 	}
-	q := r.URL.Query()
-	since, watching := uint64(0), q.Has("since")
-	if watching {
-		var err error
-		if since, err = strconv.ParseUint(q.Get("since"), 10, 64); err != nil {
-			http.Error(w, "since: "+err.Error(), http.StatusBadRequest)
-			return
-		}
-	}
-	wait := time.Duration(0)
-	if ms, err := strconv.Atoi(q.Get("timeout_ms")); err == nil && ms > 0 {
-		wait = min(time.Duration(ms)*time.Millisecond, d.MaxWait)
+	watch, err := registry.ParseWatch(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
+	since, watching := watch.Since, watch.Watching
 	d.mu.Lock()
-	if watching && since >= d.version && wait > 0 {
+	if watching && since >= d.version && watch.Wait > 0 {
 		news := d.news
 		d.mu.Unlock()
-		t := time.NewTimer(wait)
-		select {
-		case <-news:
-		case <-t.C:
-		case <-r.Context().Done():
-		}
-		t.Stop()
+		registry.Await(r.Context(), news, min(watch.Wait, d.MaxWait))
 		d.mu.Lock()
 	}
 	a := answer{Version: d.version, Full: !watching || since < d.floor || since > d.version, Servers: []Entry{}}
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -134,27 +134,20 @@
 		http.NotFound(w, r)
 		return
 	}
-	q := r.URL.Query()
-	watching := q.Has("since")
-	since, err := strconv.ParseUint(q.Get("since"), 10, 64)
-	if watching && err != nil {
-		http.Error(w, "since: "+err.Error(), http.StatusBadRequest)
+	watch, err := registry.ParseWatch(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	since := watch.Since
 	a.mu.Lock()
-	if ms, err := strconv.Atoi(q.Get("timeout_ms")); err == nil && ms > 0 && watching && since >= a.version {
+	if watch.Watching && since >= a.version && watch.Wait > 0 {
 		news := a.news
 		a.mu.Unlock()
-		t := time.NewTimer(time.Duration(min(ms, 60_000)) * time.Millisecond)
-		select {
-		case <-news:
-		case <-t.C:
-		case <-r.Context().Done():
-		}
-		t.Stop()
+		registry.Await(r.Context(), news, watch.Wait)
 		a.mu.Lock()
 	}
-	full := !watching || since > a.version || since < a.floor
+	full := !watch.Watching || since > a.version || since < a.floor
 	ans := registry.Answer{Version: a.version, Full: full, Servers: []registry.Entry{}}
 	for id, e := range a.entries {
 		if full && e.State != "gone" || !full && a.changed[id] > since {
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -276,16 +276,11 @@
 
 func (rep *Replica) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	watching := q.Has("since")
-	since, err := strconv.ParseUint(q.Get("since"), 10, 64)
-	if watching && err != nil {
-		http.Error(w, "since: "+err.Error(), http.StatusBadRequest)
+	watch, err := registry.ParseWatch(q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	wait := time.Duration(0)
-	if ms, err := strconv.Atoi(q.Get("timeout_ms")); err == nil && ms > 0 {
-		wait = time.Duration(min(ms, 60_000)) * time.Millisecond
-	}
 	if q.Has("consistent") { // linearizable: the leader confirms it still leads and has applied all it committed
 		if rep.raft.State() != raft.Leader {
 			rep.notLeader(w)
@@ -299,22 +294,16 @@
 			http.Error(w, "not confirmed: "+err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		watching, wait = false, 0
+		watch = registry.Watch{}
 	}
 	rep.fsm.mu.Lock()
-	if watching && since >= rep.fsm.state.Rev && wait > 0 {
+	if watch.Watching && watch.Since >= rep.fsm.state.Rev && watch.Wait > 0 {
 		news := rep.fsm.news
 		rep.fsm.mu.Unlock()
-		t := time.NewTimer(wait)
-		select {
-		case <-news:
-		case <-t.C:
-		case <-r.Context().Done():
-		}
-		t.Stop()
+		registry.Await(r.Context(), news, watch.Wait)
 		rep.fsm.mu.Lock()
 	}
-	a := rep.fsm.state.Read(since, watching)
+	a := rep.fsm.state.Read(watch.Since, watch.Watching)
 	rep.fsm.mu.Unlock()
 	age, ok := rep.fresh()
 	w.Header().Set("X-Last-Contact-Ms", strconv.FormatInt(age.Milliseconds(), 10))
