--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -69,7 +69,7 @@
 }
 
 func runCmd() *cobra.Command {
-	var out, binary string
+	var out, binary, listdBinary string
 	var seed uint64
 	var nodes int
 	cmd := &cobra.Command{Use: "run NAME|FILE.toml", Short: "Run a scenario and write its report", Args: cobra.ExactArgs(1),
@@ -81,6 +81,9 @@
 			if binary != "" {
 				s.Fleet.NodeBinary = binary
 			}
+			if listdBinary != "" {
+				s.Fleet.ListdBin = listdBinary
+			}
 			if seed != 0 {
 				s.Seed = seed
 			}
@@ -116,6 +119,7 @@
 		}}
 	cmd.Flags().StringVar(&out, "out", "logs/lab", "where run directories are made")
 	cmd.Flags().StringVar(&binary, "node-binary", "", "the node program (default: the scenario's, bin/starlingvalve)")
+	cmd.Flags().StringVar(&listdBinary, "listd-binary", "", "the listd program (default: the scenario's, bin/listd)")
 	cmd.Flags().Uint64Var(&seed, "seed", 0, "a seed other than the scenario's")
 	cmd.Flags().IntVar(&nodes, "nodes", 0, "a number of nodes other than the scenario's")
 	return cmd
--- a/cmd/listd/main.go
+++ b/cmd/listd/main.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -89,7 +90,7 @@
 
 func agentCmd() *cobra.Command {
 	var replicas []string
-	var listen string
+	var listen, addrMap string
 	cmd := &cobra.Command{Use: "agent", Short: "Serve a node the list watched from the replicas", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if len(replicas) == 0 {
@@ -103,6 +104,15 @@
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
 			a := agent.New(replicas, log)
+			if addrMap != "" {
+				raw, err := os.ReadFile(addrMap)
+				if err != nil {
+					return err
+				}
+				if err := json.Unmarshal(raw, &a.Rewrite); err != nil {
+					return fmt.Errorf("--addr-map %s: %w", addrMap, err)
+				}
+			}
 			go a.Watch(ctx)
 			srv := &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
 			go func() { <-ctx.Done(); srv.Close() }()
@@ -114,5 +124,6 @@
 		}}
 	cmd.Flags().StringArrayVar(&replicas, "replica", nil, "a replica's HTTP address; once for each")
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where the node asks, on loopback")
+	cmd.Flags().StringVar(&addrMap, "addr-map", "", "a JSON file of server id to the address this machine reaches it at")
 	return cmd
 }
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -74,12 +74,17 @@
 			if hit && l.From == "clients" && (fault.Blackhole || fault.Refuse) {
 				f.excuse(f.index(l.To), "cut "+l.To)
 			}
+			// A node that discovery can't reach is not told of changes: it is excused from the grace until told.
+			if hit && l.To == "discovery" && (fault.Blackhole || fault.Refuse) {
+				f.excuse(f.index(l.From), "deaf "+l.From)
+			}
 			return hit
 		}, fault)
 		return fmt.Sprintf("%d links between %s and %s", count, a, b), nil
 	case "heal":
 		count := f.net.Each(func(*faults.Link) bool { return true }, faults.Fault{})
 		f.closeExcuse("cut ", f.rec.Since())
+		f.closeExcuse("deaf ", f.rec.Since())
 		return fmt.Sprintf("%d links", count), nil
 	case "degrade":
 		m, err := standin.ParseMode(e.Mode)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -98,7 +98,7 @@
 	opt     Options
 	rec     *standin.Recorder
 	net     faults.Net
-	disc    *standin.Discovery
+	disc    lister
 	servers []*standin.AppServer
 	nodes   []*node
 	mu      sync.Mutex
@@ -293,9 +293,17 @@
 			return fmt.Errorf("app server %d: %w", j, err)
 		}
 		f.servers = append(f.servers, srv)
-		entries = append(entries, standin.Entry{ID: spec.ID, Zone: zone, Kind: "std-2c", State: "ready", Weight: 1})
+		entries = append(entries, standin.Entry{ID: spec.ID, Addr: srv.Addr, Zone: zone, Kind: "std-2c", State: "ready", Weight: 1})
+	}
+	if s.Fleet.Discovery == "listd" {
+		l, err := startListd(s.Fleet.ListdBin, f.opt.Dir, s.Fleet.Replicas, entries, f.opt.Log.Warn)
+		if err != nil {
+			return err
+		}
+		f.disc = l
+	} else {
+		f.disc = standinList{standin.NewDiscovery(entries)}
 	}
-	f.disc = standin.NewDiscovery(entries)
 	for i := range s.Fleet.Nodes {
 		n := &node{i: i, info: &NodeInfo{Name: fmt.Sprintf("n%d", i), Zone: s.Fleet.Zones[i%len(s.Fleet.Zones)]}}
 		addrs := map[string]string{}
@@ -306,7 +314,7 @@
 			}
 			addrs[srv.Spec.ID] = l.Addr
 		}
-		view, err := f.disc.View(func(id string) string { return addrs[id] })
+		view, err := f.disc.View(n.info.Name, func(id string) string { return addrs[id] })
 		if err != nil {
 			return err
 		}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -33,6 +33,9 @@
 	ReadyS     float64  `toml:"ready_s"`        // how long a node may take to answer /health/ready
 	NoticeS    float64  `toml:"front_notice_s"` // how long the front goes on dealing to a node that died
 	NodeBinary string   `toml:"node_binary"`
+	Discovery  string   `toml:"discovery"` // "standin" (the lab's own) or "listd" (replicas and an agent per node)
+	Replicas   int      `toml:"replicas"`  // of listd
+	ListdBin   string   `toml:"listd_binary"`
 }
 
 // Servers is the make of every stand-in app server.
@@ -87,7 +90,7 @@
 // use, is one plain error that names it.
 func ParseScenario(name string, text []byte) (*Scenario, error) {
 	s := Scenario{Seed: 1, DurationS: 20, Fleet: Fleet{Nodes: 4, Servers: 6, Zones: []string{"a", "b"}, ReadyS: 20, NoticeS: 2,
-		NodeBinary: "bin/starlingvalve"},
+		NodeBinary: "bin/starlingvalve", Discovery: "standin", Replicas: 3, ListdBin: "bin/listd"},
 		Servers: Servers{Capacity: 8, LatencyMS: 20, Spread: 0.3, MaxConns: 256, IdleS: 15, ColdS: 5},
 		Load:    Load{Rate: 100, MaxRequests: 100000, FromS: 1}}
 	md, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&s)
@@ -108,6 +111,10 @@
 		return nil, fmt.Errorf("scenario %s: fleet.nodes %d is not within 1 to 1000", name, s.Fleet.Nodes)
 	case s.Fleet.Servers < 1 || s.Fleet.Servers > 2000:
 		return nil, fmt.Errorf("scenario %s: fleet.servers %d is not within 1 to 2000", name, s.Fleet.Servers)
+	case s.Fleet.Discovery != "standin" && s.Fleet.Discovery != "listd":
+		return nil, fmt.Errorf("scenario %s: fleet.discovery %q is neither standin nor listd", name, s.Fleet.Discovery)
+	case s.Fleet.Replicas < 1 || s.Fleet.Replicas > 7:
+		return nil, fmt.Errorf("scenario %s: fleet.replicas %d is not within 1 to 7", name, s.Fleet.Replicas)
 	case len(s.Fleet.Zones) == 0:
 		return nil, fmt.Errorf("scenario %s: fleet.zones is empty", name)
 	case s.DurationS <= 0 || s.DurationS > 3600:
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -32,6 +32,9 @@
 	news     chan struct{}
 	goodAt   time.Time
 	Dropped  int // answers dropped as failed, stale or bad
+	// Rewrite gives, by id, the address this machine reaches a server at where it is not the listed one (a
+	// relay or a translation); set before serving.
+	Rewrite map[string]string
 }
 
 // New makes an agent for the replicas' HTTP addresses.
@@ -151,6 +154,9 @@
 	ans := registry.Answer{Version: a.version, Full: full, Servers: []registry.Entry{}}
 	for id, e := range a.entries {
 		if full && e.State != "gone" || !full && a.changed[id] > since {
+			if addr, ok := a.Rewrite[id]; ok {
+				e.Addr = addr
+			}
 			ans.Servers = append(ans.Servers, e)
 		}
 	}
