Compact the list every keep revisions, not only at a lease's lapse; test restart and storm

Change: registry.Apply compacts whenever the revision is a multiple of keep; listdlab.Start takes listd's extra arguments. Process tests: the whole cluster killed with -9 and restarted keeps its 100 acknowledged registrations on every replica, then 200 registrants at once; a watcher behind compaction gets the whole list.

--- a/cmd/listd/main_test.go
+++ b/cmd/listd/main_test.go
@@ -27,12 +27,12 @@
 	ops []linear.Op // the history of writes and consistent reads, for the linearizability check
 }
 
-func startCluster(t *testing.T, n int) *cluster {
+func startCluster(t *testing.T, n int, extra ...string) *cluster {
 	dir := t.TempDir()
 	if out, err := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	lc, err := listdlab.Start(filepath.Join(dir, "listd"), dir, n, int(time.Now().UnixNano()%200))
+	lc, err := listdlab.Start(filepath.Join(dir, "listd"), dir, n, int(time.Now().UnixNano()%200), extra...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -282,3 +282,91 @@
 		}
 	}
 }
+
+func (c *cluster) whole(i int) map[string]bool {
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		a, err := c.Read(i, "")
+		if err == nil {
+			have := map[string]bool{}
+			for _, s := range a.Servers {
+				have[s.ID] = true
+			}
+			return have
+		}
+		if time.Now().After(end) {
+			c.t.Fatalf("replica %d: %v", i, err)
+		}
+	}
+}
+
+// The whole cluster killed with -9 and started again keeps every acknowledged registration; then 200
+// registrants come at once, as after a restart of theirs, and each is acknowledged.
+func TestWholeClusterRestartAndLeaseStorm(t *testing.T) {
+	c := startCluster(t, 3)
+	lead := c.leader()
+	for k := range 100 {
+		if !c.register(fmt.Sprintf("s-%03d", k), lead) {
+			t.Fatal("not acknowledged")
+		}
+	}
+	for i := range 3 {
+		c.Kill(i)
+	}
+	for i := range 3 {
+		if err := c.Restart(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	lead = c.leader()
+	for i := range 3 {
+		if have := c.whole(i); len(have) != 100 {
+			t.Errorf("replica %d holds %d of 100 after the restart", i, len(have))
+		}
+	}
+	start := time.Now()
+	var acked atomic.Int64
+	var storm sync.WaitGroup
+	for k := range 200 {
+		storm.Go(func() {
+			if c.register(fmt.Sprintf("storm-%03d", k), lead) {
+				acked.Add(1)
+			}
+		})
+	}
+	storm.Wait()
+	t.Logf("lease storm: %d of 200 acknowledged in %v", acked.Load(), time.Since(start))
+	if acked.Load() != 200 || len(c.whole(lead)) != 300 {
+		t.Errorf("storm: %d of 200 acknowledged", acked.Load())
+	}
+}
+
+// A watcher that falls behind compaction gets the whole list, never a gap.
+func TestSlowWatcherAfterCompaction(t *testing.T) {
+	c := startCluster(t, 3, "--keep-revisions", "8")
+	lead := c.leader()
+	for k := range 10 {
+		c.register(fmt.Sprintf("s-%02d", k), lead)
+	}
+	before, err := c.Read(lead, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k := range 5 {
+		resp, err := http.Post("http://"+c.HTTP[lead]+"/registry/v1/deregister", "application/json",
+			strings.NewReader(fmt.Sprintf(`{"id":"s-%02d"}`, k)))
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("deregister: %v %v", resp, err)
+		}
+		resp.Body.Close()
+	}
+	for k := range 20 {
+		c.register(fmt.Sprintf("t-%02d", k), lead)
+	}
+	a, err := c.Read(lead, fmt.Sprintf("?since=%d&timeout_ms=1000", before.Version))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !a.Full || len(a.Servers) != 25 {
+		t.Errorf("a watcher from revision %d at %d: full %v, %d entries", before.Version, a.Version, a.Full, len(a.Servers))
+	}
+}
--- a/internal/lab/listdlab/listdlab.go
+++ b/internal/lab/listdlab/listdlab.go
@@ -30,13 +30,14 @@
 	Raft  []string
 	Links map[[2]int]*faults.Link // raft traffic from replica i to replica j
 	peers []string
+	extra []string // more arguments of listd serve
 	procs []*exec.Cmd
 	logs  []*os.File
 }
 
-// Start runs n replicas of bin with their data under dir, on addresses 127.3.NET.i.
-func Start(bin, dir string, n int, net int) (*Cluster, error) {
-	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*exec.Cmd, n), logs: make([]*os.File, n)}
+// Start runs n replicas of bin with their data under dir, on addresses 127.3.NET.i, each with extra arguments.
+func Start(bin, dir string, n int, net int, extra ...string) (*Cluster, error) {
+	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*exec.Cmd, n), logs: make([]*os.File, n), extra: extra}
 	for i := range n {
 		ip := fmt.Sprintf("127.3.%d.%d", net%250+1, i+1)
 		c.HTTP = append(c.HTTP, ip+":8000")
@@ -68,7 +69,7 @@
 
 // Restart starts replica i on its store; it must not be running.
 func (c *Cluster) Restart(i int) error {
-	args := []string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.Dirs[i]}
+	args := append([]string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.Dirs[i]}, c.extra...)
 	for _, p := range c.peers {
 		args = append(args, "--peer", p)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -74,8 +74,17 @@
 // New gives an empty list at revision 0 that keeps gone entries for keep revisions before compaction.
 func New(keep int) *State { return &State{Records: map[string]*record{}, keep: max(keep, 1)} }
 
-// Apply carries out one command and says whether it changed the list (and so made a new revision).
+// Apply carries out one command and says whether it changed the list (and so made a new revision). Gone entries
+// older than keep revisions are compacted at each sweep and every keep revisions.
 func (s *State) Apply(c Command) (bool, error) {
+	changed, err := s.apply(c)
+	if changed && s.Rev%uint64(s.keep) == 0 {
+		s.compact()
+	}
+	return changed, err
+}
+
+func (s *State) apply(c Command) (bool, error) {
 	switch c.Op {
 	case Register:
 		if err := valid(c.Entry); err != nil {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -74,3 +74,21 @@
 		t.Error("a broken snapshot taken")
 	}
 }
+
+// Compaction comes with writes alone, with no lease lapsing: a watch from before it gets the whole list.
+func TestCompactionWithoutSweep(t *testing.T) {
+	s := New(4)
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		s.Apply(Command{Op: Register, Entry: entry(id), TTLMS: 60000})
+	}
+	s.Apply(Command{Op: Deregister, ID: "a"}) // revision 7
+	if a := s.Read(6, true); a.Full || len(a.Servers) != 1 {
+		t.Fatalf("before compaction: %+v", a)
+	}
+	for _, id := range []string{"g", "h", "i", "j", "k"} { // to revision 12, a multiple of 4: "a" is 5 behind
+		s.Apply(Command{Op: Register, Entry: entry(id), TTLMS: 60000})
+	}
+	if a := s.Read(6, true); !a.Full || len(a.Servers) != 10 {
+		t.Errorf("a slow watcher from 6: %+v", a)
+	}
+}
