Add membership on memberlist: views with states, a split-safe fleet size, metrics

Change: internal/membership runs hashicorp/memberlist (SWIM, Lifeguard) on loopback only, keeps a view with alive, suspect, dead and left, an epoch, zones and incarnations (start ms) in node meta, and Prometheus gauges and counters; its Sizer divides by the agreed size for a hold after a fall, so two halves never take more than the whole. memberlist's events only nudge a poll, as they come under its own locks (a first try that refreshed from them crashed at Create). cmd/members runs one member with /view and /metrics.

--- /dev/null
+++ b/cmd/members/main_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/membership"
+)
+
+type fleet struct {
+	t     *testing.T
+	https []string
+	procs []*exec.Cmd
+}
+
+func start(t *testing.T, n int) *fleet {
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/members").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	f := &fleet{t: t}
+	net := time.Now().UnixNano()%200 + 1
+	for i := range n {
+		ip := fmt.Sprintf("127.5.%d.%d", net, i+1)
+		args := []string{"run", "--name", fmt.Sprint("m", i), "--bind", ip + ":7946", "--http", ip + ":9000", "--zone", "a",
+			"--stable", "1s", "--hold", "20s"}
+		if i > 0 {
+			args = append(args, "--seed", fmt.Sprintf("127.5.%d.1:7946", net))
+		}
+		cmd := exec.Command(filepath.Join(dir, "members"), args...)
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		f.procs, f.https = append(f.procs, cmd), append(f.https, ip+":9000")
+		if i == 0 {
+			f.view(0) // the seed is up before the others join through it
+		}
+	}
+	t.Cleanup(func() {
+		for _, p := range f.procs {
+			p.Process.Kill()
+			p.Wait()
+		}
+	})
+	return f
+}
+
+func (f *fleet) view(i int) membership.View {
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + f.https[i] + "/view")
+		if err == nil {
+			var v membership.View
+			err = json.NewDecoder(resp.Body).Decode(&v)
+			resp.Body.Close()
+			if err == nil {
+				return v
+			}
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("member %d has no view: %v", i, err)
+		}
+	}
+}
+
+// until waits for cond on the views of members, up to limit, and says how long it took.
+func (f *fleet) until(members []int, limit time.Duration, cond func(membership.View) bool) time.Duration {
+	start := time.Now()
+	for end := start.Add(limit); ; time.Sleep(100 * time.Millisecond) {
+		all := true
+		for _, i := range members {
+			all = all && cond(f.view(i))
+		}
+		if all {
+			return time.Since(start)
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("views did not agree in %v: %+v", limit, f.view(members[0]))
+		}
+	}
+}
+
+func state(v membership.View, name string) membership.State {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// Ten members: one paused for 3 s refutes and is never dead; then seven are killed at once, and the three left
+// agree on the new view, dividing by the agreed ten for the hold.
+func TestPauseRefutesAndHerdIsDetected(t *testing.T) {
+	f := start(t, 10)
+	everyone := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+	f.until(everyone, 30*time.Second, func(v membership.View) bool { return v.Count(membership.Alive) == 10 })
+	f.procs[9].Process.Signal(syscall.SIGSTOP)
+	deadSeen := false
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		deadSeen = deadSeen || state(f.view(0), "m9") == membership.Dead
+	}
+	f.procs[9].Process.Signal(syscall.SIGCONT)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		deadSeen = deadSeen || state(f.view(0), "m9") == membership.Dead
+	}
+	if deadSeen {
+		t.Error("a member paused for 3 s was taken for dead")
+	}
+	f.until(everyone, 20*time.Second, func(v membership.View) bool { return state(v, "m9") == membership.Alive })
+
+	for i := range 7 {
+		f.procs[i].Process.Kill()
+	}
+	left := []int{7, 8, 9}
+	took := f.until(left, 60*time.Second, func(v membership.View) bool {
+		return v.Count(membership.Alive) == 3 && v.Count(membership.Dead) == 7
+	})
+	v := f.view(7)
+	t.Logf("seven of ten killed: the three agree in %v; size %d, agreed %d, sure %v", took, v.Size, v.Agreed, v.Sure)
+	if v.Size != 10 || v.Sure {
+		t.Errorf("within the hold the fleet divides by %d, not the agreed 10", v.Size)
+	}
+}
--- /dev/null
+++ b/internal/membership/gossip.go
@@ -0,0 +1,236 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Config places a member. Bind must be a loopback host:port.
+type Config struct {
+	Name, Bind, Zone string
+	Seeds            []string
+	Stable, Hold     time.Duration // of the Sizer
+	Registry         prometheus.Registerer
+	Log              *slog.Logger
+}
+
+// Gossip is a running member: memberlist and the view it keeps.
+type Gossip struct {
+	cfg         Config
+	ml          *memberlist.Memberlist
+	incarnation int64
+	mu          sync.Mutex
+	view        View
+	sizer       Sizer
+	states      map[string]State
+	done        chan struct{}
+	news        chan struct{} // an event came: refresh now
+
+	members     *prometheus.GaugeVec
+	suspicions  prometheus.Counter
+	refutations prometheus.Counter
+	bytes       prometheus.Counter
+}
+
+type meta struct {
+	Zone        string `json:"zone"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// delegate gives memberlist this member's meta and counts bytes of gossip it is handed.
+type delegate struct{ g *Gossip }
+
+func (d delegate) NodeMeta(limit int) []byte {
+	raw, _ := json.Marshal(meta{d.g.cfg.Zone, d.g.incarnation})
+	if len(raw) > limit {
+		return nil
+	}
+	return raw
+}
+func (d delegate) NotifyMsg(b []byte)                         { d.g.bytes.Add(float64(len(b))) }
+func (d delegate) GetBroadcasts(overhead, limit int) [][]byte { return nil }
+func (d delegate) LocalState(join bool) []byte                { return nil }
+func (d delegate) MergeRemoteState(buf []byte, join bool)     {}
+
+// events hears memberlist's verdicts on joins, leaves and deaths.
+type events struct{ g *Gossip }
+
+// memberlist calls these holding its own locks: they only note, and poll refreshes the view.
+func (e events) NotifyJoin(n *memberlist.Node)   { e.g.nudge() }
+func (e events) NotifyLeave(n *memberlist.Node)  { e.g.gone(n) }
+func (e events) NotifyUpdate(n *memberlist.Node) { e.g.nudge() }
+
+func (g *Gossip) nudge() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+// Start joins the fleet through the seeds (none: a fleet of one until others join).
+func Start(cfg Config) (*Gossip, error) {
+	host, portText, err := net.SplitHostPort(cfg.Bind)
+	if err != nil {
+		return nil, fmt.Errorf("membership bind: %w", err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return nil, fmt.Errorf("membership bind %s is not a loopback address", cfg.Bind)
+	}
+	port, _ := strconv.Atoi(portText)
+	g := &Gossip{cfg: cfg, incarnation: time.Now().UnixMilli(), states: map[string]State{}, done: make(chan struct{}),
+		news:  make(chan struct{}, 1),
+		sizer: Sizer{Stable: cfg.Stable, Hold: cfg.Hold}}
+	g.members = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "membership_members", Help: "Members by state in this view."}, []string{"state"})
+	g.suspicions = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_suspicions_total", Help: "Members seen turn suspect."})
+	g.refutations = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_refutations_total", Help: "Suspect members seen alive again."})
+	g.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_user_bytes_total", Help: "Bytes of gossip handed to this member."})
+	if cfg.Registry != nil {
+		for _, c := range []prometheus.Collector{g.members, g.suspicions, g.refutations, g.bytes} {
+			if err := cfg.Registry.Register(c); err != nil {
+				return nil, err
+			}
+		}
+	}
+	mc := memberlist.DefaultLANConfig()
+	mc.Name, mc.BindAddr, mc.BindPort, mc.AdvertiseAddr, mc.AdvertisePort = cfg.Name, host, port, host, port
+	mc.Delegate, mc.Events, mc.LogOutput = delegate{g}, events{g}, io.Discard
+	if g.ml, err = memberlist.Create(mc); err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	if len(cfg.Seeds) > 0 {
+		if _, err := g.ml.Join(cfg.Seeds); err != nil {
+			cfg.Log.Warn("no seed answered; alone until one does", "err", err)
+		}
+	}
+	g.refresh()
+	go g.poll()
+	return g, nil
+}
+
+// poll notices suspicion, which memberlist tells no event of.
+func (g *Gossip) poll() {
+	t := time.NewTicker(200 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-t.C:
+		case <-g.news:
+		}
+		g.refresh()
+	}
+}
+
+func state(n *memberlist.Node) State {
+	switch n.State {
+	case memberlist.StateSuspect:
+		return Suspect
+	case memberlist.StateDead:
+		return Dead
+	case memberlist.StateLeft:
+		return Left
+	}
+	return Alive
+}
+
+// gone records a death or a leave, which Members no longer lists.
+func (g *Gossip) gone(n *memberlist.Node) {
+	g.mu.Lock()
+	g.states[n.Name] = state(n)
+	g.mu.Unlock()
+	g.nudge()
+}
+
+// refresh rebuilds the view from memberlist's members and the deaths and leaves heard.
+func (g *Gossip) refresh() {
+	nodes := g.ml.Members()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seen := map[string]Member{}
+	for _, n := range nodes {
+		var m meta
+		json.Unmarshal(n.Meta, &m)
+		st := state(n)
+		switch prev := g.states[n.Name]; {
+		case st == Suspect && prev != Suspect:
+			g.suspicions.Inc()
+		case st == Alive && prev == Suspect:
+			g.refutations.Inc()
+		}
+		g.states[n.Name] = st
+		seen[n.Name] = Member{Name: n.Name, Addr: n.Address(), Zone: m.Zone, State: st, Incarnation: m.Incarnation}
+	}
+	var members []Member
+	changed := false
+	for name, st := range g.states {
+		m, ok := seen[name]
+		if !ok {
+			if st == Alive || st == Suspect {
+				st = Dead
+				g.states[name] = Dead
+			}
+			m = Member{Name: name, State: st}
+			for _, old := range g.view.Members {
+				if old.Name == name {
+					m.Addr, m.Zone, m.Incarnation = old.Addr, old.Zone, old.Incarnation
+				}
+			}
+		}
+		members = append(members, m)
+	}
+	sortMembers(members)
+	if len(members) != len(g.view.Members) {
+		changed = true
+	} else {
+		for i := range members {
+			changed = changed || members[i] != g.view.Members[i]
+		}
+	}
+	if changed {
+		g.view.Epoch++
+	}
+	g.view.Members = members
+	g.view.Alive = g.view.Count(Alive) + g.view.Count(Suspect)
+	now := time.Now().UnixNano()
+	g.view.Size, g.view.Agreed, g.view.Sure = g.sizer.Observe(g.view.Alive, now)
+	g.view.AgreedAgeMS = g.sizer.AgreedAge(now).Milliseconds()
+	for _, s := range []State{Alive, Suspect, Dead, Left} {
+		g.members.WithLabelValues(string(s)).Set(float64(g.view.Count(s)))
+	}
+}
+
+// View gives a copy of the present view.
+func (g *Gossip) View() View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.view
+	v.Members = append([]Member(nil), g.view.Members...)
+	return v
+}
+
+// Leave says goodbye so that peers record "left", not "dead", and ends the member.
+func (g *Gossip) Leave(timeout time.Duration) error {
+	err := g.ml.Leave(timeout)
+	g.Close()
+	return err
+}
+
+// Close ends the member without a goodbye.
+func (g *Gossip) Close() {
+	select {
+	case <-g.done:
+	default:
+		close(g.done)
+		g.ml.Shutdown()
+	}
+}
