Answer no reads from a replica still replaying its log after a restart

Change: a replica notes the last log index in its store at start and answers 503 to reads until it has applied that far, as it does beyond the staleness bound.

--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -148,6 +148,9 @@
 	store *raftboltdb.BoltStore
 	http  *http.Server
 	done  chan struct{}
+	// startLast is the last log index this process found in its store: until it has applied that far, its list
+	// may be older than what it had acknowledged, and it answers no reads.
+	startLast uint64
 }
 
 // Start opens the replica's stores, joins raft (bootstrapping the cluster from Peers where the store is new)
@@ -205,7 +208,7 @@
 			return nil, fmt.Errorf("bootstrap: %w", err)
 		}
 	}
-	rep := &Replica{cfg: cfg, fsm: f, raft: r, store: store, done: make(chan struct{})}
+	rep := &Replica{cfg: cfg, fsm: f, raft: r, store: store, done: make(chan struct{}), startLast: r.LastIndex()}
 	ln, err := net.Listen("tcp", cfg.Self.HTTP)
 	if err != nil {
 		rep.Close()
@@ -262,8 +265,12 @@
 	return fut.Response().(applied), nil
 }
 
-// fresh says how long since this replica heard from a leader, and whether that is within the bound.
+// fresh says how long since this replica heard from a leader, and whether that is within the bound and the
+// replica has caught up with its own log.
 func (rep *Replica) fresh() (time.Duration, bool) {
+	if rep.raft.AppliedIndex() < rep.startLast {
+		return time.Since(rep.raft.LastContact()), false // still replaying what it had before a restart
+	}
 	if rep.raft.State() == raft.Leader {
 		return 0, true // raft steps a leader down once its lease lapses
 	}
