--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -165,6 +165,9 @@
 			break
 		}
 		fmt.Fprintf(w, "  %s\n", b)
+		for _, line := range rep.Evidence[b.ID] {
+			fmt.Fprintf(w, "    %s\n", line)
+		}
 	}
 	return nil
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -41,6 +41,7 @@
 	PerNode   map[string]int      `json:"per_node"`   // requests the front dealt to each node
 	PerServer map[string]int64    `json:"per_server"` // requests each app server worked on
 	Breaches  []invariants.Breach `json:"breaches"`
+	Evidence  map[string][]string `json:"evidence"` // by request id, the log lines that name it
 	NeverUp   []string            `json:"never_up"`
 	CPU       lab.CPU             `json:"cpu"`
 	LabShare  float64             `json:"lab_cpu_share"` // of the lab's and the nodes' CPU together
@@ -116,6 +117,7 @@
 
 // Write puts report.json and the plots in dir.
 func Write(dir string, r *lab.Records, rep *Report) error {
+	rep.Evidence = evidence(dir, rep.Breaches)
 	plots := map[string]func(*lab.Records) (*plot.Plot, error){"latency.png": latencyPlot, "goodput.png": goodputPlot,
 		"servers.png": serversPlot}
 	for _, name := range []string{"latency.png", "goodput.png", "servers.png"} {
