Count and quiet memberlist's complaints; test a garbage flood at a member

The gossip's own log went to nowhere, so garbage left no trace. Change: memberlist's log goes through the member: errors and warnings count in membership_gossip_errors_total and are logged at most once a second. A process test floods one of three members with 5,000 random datagrams and 50 TCP connections of junk.

--- a/cmd/members/main_test.go
+++ b/cmd/members/main_test.go
@@ -3,9 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -128,3 +132,52 @@
 		t.Errorf("within the hold the fleet divides by %d, not the agreed 10", v.Size)
 	}
 }
+
+// A peer that floods a member's gossip port with garbage, over UDP and TCP: no crash, and the view holds.
+func TestGarbageFloodChangesNothing(t *testing.T) {
+	f := start(t, 3)
+	all := []int{0, 1, 2}
+	f.until(all, 30*time.Second, func(v membership.View) bool { return v.Count(membership.Alive) == 3 })
+	target := strings.Replace(f.https[1], ":9000", ":7946", 1)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	junk := make([]byte, 1400)
+	udp, err := net.Dial("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	for range 5000 { // bounded: 5000 datagrams and 50 connections
+		for i := range junk {
+			junk[i] = byte(rnd.Uint32())
+		}
+		udp.Write(junk[:1+rnd.IntN(len(junk))])
+	}
+	for range 50 {
+		if c, err := net.DialTimeout("tcp", target, time.Second); err == nil {
+			c.SetDeadline(time.Now().Add(time.Second))
+			c.Write(junk)
+			c.Close()
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if f.procs[1].ProcessState != nil {
+		t.Fatal("the flooded member ended")
+	}
+	f.until(all, 20*time.Second, func(v membership.View) bool {
+		return v.Count(membership.Alive) == 3 && v.Count(membership.Dead) == 0
+	})
+	v := f.view(1)
+	if len(v.Members) != 3 {
+		t.Errorf("the flooded member's view: %+v", v)
+	}
+	resp, err := http.Get("http://" + f.https[1] + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var metrics strings.Builder
+	io.Copy(&metrics, resp.Body)
+	if !strings.Contains(metrics.String(), "membership_gossip_errors_total") || strings.Contains(metrics.String(), "membership_gossip_errors_total 0\n") {
+		t.Errorf("the garbage was not counted:\n%s", metrics.String())
+	}
+}
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +39,27 @@
 	suspicions  prometheus.Counter
 	refutations prometheus.Counter
 	bytes       prometheus.Counter
+	errors      prometheus.Counter
+	lastLog     time.Time // of memberlist's complaints, which a peer sending garbage can make many
+}
+
+// Write takes memberlist's own log: errors and warnings are counted, and logged at most once a second.
+func (g *Gossip) Write(p []byte) (int, error) {
+	line := strings.TrimSpace(string(p))
+	if !strings.Contains(line, "[ERR]") && !strings.Contains(line, "[WARN]") {
+		return len(p), nil
+	}
+	g.errors.Inc()
+	g.mu.Lock()
+	quiet := time.Since(g.lastLog) < time.Second
+	if !quiet {
+		g.lastLog = time.Now()
+	}
+	g.mu.Unlock()
+	if !quiet {
+		g.cfg.Log.Warn("gossip", "memberlist", line)
+	}
+	return len(p), nil
 }
 
 type meta struct {
@@ -93,8 +114,9 @@
 	g.suspicions = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_suspicions_total", Help: "Members seen turn suspect."})
 	g.refutations = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_refutations_total", Help: "Suspect members seen alive again."})
 	g.bytes = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_user_bytes_total", Help: "Bytes of gossip handed to this member."})
+	g.errors = prometheus.NewCounter(prometheus.CounterOpts{Name: "membership_gossip_errors_total", Help: "Errors and warnings of memberlist, such as garbage from a peer."})
 	if cfg.Registry != nil {
-		for _, c := range []prometheus.Collector{g.members, g.suspicions, g.refutations, g.bytes} {
+		for _, c := range []prometheus.Collector{g.members, g.suspicions, g.refutations, g.bytes, g.errors} {
 			if err := cfg.Registry.Register(c); err != nil {
 				return nil, err
 			}
@@ -102,7 +124,7 @@
 	}
 	mc := memberlist.DefaultLANConfig()
 	mc.Name, mc.BindAddr, mc.BindPort, mc.AdvertiseAddr, mc.AdvertisePort = cfg.Name, host, port, host, port
-	mc.Delegate, mc.Events, mc.LogOutput = delegate{g}, events{g}, io.Discard
+	mc.Delegate, mc.Events, mc.LogOutput = delegate{g}, events{g}, g
 	if g.ml, err = memberlist.Create(mc); err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
