Test that the lab reports a node that never comes up, and ends it

Change: a process test runs the lab with a node program that never answers /health/ready (ready_s 2).

--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -183,3 +183,24 @@
 		}
 	}
 }
+
+// A node that never answers /health/ready, and one that ends at once: the lab reports both, does not hang,
+// and leaves neither running.
+func TestNodeThatNeverComesUpIsReported(t *testing.T) {
+	lab, _ := build(t)
+	dir := t.TempDir()
+	script := filepath.Join(dir, "silent-node")
+	os.WriteFile(script, []byte("#!/bin/sh\nexec sleep 600\n"), 0o755)
+	scenario := filepath.Join(dir, "never.toml")
+	os.WriteFile(scenario, []byte("duration_s = 4\n[fleet]\nnodes = 2\nservers = 2\nready_s = 2\n[load]\nrate = 10\n"), 0o644)
+	r, runDir := run(t, lab, script, scenario)
+	if len(r.NeverUp) != 2 || r.Whole.Served != 0 {
+		t.Errorf("never up %v, served %d", r.NeverUp, r.Whole.Served)
+	}
+	raw, _ := os.ReadFile(filepath.Join(runDir, "pids"))
+	for _, line := range strings.Fields(string(raw)) {
+		if st, err := os.ReadFile("/proc/" + line + "/stat"); err == nil && !strings.Contains(string(st), ") Z ") {
+			t.Errorf("left running: %s", line)
+		}
+	}
+}
