Bound a registrant's started_ms by the leader's clock; keep it across renewals

Change: register takes started_ms as at most the command's time (the leader's); the record keeps what was asked, so a renewal with the same value keeps the bounded start and makes no new revision.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -61,6 +61,7 @@
 	Entry     Entry  `json:"entry"`
 	ExpiresMS int64  `json:"expires_ms"` // 0 once gone
 	Rev       uint64 `json:"rev"`        // of its last change
+	Asked     int64  `json:"asked_ms"`   // started_ms as the registrant gave it, before it was bounded
 }
 
 // State is the whole list. The zero State is not ready: use New.
@@ -95,13 +96,20 @@
 		if e.State == "" || e.State == "gone" {
 			e.State = "ready"
 		}
+		// A registrant whose clock runs ahead can't start a server in the future: nodes would take it for
+		// cold until then. Its renewals keep the bounded start. Leases are counted on the leader's clock alone.
 		r := s.Records[e.ID]
+		asked := e.StartedMS
+		if r != nil && r.Asked == asked {
+			e.StartedMS = r.Entry.StartedMS
+		}
+		e.StartedMS = min(e.StartedMS, c.NowMS)
 		if r != nil && r.ExpiresMS != 0 && r.Entry == e {
 			r.ExpiresMS = c.NowMS + ttl // a renewal by registering again is no change
 			return false, nil
 		}
 		s.Rev++
-		s.Records[e.ID] = &record{Entry: e, ExpiresMS: c.NowMS + ttl, Rev: s.Rev}
+		s.Records[e.ID] = &record{Entry: e, ExpiresMS: c.NowMS + ttl, Rev: s.Rev, Asked: asked}
 		return true, nil
 	case Renew:
 		r := s.Records[c.ID]
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -92,3 +92,21 @@
 		t.Errorf("a slow watcher from 6: %+v", a)
 	}
 }
+
+// A registrant whose clock is an hour ahead: its server's start is taken as the leader's now, and its lease runs
+// on the leader's clock.
+func TestRegistrantClockAheadIsBounded(t *testing.T) {
+	s := New(8)
+	e := entry("s1")
+	e.StartedMS = 10_000 + 3_600_000
+	s.Apply(Command{Op: Register, Entry: e, TTLMS: 1000, NowMS: 10_000})
+	if got := s.Read(0, false).Servers[0].StartedMS; got != 10_000 {
+		t.Errorf("started_ms %d", got)
+	}
+	if changed, _ := s.Apply(Command{Op: Register, Entry: e, TTLMS: 1000, NowMS: 10_500}); changed {
+		t.Error("a renewal with the same start made a new revision")
+	}
+	if changed, _ := s.Apply(Command{Op: Expire, NowMS: 11_600}); !changed {
+		t.Error("the lease did not lapse on the leader's clock")
+	}
+}
