Write a lab node's balancers as the fleet's node count, without a dead term

Cause: reading the change once more, the settings' balancers were written as len(zones)*0 + nodes, a term that does nothing and reads as if zones counted. Change: balancers = fleet.nodes, as it already was in value. Behaviour is the same.

--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -347,7 +347,7 @@
 
 func (f *fleet) configure(n *node, discovery string) error {
 	settings := f.template()
-	settings["balancers"], settings["slot_no"], settings["zone"] = len(f.s.Fleet.Zones)*0+f.s.Fleet.Nodes, n.i, n.info.Zone
+	settings["balancers"], settings["slot_no"], settings["zone"] = f.s.Fleet.Nodes, n.i, n.info.Zone
 	settings["failure_domains"] = f.s.Fleet.Zones
 	config := map[string]any{"name": n.info.Name, "listen": n.info.Listen, "discovery": discovery,
 		"seed": fmt.Sprintf("%x", f.s.Seed*7919+uint64(n.i)+1), "limits": map[string]any{"sockets": 4096, "memory_mb": 192},
