--- a/decide/api.go
+++ b/decide/api.go
@@ -111,6 +111,8 @@
 	ColdTime       time.Duration // a started server is warm after this time
 	OverloadFactor float64       // a cold server falls over beyond this multiple of its capacity
 	OverloadTime   time.Duration // when that lasts so long
+
+	Fleet bool // the fleet's facts are told (fleet_events.go); a tenant that none names is refused
 }
 
 // Goal weighs the parts of the result.
@@ -163,6 +165,7 @@
 	State     ServerState
 	Size      float64 // without unit; compare with other servers
 	StartedAt Time    // 0: long ago
+	Name      string  // as discovery has it; only where Settings.Fleet is set
 }
 
 // Event is something that happened. The types below are all there are.
