--- a/decide/api.go
+++ b/decide/api.go
@@ -3,7 +3,7 @@
 // refused. It does no I/O, reads no clock and starts no goroutine: the caller
 // feeds it events and carries out the actions it returns.
 //
-// This file is the interface; all decisions are in decide.go.
+// This file is the interface, state.go what is kept; the other files decide.
 package decide
 
 import "time"
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,84 +1,21 @@
 package decide
 
-// All decisions of a node. The interface (settings, events, actions) is in api.go, what is kept in state.go.
+// What a node does about each event: arrivals, outcomes, timers. The interface (settings, events, actions)
+// is in api.go, what is kept in state.go. The rest of the policy: overload.go has the modes and the shedding,
+// send.go the rules on sending, learn.go what outcomes tell, servers.go the list and the subset.
 
 import (
-	"fmt"
 	"math"
-	"slices"
-	"sort"
 	"time"
 )
 
 const (
-	tickEvery   = 25 * time.Millisecond  // s; the round of checks: well under any aim
-	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
-	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
-	mixMemory   = 0.9                    // part of the counts that a period hands on: one may see no arrival
-	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
-	sparsePart  = 0.6                    // the same for sparse nodes, whose delays are means of the fleet's
-	sparseQueue = 2.0                    // requests ahead of one's own, at most: below what turns servers slow
-	queueFactor = 2.5                    // of the uncrowded latency: long queues harm where crowds slow servers
-	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
-	lowPart     = 0.5                    // L as a part of H: the hysteresis
-	highPart    = 2.0                    // R as a multiple of H: room for priority work
-	reportSlack = 1.25                   // on thresholds for reports, which lag and come on top of own counts
-	reportCap   = 1000.0                 // requests; no server holds more to any use
-	worthPart   = 0.5                    // of the top worth: classes of like worth are not night and day
-	leastWindow = 2.0                    // requests of all nodes at a server, at least, learned or not
-	coldStart   = 4.0                    // 1/s, of all nodes to a cold server with no warm one to compare
-	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
-	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
-	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
-	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
-	latencyGain = 0.1                    // weight of a new latency in a server's smoothed one
-	classGain   = 0.02                   // the same over all servers, where samples are many
-	outlierCap  = 4.0                    // multiple of the smoothed latency: a heavy request is no sick server
-	suspectAt   = 3                      // failures in a row, or sends without any answer: fewer are chance
-	errorGain   = 0.25                   // weight of an outcome in a server's share of errors
-	errorShare  = 0.4                    // from which it is a suspect: two in a row, or so; load causes none
-	errorLift   = 0.2                    // from which it stays one although it answered a trial
-	muteFactor  = 4.0                    // multiple of the expected latency after which no answer is telling
-	stuckFactor = 20.0                   // multiple of the mean latency; an attempt out longer is stuck
-	trialFirst  = 500 * time.Millisecond // s; wait before a suspect's first trial request; doubles
-	trialLast   = 16 * time.Second       // s; the longest such wait: about what troubles last
-	retryBudget = 0.1                    // further attempts for each arrival: no storm of our own
-	retryBurst  = 10.0                   // attempts; what the budget may save up
-	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
-	askTurn     = 50 * time.Millisecond  // s; of discovery for each node's call: they share one queue
-	subsetTime  = 0.5                    // s; a subset's server is sent to so often: own counts tell
-	recentTau   = 2.0                    // s; smoothing of the faster mean
-	subsetLeast = 8.0                    // servers; fewer leave no choice once a part of them is in trouble
-	leastShare  = 8.0                    // nodes that share a server, at least: fewer load it unevenly
-	nearPart    = 0.75                   // of a subset, in the node's own zone if that has its share
-	rateMemory  = 10.0                   // s; smoothing of this node's arrivals: a subset is not to flutter
+	tickEvery   = 25 * time.Millisecond // s; the round of checks: well under any aim
+	worthPart   = 0.5                   // of the top worth: classes of like worth are not night and day
+	stuckFactor = 20.0                  // multiple of the mean latency; an attempt out longer is stuck
+	holdPart    = 0.15                  // part of the aim a refused client is told to wait, jittered
 )
 
-// NextMode is the paper's hysteresis, at its exact edges.
-func NextMode(m Mode, n, low, high, block float64) Mode {
-	switch {
-	case m != Blocking && n > block-1:
-		return Blocking
-	case m == Normal && n > high-1, m == Blocking && n < high+1:
-		return Overloaded
-	case m == Overloaded && n < low:
-		return Normal
-	}
-	return m
-}
-
-// ShedSplit gives the drop probabilities of priority (q1) and other requests (q2) for an overall q.
-func ShedSplit(q, n1, n2 float64) (q1, q2 float64) {
-	if n2 == 0 {
-		return q, 0
-	}
-	q2 = math.Min(1, q*(n1+n2)/n2)
-	if n1 > 0 {
-		q1 = math.Max(0, (q*(n1+n2)-q2*n2)/n1)
-	}
-	return q1, q2
-}
-
 // Handle takes an event and returns what is to be done about it, in order.
 func (m *Module) Handle(now Time, e Event) []Action {
 	m.now, m.out = now, nil
@@ -129,318 +66,6 @@
 	return m.out
 }
 
-// survey renews what the thresholds need of the whole fleet.
-func (m *Module) survey() {
-	rate, count, own, all := 0.0, 0.0, 0.0, 0.0
-	for _, s := range m.near {
-		if !s.suspect && !s.cold {
-			rate, count = rate+m.rateOf(s), count+1
-		}
-		if s.report > 0 && m.now-s.reportAt < 2*validity {
-			own, all = own+s.n, all+s.report
-		}
-	}
-	if all > 0 {
-		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
-	}
-	m.fleetRate = rate / math.Max(1, count)
-	m.able = math.Max(m.fleetRate, m.able*decay(tickEvery, rateMemory))
-	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
-	grow := 1 + tickEvery.Seconds()/memoryTau
-	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few tell little
-		m.least = m.mean / (1 - baseNoise) // the least of a noisy mean is below its true value
-	}
-	if m.peak /= grow; m.learned {
-		m.peak = math.Max(m.peak, m.fleetRate)
-	}
-	m.aimed, m.base = math.Inf(1), m.mean
-	base, latency := 0.0, 0.0
-	for _, c := range m.order {
-		expected := m.mean * c.relative
-		if c.base *= grow; c.count >= 1/classGain && (c.base == 0 || c.latency < c.base*(1-baseNoise)) {
-			c.base = c.latency / (1 - baseNoise)
-		}
-		if c.base > 0 {
-			base, latency = base+c.base, latency+expected
-			m.base = m.mean * base / latency
-		}
-		if c.count > 0 && c.Aim > 0 {
-			m.aimed = math.Min(m.aimed, m.mean*aimPart*c.Aim.Seconds()/expected)
-		}
-	}
-}
-
-// high is H: by Little's law the requests this node may have at a server whose answers come as fast as every
-// class's aim wants, and the more, the faster they come. Part of it is the fleet's mean: chance must not
-// starve a server. Queues stay small, as some servers turn slow for long when crowded.
-func (m *Module) high(s *server) float64 {
-	if !m.learned {
-		return 2 * leastWindow / m.sharers()
-	}
-	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
-	want := math.Min(queueFactor*m.base, m.aimed)
-	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
-	return math.Max(h, leastWindow/m.sharers())
-}
-
-// sharers is how many nodes have a server in their subsets, on average: what all nodes together may do at a
-// server is divided among them.
-func (m *Module) sharers() float64 {
-	return float64(m.set.Nodes*max(1, len(m.near))) / float64(max(1, len(m.ring)))
-}
-
-// crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
-// node sends a server less than one request in a validity, and its own count tells nothing: there n is the
-// requests that a server reports, or those ahead of one's own by its delay in uncrowded ones; it lapses.
-// Stuck attempts are out for other reasons than load, and would hold n above H.
-func (m *Module) crowd(s *server) (n, h float64) {
-	if !m.sparse() {
-		return s.n - s.stuck, math.Floor(m.high(s) + s.dither)
-	}
-	if m.least == 0 || m.aimed == 0 {
-		return s.n, 1
-	}
-	aimed := m.aimed * sparsePart / aimPart
-	unit := math.Min(m.least, aimed) // a node that starts in a jam takes that for its least
-	l := m.recent + s.excess*decay(m.now-s.latencyAt, staleTau)
-	if n = (l/unit - 1) * decay(m.now-m.answeredAt, staleTau); s.report > 0 {
-		n = s.report * decay(m.now-s.reportAt, staleTau)
-	}
-	if s.unanswered > 0 && s.n > 0 { // an attempt that is still out has taken at least as long as it has been
-		n = math.Max(n, (m.now-s.muteSince).Seconds()/unit-1)
-	}
-	return n, math.Max(1, math.Min(sparseQueue, aimed/unit))
-}
-
-// modeOf updates and gives a server's mode.
-func (m *Module) modeOf(s *server) Mode {
-	n, h := m.crowd(s)
-	s.mode = NextMode(s.mode, n, lowPart*h, h, highPart*h+1)
-	if m.now < s.imposedUntil && s.imposed > s.mode {
-		return s.imposed
-	}
-	return s.mode
-}
-
-// reported lets a server's own account of its load, which is late and counts every node's requests, impose a
-// mode until it lapses. The thresholds are this node's, scaled by its share of all that servers report.
-func (m *Module) reported(s *server, r *Report) {
-	if r == nil || !r.HasInFlight || !(r.InFlight >= 0) { // not a number either
-		return
-	}
-	s.report, s.reportAt = math.Min(r.InFlight, reportCap), m.now // a huge one would block too long
-	if m.sparse() {
-		return
-	}
-	h := reportSlack * m.high(s) / math.Max(m.share, 1e-9)
-	s.told = NextMode(s.told, s.report, lowPart*h, h, highPart*h+1)
-	m.impose(s, min(s.told, Overloaded)) // never blocking: on late news all would block, then idle, at once
-}
-
-// recompute sets q2 and q1. Shedding acts only with none normal: then all other requests go first, and
-// priority ones the more, the nearer the fleet is to R.
-func (m *Module) recompute() {
-	q := 0.0
-	if n := m.n1 + m.n2; n > 0 {
-		q = (m.n2 + m.n1*m.fill/m.ticks) / n
-	}
-	m.q1, m.q2 = ShedSplit(q, m.n1, m.n2)
-	m.n1, m.n2, m.fill, m.ticks, m.periodAt = mixMemory*m.n1, mixMemory*m.n2, 0, 0, m.now
-	m.choose()
-	for _, s := range m.near {
-		s.dither = m.random()
-	}
-}
-
-// choose picks the subset of servers that the ordinary path uses: one of many nodes that talked to all would
-// know none, and its connections would fill their tables. All nodes have the same ring of servers and start
-// at even distances on it. Most of the subset is in the node's own zone, as crossing has a price; not all,
-// and less where the zone has few servers: nodes must not crowd them, nor hang on them alone. Suspects are
-// not made up for: all would open connections to the rest at once.
-func (m *Module) choose() {
-	known := 1 - decay(m.now-m.startAt+tickEvery, rateMemory)
-	m.rate = m.arrivals * decay(m.now-m.arrivedAt, rateMemory) / known
-	want := subsetTime * m.rate
-	if want > m.size || want < m.size/2 {
-		m.size = math.Max(want, subsetLeast) // else unchanged: a new server costs a connection
-	}
-	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
-	m.near, m.choices = m.near[:0], m.choices+1
-	take := func(count int, zone string) {
-		for i := 0; i < len(m.ring) && len(m.near) < count; i++ {
-			if s := m.ring[(start+i)%len(m.ring)]; s.chosen < m.choices && (zone == "" || s.Zone == zone) {
-				s.chosen = m.choices
-				m.near = append(m.near, s)
-			}
-		}
-	}
-	size := math.Max(m.size, leastShare*float64(len(m.ring))/float64(m.set.Nodes))
-	take(int(nearPart*size*math.Min(1, float64(len(m.set.Zones))*m.own)), m.set.Zone)
-	take(int(size), "")
-}
-
-// learn takes the latency of an answer. Means are plain at first: short requests answer first.
-func (m *Module) learn(s *server, c *class, took time.Duration) {
-	t := math.Max(took.Seconds(), 1e-6)
-	m.answers++
-	c.count++
-	m.mean += math.Max(classGain, 1/m.answers) * (t - m.mean)
-	m.recent += math.Max(1-decay(m.now-m.answeredAt, recentTau), 1/m.answers) * (t/c.relative - m.recent)
-	m.answeredAt = m.now
-	c.latency += math.Max(classGain, 1/c.count) * (t - c.latency)
-	c.ambient += math.Max(classGain, 1/c.count) * (m.mean - c.ambient)
-	c.relative = c.latency / c.ambient // not to m.mean: a rare class must not keep a past trouble's latency
-	m.weigh(s, c, took)
-}
-
-// weigh takes a server's latency, capped, as a heavy request tells of itself and not of its server.
-func (m *Module) weigh(s *server, c *class, took time.Duration) {
-	l := m.latencyOf(s)
-	gain := math.Max(latencyGain, 1-decay(m.now-s.latencyAt, staleTau)) // a rare answer is all that is known
-	l += gain * (math.Min(took.Seconds()/c.relative, outlierCap*math.Max(l, m.mean)) - l)
-	s.excess, s.latencyAt = l-m.mean, m.now
-}
-
-// judge takes the outcome of an attempt. Failures count as slow answers too: who fails fast must not
-// attract work. One that broke connections and answers a trial may have restarted unannounced: it is taken as
-// cold. Silence alone is no sign of that: a process that dies resets its connections.
-func (m *Module) judge(s *server, r *request, e AttemptEnded) {
-	switch e.Code {
-	case Cancelled, Moot:
-	case Full:
-		// Full answers in a row back off: many nodes that each come back after one validity keep a jam alive.
-		m.impose(s, Blocking)
-		s.imposedUntil += m.jitter(s.backoff)
-		s.unanswered, s.backoff = 0, min(max(2*s.backoff, validity), trialLast)
-	case OK:
-		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
-		s.backoff, s.errors = 0, s.errors*(1-errorGain)
-		if !r.started && !r.sealed { // the client's time is in it
-			m.learn(s, r.class, e.Elapsed)
-		}
-		if s.strikes = 0; s.suspect && s.errors >= errorLift {
-			s.trialWait, s.trialAt = trialFirst, m.now+m.jitter(trialFirst) // most requests still fail there
-		} else if s.suspect {
-			s.suspect = false
-			if r.trial && s.lost {
-				m.startCold(s, m.now)
-			}
-			m.note(s, fmt.Sprintf("answers again; cold start assumed: %v", s.cold))
-		}
-		s.lost = false
-	default:
-		s.lost = s.lost || e.Code == ConnectFailed || e.Code == Reset
-		m.weigh(s, r.class, max(e.Elapsed, r.class.Aim))
-		if e.Code == ServerError {
-			s.errors += errorGain * (1 - s.errors)
-		}
-		if s.strikes++; s.strikes >= suspectAt || e.Code == ServerError && s.errors >= errorShare {
-			m.accuse(s, fmt.Sprintf("failures, the last of kind %d", e.Code))
-		}
-	}
-}
-
-func (m *Module) accuse(s *server, why string) {
-	if !s.suspect {
-		s.suspect, s.trialWait, s.trialAt = true, trialFirst, m.now+m.jitter(trialFirst)
-		m.note(s, fmt.Sprintf("suspect: %s; only trial requests", why))
-	}
-}
-
-// dueTrial finds a suspect whose turn it is, for a request that may be repeated.
-func (m *Module) dueTrial(r *request) *server {
-	for _, s := range m.near {
-		if r.class.Effect != Unsafe && s.suspect && m.now >= s.trialAt && m.maySend(r, s) {
-			return s
-		}
-	}
-	return nil
-}
-
-// paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
-// by now of what a warm one gives this node: the budgets of all nodes then sum up to a part of one server's
-// capacity, however many are cold. That is the most that warm ones gave of late: in a jam they answer less,
-// and cold ones that got less for it would deepen the jam. Nodes that do not have it in their subsets send
-// nothing.
-func (m *Module) paced(s *server) bool {
-	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
-	if s.cold = s.cold && warm < 1; !s.cold {
-		return false
-	}
-	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.able, coldStart/m.sharers())
-	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
-	return s.tokens < 1 || s.chosen < m.choices
-}
-
-// maySend holds every rule on sending; each send passes it.
-func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || r.sealed || m.now >= r.deadline || s.State != Ready || s.out ||
-		len(r.attempts) >= max(1, r.rules.MaxAttempts) || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
-		return false
-	}
-	for i := range r.attempts {
-		a, c := &r.attempts[i], r.class
-		if a.server == s || a.mayRun && c.Effect != Safe && (c.Effect == Unsafe ||
-			m.now+r.rules.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
-			c.KeyScope == ScopeCell && s.Cell != a.server.Cell) {
-			return false
-		}
-	}
-	return true
-}
-
-// mayRefuse: a refusal promises that a new try does no harm.
-func (m *Module) mayRefuse(r *request) bool {
-	ran := false
-	for _, a := range r.attempts {
-		ran = ran || a.mayRun
-	}
-	return !ran || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.KeyScope == ScopeAll
-}
-
-// send is the only way to a server.
-func (m *Module) send(r *request, s *server, timeout time.Duration) bool {
-	if s == nil || !m.maySend(r, s) {
-		return false
-	}
-	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true})
-	r.out++
-	s.n++
-	s.tokens--
-	if s.unanswered++; s.unanswered == 1 {
-		s.muteSince = m.now
-	}
-	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
-	return true
-}
-
-// finish gives the final answer where no server did: a refusal if the rules allow one. Its hold-off brings
-// the client back while an answer is still worth something, else as late as it may.
-func (m *Module) finish(r *request) {
-	wait := m.jitter(time.Duration(holdPart * float64(r.class.Aim)))
-	wait = min(wait, m.set.MaxHoldOff)
-	if !m.mayRefuse(r) {
-		m.do(Fail{ID: r.id})
-	} else {
-		m.do(Refuse{ID: r.id, HoldOff: wait})
-	}
-	m.close(r)
-}
-
-// close forgets a request once its attempts are in; those still out are called off.
-func (m *Module) close(r *request) {
-	r.done = true
-	for i := range r.attempts {
-		if r.rules.MayCancel && !r.attempts[i].ended && !r.started {
-			m.do(CancelAttempt{ID: r.id, Attempt: i})
-		}
-	}
-	if r.out == 0 {
-		delete(m.requests, r.id)
-	}
-}
-
 func (m *Module) arrive(e RequestArrived) {
 	if m.requests[e.ID] != nil {
 		return
@@ -521,18 +146,6 @@
 	}
 }
 
-// relieve takes an attempt out of its server's count: it has ended, or lasts as long as its client takes over
-// a long body.
-func (m *Module) relieve(a *attempt) {
-	if !a.relieved {
-		a.relieved = true
-		a.server.n--
-		if a.stuck {
-			a.server.stuck--
-		}
-	}
-}
-
 // again makes a further attempt if rules, budget and servers allow, else ends the request.
 func (m *Module) again(r *request, costly bool) {
 	worthless := r.class.LateWorth == 0 && r.class.Aim > 0 && m.now-r.arrived >= r.class.Aim
@@ -551,6 +164,53 @@
 	m.finish(r)
 }
 
+// mayRefuse: a refusal promises that a new try does no harm.
+func (m *Module) mayRefuse(r *request) bool {
+	ran := false
+	for _, a := range r.attempts {
+		ran = ran || a.mayRun
+	}
+	return !ran || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.KeyScope == ScopeAll
+}
+
+// finish gives the final answer where no server did: a refusal if the rules allow one. Its hold-off brings
+// the client back while an answer is still worth something, else as late as it may.
+func (m *Module) finish(r *request) {
+	wait := m.jitter(time.Duration(holdPart * float64(r.class.Aim)))
+	wait = min(wait, m.set.MaxHoldOff)
+	if !m.mayRefuse(r) {
+		m.do(Fail{ID: r.id})
+	} else {
+		m.do(Refuse{ID: r.id, HoldOff: wait})
+	}
+	m.close(r)
+}
+
+// close forgets a request once its attempts are in; those still out are called off.
+func (m *Module) close(r *request) {
+	r.done = true
+	for i := range r.attempts {
+		if r.rules.MayCancel && !r.attempts[i].ended && !r.started {
+			m.do(CancelAttempt{ID: r.id, Attempt: i})
+		}
+	}
+	if r.out == 0 {
+		delete(m.requests, r.id)
+	}
+}
+
+// relieve takes an attempt out of its server's count: it has ended, or lasts as long as its client takes over
+// a long body.
+func (m *Module) relieve(a *attempt) {
+	if !a.relieved {
+		a.relieved = true
+		a.server.n--
+		if a.stuck {
+			a.server.stuck--
+		}
+	}
+}
+
 func (m *Module) tick() {
 	m.survey()
 	fill, count := 0.0, 1e-9
@@ -591,80 +251,3 @@
 	}
 	m.ask()
 }
-
-func (m *Module) follow(e ListUpdate) {
-	if e.Kind == ListFailed {
-		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(m.askWait)
-		m.askWait = min(2*m.askWait, max(2*m.askFirst(), m.set.AskWithin/4))
-		return
-	}
-	if e.Kind != ListCached && m.asking {
-		m.subscribed, m.asking, m.askWait = true, false, m.askFirst()
-	}
-	if e.Kind != ListChanges {
-		for _, s := range m.list {
-			s.State = Gone
-		}
-	}
-	for _, n := range e.Entries {
-		m.take(n)
-	}
-	m.relist()
-}
-
-// take takes news of a server. A return is a start, whatever the list says of an earlier one.
-func (m *Module) take(n Server) {
-	s := m.serverOf(n.ID)
-	if n.State == Ready {
-		n.StartedAt = max(n.StartedAt, m.back[n.ID])
-		if n.StartedAt > s.StartedAt { // a start: nothing learned of an older process holds
-			s.suspect, s.strikes, s.errors, s.unanswered, s.imposedUntil = false, 0, 0, 0, m.now
-			m.startCold(s, n.StartedAt)
-		}
-	}
-	s.Server, s.out = n, m.excluded[n.ID]
-}
-
-// banned has the operators' word on a server followed; one that is not known yet is met when it is listed.
-func (m *Module) banned(id ServerID) {
-	if s := m.known[id]; s != nil {
-		m.take(s.Server)
-		m.relist()
-	}
-}
-
-// relist renews the lists of servers from what is known.
-func (m *Module) relist() {
-	m.list = m.list[:0]
-	for _, s := range m.known {
-		if s.State != Gone {
-			m.list = append(m.list, s)
-		}
-	}
-	sort.Slice(m.list, func(i, j int) bool { return m.list[i].place < m.list[j].place })
-	m.ring = slices.DeleteFunc(slices.Clone(m.list), func(s *server) bool { return s.State != Ready || s.out })
-	own := 0.0
-	for _, s := range m.ring {
-		if s.Zone == m.set.Zone {
-			own++
-		}
-	}
-	m.own = own / float64(max(1, len(m.ring)))
-	m.choose()
-}
-
-// askFirst is the time in which all nodes together ask once, and what a node waits after its first failure.
-// Where the queue is longer than discovery lets a call wait, none gets its turn and all come again.
-func (m *Module) askFirst() time.Duration {
-	return min(max(4, time.Duration(m.set.Nodes))*askTurn, max(4*askTurn, m.set.AskWithin/2))
-}
-
-// ask keeps a subscription where the list must be asked for: each node in its turn at the start, as a release
-// starts them all at once, and backing off after failures.
-func (m *Module) ask() {
-	if m.set.AskForList && !m.subscribed && m.now >= m.askAt &&
-		!(m.asking && m.now-m.askedAt < m.set.AskWithin/4) {
-		m.asking, m.askedAt = true, m.now
-		m.do(Subscribe{On: true})
-	}
-}
--- /dev/null
+++ b/decide/send.go
@@ -0,0 +1,71 @@
+package decide
+
+// The rules on sending: what may be sent where, trials of suspects, the pace of cold servers.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	coldStart = 4.0 // 1/s, of all nodes to a cold server with no warm one to compare
+)
+
+// maySend holds every rule on sending; each send passes it.
+func (m *Module) maySend(r *request, s *server) bool {
+	if r.done || r.started || r.sealed || m.now >= r.deadline || s.State != Ready || s.out ||
+		len(r.attempts) >= max(1, r.rules.MaxAttempts) || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
+		return false
+	}
+	for i := range r.attempts {
+		a, c := &r.attempts[i], r.class
+		if a.server == s || a.mayRun && c.Effect != Safe && (c.Effect == Unsafe ||
+			m.now+r.rules.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
+			c.KeyScope == ScopeCell && s.Cell != a.server.Cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// send is the only way to a server.
+func (m *Module) send(r *request, s *server, timeout time.Duration) bool {
+	if s == nil || !m.maySend(r, s) {
+		return false
+	}
+	r.attempts = append(r.attempts, attempt{server: s, sent: m.now, mayRun: true})
+	r.out++
+	s.n++
+	s.tokens--
+	if s.unanswered++; s.unanswered == 1 {
+		s.muteSince = m.now
+	}
+	m.do(Send{ID: r.id, Server: s.ID, Timeout: min(timeout, r.deadline-m.now)})
+	return true
+}
+
+// dueTrial finds a suspect whose turn it is, for a request that may be repeated.
+func (m *Module) dueTrial(r *request) *server {
+	for _, s := range m.near {
+		if r.class.Effect != Unsafe && s.suspect && m.now >= s.trialAt && m.maySend(r, s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
+// by now of what a warm one gives this node: the budgets of all nodes then sum up to a part of one server's
+// capacity, however many are cold. That is the most that warm ones gave of late: in a jam they answer less,
+// and cold ones that got less for it would deepen the jam. Nodes that do not have it in their subsets send
+// nothing.
+func (m *Module) paced(s *server) bool {
+	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
+	if s.cold = s.cold && warm < 1; !s.cold {
+		return false
+	}
+	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
+	rate := part * math.Max(m.able, coldStart/m.sharers())
+	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
+	return s.tokens < 1 || s.chosen < m.choices
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,6 @@
 package decide
 
-// The state that decide.go keeps, and its source of random numbers. Nothing is decided here.
+// The state that the policy keeps, and its source of random numbers. Nothing is decided here.
 
 import (
 	"fmt"
