--- /dev/null
+++ b/internal/lab/setup.go
@@ -0,0 +1,122 @@
+package lab
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/standin"
+)
+
+func serverID(j int) string { return fmt.Sprintf("s-%08x", 0x5e000000+j) }
+
+// raiseNoFile lifts the soft limit on descriptors to the hard one: 50 nodes by 100 servers are many links.
+func raiseNoFile() [2]uint64 {
+	var l syscall.Rlimit
+	syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l)
+	l.Cur = l.Max
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l)
+	syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l)
+	return [2]uint64{l.Cur, l.Max}
+}
+
+func (f *fleet) link(from, to, target, source string, seed uint64) (*faults.Link, error) {
+	l, err := faults.Open(from, to, "127.0.0.1:0", target, source, seed)
+	if err != nil {
+		return nil, fmt.Errorf("link %s to %s: %w", from, to, err)
+	}
+	f.net.Add(l)
+	f.recs.Links++
+	return l, nil
+}
+
+func (f *fleet) start() error {
+	s := f.s
+	var entries []standin.Entry
+	for j := range s.Fleet.Servers {
+		zone := s.Fleet.Zones[j%len(s.Fleet.Zones)]
+		spec := standin.ServerSpec{ID: serverID(j), Zone: zone, Capacity: s.Servers.Capacity,
+			Latency: seconds(s.Servers.LatencyMS / 1000), Spread: s.Servers.Spread, MaxConns: s.Servers.MaxConns,
+			IdleClose: seconds(s.Servers.IdleS), ColdFor: seconds(s.Servers.ColdS)}
+		srv, err := standin.NewAppServer(spec, "127.0.0.1:0", nodeOf, f.rec, s.Seed*1000+uint64(j))
+		if err != nil {
+			return fmt.Errorf("app server %d: %w", j, err)
+		}
+		f.servers = append(f.servers, srv)
+		entries = append(entries, standin.Entry{ID: spec.ID, Addr: srv.Addr, Zone: zone, Kind: "std-2c", State: "ready", Weight: 1})
+	}
+	if s.Fleet.Discovery == "listd" {
+		l, err := startListd(s.Fleet.ListdBin, f.opt.Dir, s.Fleet.Replicas, entries, f.opt.Log.Warn)
+		if err != nil {
+			return err
+		}
+		f.disc = l
+	} else {
+		f.disc = standinList{standin.NewDiscovery(entries)}
+	}
+	for i := range s.Fleet.Nodes {
+		n := &node{i: i, info: &NodeInfo{Name: fmt.Sprintf("n%d", i), Zone: s.Fleet.Zones[i%len(s.Fleet.Zones)]}}
+		addrs := map[string]string{}
+		for j, srv := range f.servers {
+			l, err := f.link(n.info.Name, "server:"+srv.Spec.ID, srv.Addr, nodeIP(i), s.Seed+uint64(i*10000+j))
+			if err != nil {
+				return err
+			}
+			addrs[srv.Spec.ID] = l.Addr
+		}
+		view, err := f.disc.View(n.info.Name, func(id string) string { return addrs[id] })
+		if err != nil {
+			return err
+		}
+		dl, err := f.link(n.info.Name, "discovery", view, nodeIP(i), s.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		n.info.Listen = nodeListen(i)
+		cl, err := f.link("clients", n.info.Name, n.info.Listen, "", s.Seed+uint64(i)+7)
+		if err != nil {
+			return err
+		}
+		n.frontAddr = cl.Addr
+		if err := f.configure(n, dl.Addr); err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	var ready sync.WaitGroup
+	for _, n := range f.nodes {
+		ready.Go(func() { f.launch(n) })
+	}
+	ready.Wait()
+	return nil
+}
+
+// end terms every node, kills what has not ended in 10 s, and closes links and stand-ins. It may run twice.
+func (f *fleet) end() {
+	for _, n := range f.nodes {
+		n.inFront.Store(false)
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGTERM)
+	}
+	for _, n := range f.nodes {
+		if !n.wait(10 * time.Second) {
+			n.signal(syscall.SIGKILL)
+			n.wait(5 * time.Second)
+		}
+	}
+	f.wg.Wait()
+	f.net.Close()
+	if f.disc != nil {
+		f.disc.Close()
+	}
+	for _, s := range f.servers {
+		s.Stop()
+	}
+	for _, n := range f.nodes {
+		if n.log != nil {
+			n.log.Sync()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/workload.go
@@ -0,0 +1,77 @@
+package lab
+
+import (
+	_ "embed"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"starlingvalve/internal/lab/load"
+)
+
+//go:embed settings.json
+var settingsTemplate []byte
+
+type class struct {
+	name     string
+	fragile  bool
+	giveUp   time.Duration
+	fraction float64
+}
+
+func (f *fleet) template() map[string]any {
+	var m map[string]any
+	if err := json.Unmarshal(settingsTemplate, &m); err != nil {
+		panic(err) // embedded, tested
+	}
+	return m
+}
+
+func (f *fleet) setting(group, name string) float64 {
+	v, _ := f.template()[group].(map[string]any)[name].(float64)
+	return v
+}
+
+func (f *fleet) classes() []class {
+	var out []class
+	for _, c := range f.template()["classes"].([]any) {
+		m := c.(map[string]any)
+		out = append(out, class{name: m["name"].(string), fragile: m["effect"] == "fragile",
+			giveUp: time.Duration(m["give_up_ns"].(float64))})
+	}
+	// The shares of BRIEF: 57% schedule-view, 43% place-order.
+	for i := range out {
+		out[i].fraction = 1 / float64(len(out))
+		if len(out) == 2 {
+			out[i].fraction = map[bool]float64{false: 0.57, true: 0.43}[out[i].fragile]
+		}
+	}
+	return out
+}
+
+func (f *fleet) loadSpec() load.Spec {
+	spec := load.Spec{Rate: f.s.Load.Rate, For: seconds(f.s.Load.ForS), MaxRequests: f.s.Load.MaxRequests, MaxInFlight: 8192,
+		Seed: f.s.Seed}
+	for _, c := range f.classes() {
+		spec.Classes = append(spec.Classes, load.Class{Name: c.name, Share: c.fraction, Post: c.fragile, TimeLeft: c.giveUp})
+	}
+	for _, a := range f.template()["accounts"].([]any) {
+		spec.Accounts = append(spec.Accounts, a.(map[string]any)["name"].(string))
+	}
+	return spec
+}
+
+// Pick is the clients' front: a node at random among those it deals to.
+func (f *fleet) Pick(r *rand.Rand) (int, string, bool) {
+	var up []*node
+	for _, n := range f.nodes {
+		if n.inFront.Load() {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return 0, "", false
+	}
+	n := up[r.IntN(len(up))]
+	return n.i, n.frontAddr, true
+}
