--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -68,7 +68,8 @@
 			}
 		}
 		fault := faults.Fault{Delay: seconds(e.DelayMS / 1000), Jitter: seconds(e.JitterMS / 1000), BytesPerS: e.BytesPerS,
-			Refuse: e.Refuse, Blackhole: e.Blackhole || e.Do == "partition", Duplicate: e.Duplicate}
+			Refuse: e.Refuse, Blackhole: e.Blackhole || e.Do == "partition", Duplicate: e.Duplicate,
+			Loss: e.Loss, Reorder: e.Reorder, Truncate: e.Truncate}
 		count := f.net.Each(func(l *faults.Link) bool {
 			hit := f.in(a, l.From) && f.in(b, l.To) || f.in(b, l.From) && f.in(a, l.To)
 			if hit && l.From == "clients" && (fault.Blackhole || fault.Refuse) {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -61,7 +61,8 @@
 //	kill, term, hup, restart, stop, cont   nodes
 //	partition                              between (two selectors), or nodes with servers/zone
 //	heal                                   (all links)
-//	link                                   between, delay_ms, jitter_ms, bytes_per_s, refuse, blackhole, duplicate
+//	link                                   between, delay_ms, jitter_ms, bytes_per_s, refuse, blackhole, duplicate,
+//	                                       loss, reorder, truncate
 //	degrade                                servers or zone, mode (healthy, slow, failing, reset, silent)
 //	restart-servers                        servers or zone, down_s
 //	list                                   servers or zone, state (ready, draining, gone)
@@ -81,6 +82,9 @@
 	Refuse    bool      `toml:"refuse"`
 	Blackhole bool      `toml:"blackhole"`
 	Duplicate bool      `toml:"duplicate"`
+	Loss      float64   `toml:"loss"`     // share of pieces and datagrams
+	Reorder   float64   `toml:"reorder"`  // share of datagrams
+	Truncate  int       `toml:"truncate"` // bytes a direction of a connection, or a datagram, may have
 }
 
 var actions = map[string]bool{"kill": true, "term": true, "hup": true, "restart": true, "stop": true, "cont": true,
@@ -130,6 +134,9 @@
 		if e.AtS < 0 || e.AtS > s.DurationS {
 			return nil, fmt.Errorf("scenario %s: events[%d]: at_s %v is outside the run", name, i, e.AtS)
 		}
+		if e.Loss < 0 || e.Loss > 1 || e.Reorder < 0 || e.Reorder > 1 || e.Truncate < 0 {
+			return nil, fmt.Errorf("scenario %s: events[%d]: loss and reorder are shares within 0 and 1, truncate is not below 0", name, i)
+		}
 		for _, sel := range []struct {
 			text string
 			n    int
