--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -153,8 +153,8 @@
 		fmt.Fprintf(w, "%5.1f %-10s %7d %7d %7d %7d %9.1f %8.1f %8.1f %8.1f\n", p.From, p.Event, p.Sent, p.Served, p.Refused,
 			p.Failed, p.GoodputPS, p.P50MS, p.P99MS, p.P999MS)
 	}
-	fmt.Fprintf(w, "cpu: lab %.2f s, nodes %.2f s, lab's share %.3f; links %d; descriptors %d of %d; skipped %d\n",
-		rep.CPU.LabS, rep.CPU.NodesS, rep.LabShare, rep.Links, rep.NoFile[0], rep.NoFile[1], rep.Skipped)
+	fmt.Fprintf(w, "cpu: lab %.2f s, nodes %.2f s, agents %.2f s, replicas %.2f s, lab's share %.3f; links %d; descriptors %d of %d; skipped %d\n",
+		rep.CPU.LabS, rep.CPU.NodesS, rep.CPU.AgentsS, rep.CPU.ReplicasS, rep.LabShare, rep.Links, rep.NoFile[0], rep.NoFile[1], rep.Skipped)
 	if len(rep.NeverUp) > 0 {
 		fmt.Fprintf(w, "never came up: %s\n", strings.Join(rep.NeverUp, " "))
 	}
--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -37,7 +37,11 @@
 	PerServer map[string]int64 `json:"per_server"`
 	Breaches  []struct{ Rule, ID string }
 	NeverUp   []string `json:"never_up"`
-	Plots     []string `json:"plots"`
+	CPU       struct {
+		AgentsS   float64 `json:"agents_s"`
+		ReplicasS float64 `json:"replicas_s"`
+	} `json:"cpu"`
+	Plots []string `json:"plots"`
 }
 
 func run(t *testing.T, lab, node, scenario string) (labReport, string) {
@@ -107,6 +111,25 @@
 	}
 }
 
+// Every link of listd named and faulted: raft and agent links lossy, the leader and an agent killed and back, two
+// agents cut off from the replicas. Nothing breaks, and the CPU of agents and replicas is counted.
+func TestListdLinksAndProcessesAreFaulted(t *testing.T) {
+	lab, node := build(t)
+	r, dir := run(t, lab, node, "listd-links")
+	if len(r.Breaches) != 0 {
+		t.Errorf("breaches: %v (see %s)", r.Breaches, dir)
+	}
+	if float64(r.Whole.Served) < 0.9*float64(r.Whole.Sent) || r.CPU.AgentsS <= 0 || r.CPU.ReplicasS <= 0 {
+		t.Errorf("whole run: %+v, cpu %+v", r.Whole, r.CPU)
+	}
+	raw, _ := os.ReadFile(filepath.Join(dir, "records.json"))
+	for _, want := range []string{`"detail":"agent:n1"`, `"detail":"6 links between replicas`, `"detail":"6 links between agents`} {
+		if !strings.Contains(string(raw), want) {
+			t.Errorf("the timeline lacks %s", want)
+		}
+	}
+}
+
 // A relay that sends a request twice is caught by the checker, with the request's id.
 func TestCheckerCatchesADuplicatedAttempt(t *testing.T) {
 	lab, node := build(t)
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -47,6 +47,7 @@
 // are the fault's cost, not a breach. Node -1 excuses every node.
 type Excuse struct {
 	Node     int
+	Rule     string // "answer", "after-grace", or "" for both
 	From, To time.Duration
 	Why      string
 }
@@ -82,7 +83,7 @@
 			out = append(out, Breach{"answer", s.ID, s.At, fmt.Sprintf("id sent twice by the clients (first at %v)", prev.At)})
 		}
 		sent[s.ID] = s
-		if s.Status == 0 && s.Taken && s.At < r.End && !r.excused(s.Node, s.At, s.Done) {
+		if s.Status == 0 && s.Taken && s.At < r.End && !r.excused("answer", s.Node, s.At, s.Done) {
 			out = append(out, Breach{"answer", s.ID, s.At, fmt.Sprintf("no final answer from node %d: %s", s.Node, s.Err)})
 		}
 	}
@@ -115,13 +116,13 @@
 	return out
 }
 
-// excused says whether a window covers node's request from..to (to zero: never ended, so up to the end).
-func (r Run) excused(node int, from, to time.Duration) bool {
+// excused says whether a window of the rule covers node's request from..to (to zero: never ended, so up to the end).
+func (r Run) excused(rule string, node int, from, to time.Duration) bool {
 	if to == 0 {
 		to = r.End
 	}
 	for _, e := range r.Excuses {
-		if (e.Node == node || e.Node == -1) && e.From <= to && from <= e.To {
+		if (e.Node == node || e.Node == -1) && (e.Rule == "" || e.Rule == rule) && e.From <= to && from <= e.To {
 			return true
 		}
 	}
@@ -141,7 +142,7 @@
 				state, since = c.State, c.At
 			}
 		}
-		if state == "ready" || a.Start <= since+r.Slack+r.Grace || r.excused(a.Node, since, a.Start) {
+		if state == "ready" || a.Start <= since+r.Slack+r.Grace || r.excused("after-grace", a.Node, since, a.Start) {
 			continue
 		}
 		out = append(out, Breach{"after-grace", a.ID, a.Start, fmt.Sprintf("new attempt from node %d to %s, %s since %v",
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -7,86 +7,27 @@
 	"time"
 
 	"starlingvalve/internal/invariants"
-	"starlingvalve/internal/lab/faults"
 	"starlingvalve/internal/lab/standin"
 )
 
+var signals = map[string]syscall.Signal{"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "stop": syscall.SIGSTOP,
+	"cont": syscall.SIGCONT, "hup": syscall.SIGHUP}
+
 // do carries out one event of the timeline and says what it touched.
 func (f *fleet) do(e Event) (string, error) {
-	nodes, _ := Select(e.Nodes, len(f.nodes))
-	servers, _ := Select(e.Servers, len(f.servers))
+	servers := f.s.pick(e.Servers, len(f.servers))
 	if e.Zone != "" {
-		servers = nil
-		for j, s := range f.servers {
-			if s.Spec.Zone == e.Zone {
-				servers = append(servers, j)
-			}
-		}
+		servers = f.s.pick("zone:"+e.Zone, len(f.servers))
 	}
 	switch e.Do {
 	case "kill", "term", "stop", "cont", "hup":
-		sig := map[string]syscall.Signal{"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "stop": syscall.SIGSTOP,
-			"cont": syscall.SIGCONT, "hup": syscall.SIGHUP}[e.Do]
-		var names []string
-		for _, i := range nodes {
-			n := f.nodes[i]
-			switch e.Do {
-			case "kill", "term":
-				f.excuse(i, "down "+n.info.Name)
-				f.leaveFront(n)
-			case "stop":
-				f.excuse(i, "stopped "+n.info.Name)
-			}
-			if n.signal(sig) {
-				names = append(names, n.info.Name)
-			}
-			if e.Do == "cont" {
-				f.closeExcuse("stopped "+n.info.Name, f.rec.Since())
-			}
-		}
-		return strings.Join(names, " "), nil
+		return f.signalAll(e), nil
 	case "restart":
-		var names []string
-		for _, i := range nodes {
-			n := f.nodes[i]
-			if !n.wait(0) {
-				continue // still running
-			}
-			names = append(names, n.info.Name)
-			f.wg.Go(func() {
-				f.launch(n)
-				f.closeExcuse("down "+n.info.Name, f.rec.Since())
-			})
-		}
-		return strings.Join(names, " "), nil
+		return f.restartAll(e), nil
 	case "partition", "link":
-		a, b := e.Between[0], e.Between[1]
-		if e.Do == "partition" && a == "" {
-			a, b = "nodes:"+e.Nodes, "servers:"+e.Servers
-			if e.Zone != "" {
-				b = "zone:" + e.Zone
-			}
-		}
-		fault := faults.Fault{Delay: seconds(e.DelayMS / 1000), Jitter: seconds(e.JitterMS / 1000), BytesPerS: e.BytesPerS,
-			Refuse: e.Refuse, Blackhole: e.Blackhole || e.Do == "partition", Duplicate: e.Duplicate,
-			Loss: e.Loss, Reorder: e.Reorder, Truncate: e.Truncate}
-		count := f.net.Each(func(l *faults.Link) bool {
-			hit := f.in(a, l.From) && f.in(b, l.To) || f.in(b, l.From) && f.in(a, l.To)
-			if hit && l.From == "clients" && (fault.Blackhole || fault.Refuse) {
-				f.excuse(f.index(l.To), "cut "+l.To)
-			}
-			// A node that discovery can't reach is not told of changes: it is excused from the grace until told.
-			if hit && l.To == "discovery" && (fault.Blackhole || fault.Refuse) {
-				f.excuse(f.index(l.From), "deaf "+l.From)
-			}
-			return hit
-		}, fault)
-		return fmt.Sprintf("%d links between %s and %s", count, a, b), nil
+		return f.fault(e), nil
 	case "heal":
-		count := f.net.Each(func(*faults.Link) bool { return true }, faults.Fault{})
-		f.closeExcuse("cut ", f.rec.Since())
-		f.closeExcuse("deaf ", f.rec.Since())
-		return fmt.Sprintf("%d links", count), nil
+		return fmt.Sprintf("%d links", f.heal()), nil
 	case "degrade":
 		m, err := standin.ParseMode(e.Mode)
 		if err != nil {
@@ -104,74 +45,134 @@
 					f.opt.Log.Error("app server did not come back", "server", srv.Spec.ID, "err", err)
 					return
 				}
-				f.disc.Set(srv.Spec.ID, "ready", time.Now().UnixMilli())
+				f.list(srv.Spec.ID, "ready", time.Now().UnixMilli())
 			})
 		}
 		return fmt.Sprintf("%d servers, down %v s", len(servers), e.DownS), nil
 	case "list":
-		if e.State != "ready" && e.State != "draining" && e.State != "gone" {
-			return "", fmt.Errorf("state %q is none of ready, draining, gone", e.State)
-		}
+		told := 0
 		for _, j := range servers {
-			id := f.servers[j].Spec.ID
-			f.disc.Set(id, e.State, 0)
-			f.mu.Lock()
-			f.recs.Changes = append(f.recs.Changes, invariants.Change{Server: id, State: e.State, At: f.rec.Since()})
-			f.mu.Unlock()
+			if f.list(f.servers[j].Spec.ID, e.State, 0) {
+				told++
+			}
 		}
-		return fmt.Sprintf("%d servers %s", len(servers), e.State), nil
+		return fmt.Sprintf("%d servers %s, %d committed", len(servers), e.State, told), nil
 	}
 	return "", fmt.Errorf("no action %q", e.Do)
 }
 
-// leaveFront takes a node out of the front once the front notices, as PROTOCOL's front does after some seconds.
-func (f *fleet) leaveFront(n *node) {
-	time.AfterFunc(seconds(f.s.Fleet.NoticeS), func() { n.inFront.Store(false) })
+// list changes a server in discovery, and records it where it was committed.
+func (f *fleet) list(id, state string, startedMS int64) bool {
+	if err := f.disc.Set(id, state, startedMS); err != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recs.Changes = append(f.recs.Changes, invariants.Change{Server: id, State: state, At: f.rec.Since()})
+	return true
 }
 
-func (f *fleet) index(name string) int {
-	for i, n := range f.nodes {
-		if n.info.Name == name {
-			return i
+// signalAll sends an event's signal to the nodes, agents and replicas that it names.
+func (f *fleet) signalAll(e Event) string {
+	var names []string
+	sig := signals[e.Do]
+	for _, i := range f.s.pick(e.Nodes, len(f.nodes)) {
+		n := f.nodes[i]
+		switch e.Do {
+		case "kill":
+			f.excuse(i, "", "down "+n.info.Name)
+			f.leaveFront(n, seconds(f.s.Fleet.NoticeS))
+		case "term":
+			f.drain(n)
+		case "stop":
+			f.excuse(i, "", "stopped "+n.info.Name)
+		}
+		if n.signal(sig) {
+			names = append(names, n.info.Name)
+		}
+		if e.Do == "cont" {
+			f.closeExcuse("stopped "+n.info.Name, f.rec.Since())
 		}
 	}
-	return -1
+	for _, i := range f.s.pick(e.Agents, len(f.agents)) {
+		a := f.agents[i]
+		if e.Do != "cont" && e.Do != "hup" {
+			f.excuse(i, "after-grace", "agent "+a.name)
+		}
+		if a.signal(sig) {
+			names = append(names, a.name)
+		}
+		if e.Do == "cont" {
+			f.closeExcuse("agent "+a.name, f.rec.Since())
+		}
+	}
+	for _, r := range f.replicas(e.Replicas) {
+		if e.Do != "cont" && e.Do != "hup" {
+			f.excuse(-1, "after-grace", "replica "+replicaName(r))
+		}
+		if f.cluster.Signal(r, sig) {
+			names = append(names, replicaName(r))
+		}
+		if e.Do == "cont" {
+			f.closeExcuse("replica "+replicaName(r), f.rec.Since())
+		}
+	}
+	return strings.Join(names, " ")
 }
 
-// in says whether the group name at a link's end (clients, discovery, nK, server:ID) falls under a selector
-// (clients, discovery, nodes:SEL, servers:SEL, zone:NAME).
-func (f *fleet) in(selector, name string) bool {
-	kind, sel, _ := strings.Cut(selector, ":")
-	switch kind {
-	case "clients", "discovery":
-		return name == kind
-	case "nodes":
-		i := f.index(name)
-		picked, _ := Select(sel, len(f.nodes))
-		for _, p := range picked {
-			if p == i {
-				return true
-			}
+// restartAll starts those of an event's nodes, agents and replicas that have ended.
+func (f *fleet) restartAll(e Event) string {
+	var names []string
+	for _, i := range f.s.pick(e.Nodes, len(f.nodes)) {
+		n := f.nodes[i]
+		if !n.wait(0) {
+			continue // still running
 		}
-	case "servers", "zone":
-		id, ok := strings.CutPrefix(name, "server:")
-		if !ok {
-			return false
+		names = append(names, n.info.Name)
+		f.wg.Go(func() {
+			f.launch(n)
+			f.closeExcuse("down "+n.info.Name, f.rec.Since())
+		})
+	}
+	for _, i := range f.s.pick(e.Agents, len(f.agents)) {
+		a := f.agents[i]
+		if err := a.begin(f.opt.Dir, &f.cpuListd, &f.wg); err != nil {
+			f.opt.Log.Warn("agent not started", "agent", a.name, "err", err)
+			continue
 		}
-		picked, _ := Select(sel, len(f.servers))
-		for j, s := range f.servers {
-			if s.Spec.ID != id {
-				continue
-			}
-			if kind == "zone" {
-				return s.Spec.Zone == sel
-			}
-			for _, p := range picked {
-				if p == j {
-					return true
-				}
-			}
+		names = append(names, a.name)
+		f.closeExcuse("agent "+a.name, f.rec.Since())
+	}
+	for _, r := range f.replicas(e.Replicas) {
+		if f.cluster.Pid(r) != 0 {
+			continue
+		}
+		if err := f.cluster.Restart(r); err != nil {
+			f.opt.Log.Error("replica did not start", "replica", replicaName(r), "err", err)
+			continue
 		}
+		writePid(f.opt.Dir, f.cluster.Pid(r))
+		names = append(names, replicaName(r))
+		f.closeExcuse("replica "+replicaName(r), f.rec.Since())
 	}
-	return false
+	return strings.Join(names, " ")
+}
+
+// heal takes every link's fault away.
+func (f *fleet) heal() int {
+	count := f.net.Heal()
+	f.closeExcuse("cut ", f.rec.Since())
+	f.closeExcuse("deaf ", f.rec.Since())
+	return count
+}
+
+// leaveFront takes a node out of the front once the front notices, as PROTOCOL's front does after some seconds,
+// unless it has a new life by then.
+func (f *fleet) leaveFront(n *node, after time.Duration) {
+	life := n.ended()
+	time.AfterFunc(after, func() {
+		if n.ended() == life {
+			n.inFront.Store(false)
+		}
+	})
 }
--- a/internal/lab/faults/link.go
+++ b/internal/lab/faults/link.go
@@ -310,6 +310,9 @@
 	return count
 }
 
+// Heal takes every link's fault away, and says how many links there are.
+func (n *Net) Heal() int { return n.Each(func(*Link) bool { return true }, Fault{}) }
+
 // Close ends every link and door.
 func (n *Net) Close() {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/lab/links_test.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"strings"
+	"testing"
+
+	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/standin"
+)
+
+// four nodes, three servers and three replicas over two zones, with a link of each kind.
+func labelled(t *testing.T) *fleet {
+	t.Helper()
+	s, err := ParseScenario("x", []byte("[fleet]\nnodes = 4\nservers = 3\nzones = [\"a\", \"b\"]\ndiscovery = \"listd\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{s: s}
+	for i, name := range []string{"n0", "n1", "n2", "n3"} {
+		f.nodes = append(f.nodes, &node{i: i, info: &NodeInfo{Name: name, Zone: s.zone(i)}})
+	}
+	for j := range 3 {
+		f.servers = append(f.servers, &standin.AppServer{Spec: standin.ServerSpec{ID: serverID(j), Zone: s.zone(j)}})
+	}
+	for _, l := range []*faults.Link{{From: "clients", To: "n1"}, {From: "n1", To: "server:" + serverID(0)}, {From: "n2", To: agentName(2)},
+		{From: agentName(2), To: "r1"}, {From: "r0", To: "r1"}, {From: "r1", To: "r2"}, {From: agentName(0), To: agentName(1)}} {
+		f.net.Add(l)
+	}
+	return f
+}
+
+// Which links each pair of selectors names, by the ends it hits.
+func TestSelectorsNameEveryLink(t *testing.T) {
+	f := labelled(t)
+	s0 := "server:" + serverID(0)
+	for _, c := range []struct{ a, b, want string }{
+		{"clients", "nodes:all", "clients-n1"},
+		{"clients", "nodes:zone:a", ""},
+		{"zone:b", "clients", "clients-n1"},
+		{"nodes:1-2", "servers:all", "n1-" + s0},
+		{"zone:b", "zone:a", "n1-" + s0 + " agent:n2-r1 r0-r1 r1-r2 agent:n0-agent:n1"},
+		{"zone:a", "not-zone:a", "n1-" + s0 + " agent:n2-r1 r0-r1 r1-r2 agent:n0-agent:n1"},
+		{"nodes:2", "discovery", "n2-agent:n2"},
+		{"nodes:2", "agents:2", "n2-agent:n2"},
+		{"agents:zone:a", "replicas:all", "agent:n2-r1"},
+		{"replicas:0", "replicas:1-2", "r0-r1"},
+		{"agents:all", "agents:all", "agent:n0-agent:n1"},
+		{"nodes:3", "servers:all", ""},
+	} {
+		var hit []string
+		f.net.Each(func(l *faults.Link) bool {
+			if f.in(c.a, l.From) && f.in(c.b, l.To) || f.in(c.b, l.From) && f.in(c.a, l.To) {
+				hit = append(hit, l.From+"-"+l.To)
+			}
+			return false
+		}, faults.Fault{})
+		if got := strings.Join(hit, " "); got != c.want {
+			t.Errorf("%s, %s: %q, want %q", c.a, c.b, got, c.want)
+		}
+	}
+}
+
+func TestEventsAreCheckedWhenRead(t *testing.T) {
+	for text, want := range map[string]string{
+		`do = "kill"` + "\nnodes = \"zone:c\"":                    `zone "c" is none of the fleet's`,
+		`do = "kill"` + "\nagents = \"0\"":                        `selector "0" is not one of 0--1`,
+		`do = "kill"` + "\nreplicas = \"leader\"":                 `selector "leader"`,
+		`do = "link"` + "\nbetween = [\"clients\", \"moon:all\"]": `"moon:all" is none of`,
+		`do = "list"` + "\nservers = \"0\"\nstate = \"up\"":       `state "up"`,
+		`do = "link"` + "\nloss = 1.5":                            "loss and reorder are shares",
+	} {
+		if _, err := ParseScenario("x", []byte("[[events]]\nat_s = 1\n"+text+"\n")); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
--- a/internal/lab/listdlab/listdlab.go
+++ b/internal/lab/listdlab/listdlab.go
@@ -31,13 +31,20 @@
 	Links map[[2]int]*faults.Link // raft traffic from replica i to replica j
 	peers []string
 	extra []string // more arguments of listd serve
-	procs []*exec.Cmd
-	logs  []*os.File
+	mu    sync.Mutex
+	procs []*life
+	cpu   time.Duration // of lives that have ended
+}
+
+// life is one run of a replica's process.
+type life struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // Start runs n replicas of bin with their data under dir, on addresses 127.3.NET.i, each with extra arguments.
 func Start(bin, dir string, n int, net int, extra ...string) (*Cluster, error) {
-	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*exec.Cmd, n), logs: make([]*os.File, n), extra: extra}
+	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*life, n), extra: extra}
 	for i := range n {
 		ip := fmt.Sprintf("127.3.%d.%d", net%250+1, i+1)
 		c.HTTP = append(c.HTTP, ip+":8000")
@@ -69,6 +76,9 @@
 
 // Restart starts replica i on its store; it must not be running.
 func (c *Cluster) Restart(i int) error {
+	if c.running(i) != nil {
+		return fmt.Errorf("replica %d is still running", i)
+	}
 	args := append([]string{"serve", "--id", fmt.Sprint("r", i), "--dir", c.Dirs[i]}, c.extra...)
 	for _, p := range c.peers {
 		args = append(args, "--peer", p)
@@ -88,32 +98,65 @@
 	cmd := exec.Command(c.Bin, args...)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	defer logFile.Close() // the process has its own
 	if err := cmd.Start(); err != nil {
-		logFile.Close()
 		return err
 	}
-	c.procs[i], c.logs[i] = cmd, logFile
+	p := &life{cmd, make(chan struct{})}
+	c.mu.Lock()
+	c.procs[i] = p
+	c.mu.Unlock()
+	go func() {
+		cmd.Wait()
+		c.mu.Lock()
+		c.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		c.mu.Unlock()
+		close(p.exited)
+	}()
 	return nil
 }
 
+// running is replica i's present life, or nil.
+func (c *Cluster) running(i int) *life {
+	c.mu.Lock()
+	p := c.procs[i]
+	c.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case <-p.exited:
+		return nil
+	default:
+		return p
+	}
+}
+
 // Kill ends replica i with SIGKILL.
 func (c *Cluster) Kill(i int) {
-	if p := c.procs[i]; p != nil {
-		p.Process.Kill()
-		p.Wait()
-		c.logs[i].Close()
-		c.procs[i] = nil
+	if p := c.running(i); p != nil {
+		p.cmd.Process.Kill()
+		<-p.exited
 	}
 }
 
+// Signal sends sig to replica i; false where it is not running.
+func (c *Cluster) Signal(i int, sig os.Signal) bool {
+	p := c.running(i)
+	return p != nil && p.cmd.Process.Signal(sig) == nil
+}
+
 // Pid is replica i's process id, or 0.
 func (c *Cluster) Pid(i int) int {
-	if p := c.procs[i]; p != nil {
-		return p.Process.Pid
+	if p := c.running(i); p != nil {
+		return p.cmd.Process.Pid
 	}
 	return 0
 }
 
+// CPU is what every ended life of a replica took, user and system.
+func (c *Cluster) CPU() time.Duration { c.mu.Lock(); defer c.mu.Unlock(); return c.cpu }
+
 // Close ends every replica and relay.
 func (c *Cluster) Close() {
 	for i := range c.procs {
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,87 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+)
+
+// node is one node process.
+type node struct {
+	process
+	i         int
+	info      *NodeInfo
+	cfg       string
+	inFront   atomic.Bool
+	frontAddr string
+}
+
+// nodeIP is the source address of node i's links, so that an app server can tell which node calls.
+func nodeIP(i int) string { return fmt.Sprintf("127.1.%d.%d", i/250, i%250+1) }
+
+func nodeOf(remote string) int {
+	host, _, _ := net.SplitHostPort(remote)
+	var a, b, c, d int
+	if n, _ := fmt.Sscanf(host, "%d.%d.%d.%d", &a, &b, &c, &d); n != 4 || a != 127 || b != 1 {
+		return -1
+	}
+	return c*250 + d - 1
+}
+
+// configure writes the node's configuration: its list comes from discovery, its fleet intent, where the run has a
+// control plane, from its agent; both are relays.
+func (f *fleet) configure(n *node, discovery string) error {
+	settings := f.template()
+	settings["balancers"], settings["slot_no"], settings["zone"] = f.s.Fleet.Nodes, n.i, n.info.Zone
+	settings["failure_domains"] = f.s.Fleet.Zones
+	config := map[string]any{"name": n.info.Name, "listen": n.info.Listen, "discovery": discovery,
+		"seed": fmt.Sprintf("%x", f.s.Seed*7919+uint64(n.i)+1), "limits": map[string]any{"sockets": 4096, "memory_mb": 192},
+		"settings": settings}
+	raw, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	dir := filepath.Join(f.opt.Dir, "nodes", n.info.Name)
+	n.cfg, n.bin, n.name = filepath.Join(dir, "config.json"), f.s.Fleet.NodeBinary, n.info.Name
+	n.env = append(os.Environ(), "GW_CONFIG="+n.cfg, "TMPDIR="+dir)
+	if err := n.openLog(filepath.Join(dir, "node.log")); err != nil {
+		return err
+	}
+	return os.WriteFile(n.cfg, raw, 0o644)
+}
+
+// launch starts a life of the node and waits until it is ready, or its time for that is over.
+func (f *fleet) launch(n *node) {
+	if err := n.begin(f.opt.Dir, &f.cpu, &f.wg); err != nil {
+		f.opt.Log.Error("node did not start", "node", n.info.Name, "err", err)
+		n.info.NeverUp++
+		return
+	}
+	exited := n.ended()
+	client := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(seconds(f.s.Fleet.ReadyS)); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-exited:
+			f.opt.Log.Error("node ended before it was ready", "node", n.info.Name)
+			n.info.NeverUp++
+			return
+		default:
+		}
+		resp, err := client.Get("http://" + n.info.Listen + "/health/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				n.info.ReadyAt = append(n.info.ReadyAt, f.rec.Since())
+				n.inFront.Store(true)
+				return
+			}
+		}
+	}
+	f.opt.Log.Error("node never came up", "node", n.info.Name, "ready_s", f.s.Fleet.ReadyS)
+	n.info.NeverUp++
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -1,10 +1,8 @@
 package lab
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,103 +12,55 @@
 	"time"
 )
 
-type node struct {
-	i         int
-	info      *NodeInfo
-	cfg       string
-	env       []string
-	log       *os.File
-	mu        sync.Mutex
-	cmd       *exec.Cmd
-	exited    chan struct{}
-	inFront   atomic.Bool
-	frontAddr string
+// process is one program of the run, which may have several lives: a node, or a node's agent.
+type process struct {
+	name   string
+	bin    string
+	args   []string
+	env    []string
+	log    *os.File
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	pids   []int
 }
 
-// nodeIP is the source address of node i's links, so that an app server can tell which node calls.
-func nodeIP(i int) string { return fmt.Sprintf("127.1.%d.%d", i/250, i%250+1) }
-
-func nodeOf(remote string) int {
-	host, _, _ := net.SplitHostPort(remote)
-	var a, b, c, d int
-	if n, _ := fmt.Sscanf(host, "%d.%d.%d.%d", &a, &b, &c, &d); n != 4 || a != 127 || b != 1 {
-		return -1
-	}
-	return c*250 + d - 1
-}
-
-// nodeListen is node i's address for clients: an address of its own in 127.0.0.0/8, so that no port picked for
-// anything else can take it between the node's lives.
-func nodeListen(i int) string { return fmt.Sprintf("127.2.%d.%d:8080", i/250, i%250+1) }
-
-func (f *fleet) configure(n *node, discovery string) error {
-	settings := f.template()
-	settings["balancers"], settings["slot_no"], settings["zone"] = f.s.Fleet.Nodes, n.i, n.info.Zone
-	settings["failure_domains"] = f.s.Fleet.Zones
-	config := map[string]any{"name": n.info.Name, "listen": n.info.Listen, "discovery": discovery,
-		"seed": fmt.Sprintf("%x", f.s.Seed*7919+uint64(n.i)+1), "limits": map[string]any{"sockets": 4096, "memory_mb": 192},
-		"settings": settings}
-	raw, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
-	dir := filepath.Join(f.opt.Dir, "nodes", n.info.Name)
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	n.cfg = filepath.Join(dir, "config.json")
-	n.env = append(os.Environ(), "GW_CONFIG="+n.cfg, "TMPDIR="+dir)
-	if n.log, err = os.OpenFile(filepath.Join(dir, "node.log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644); err != nil {
+// openLog gives the process a log that all its lives append to.
+func (p *process) openLog(path string) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
-	return os.WriteFile(n.cfg, raw, 0o644)
+	fh, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	p.log = fh
+	return err
 }
 
-// launch starts a life of the node and waits until it is ready, or its time for that is over.
-func (f *fleet) launch(n *node) {
-	cmd := exec.Command(f.s.Fleet.NodeBinary)
-	cmd.Env, cmd.Stdout, cmd.Stderr = n.env, n.log, n.log
+// begin starts a life; its CPU is added to cpu once it has ended. dir holds the run's list of pids.
+func (p *process) begin(dir string, cpu *atomic.Int64, wg *sync.WaitGroup) error {
+	if !p.wait(0) {
+		return errors.New(p.name + " is still running")
+	}
+	cmd := exec.Command(p.bin, p.args...)
+	cmd.Env, cmd.Stdout, cmd.Stderr = p.env, p.log, p.log
 	// Children die with the lab, however it ends; each is ended by its own pid otherwise.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
-		f.opt.Log.Error("node did not start", "node", n.info.Name, "err", err)
-		n.info.NeverUp++
-		return
+		return err
 	}
 	exited := make(chan struct{})
-	n.mu.Lock()
-	n.cmd, n.exited = cmd, exited
-	n.info.Pids = append(n.info.Pids, cmd.Process.Pid)
-	n.mu.Unlock()
-	writePid(f.opt.Dir, cmd.Process.Pid)
-	f.wg.Go(func() {
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.pids = append(p.pids, cmd.Process.Pid)
+	p.mu.Unlock()
+	writePid(dir, cmd.Process.Pid)
+	wg.Go(func() {
 		cmd.Wait()
 		if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-			f.cpu.Add(int64(cpuSeconds(*u) * 1e9))
+			cpu.Add(int64(cpuSeconds(*u) * 1e9))
 		}
 		close(exited)
 	})
-	client := http.Client{Timeout: time.Second}
-	for end := time.Now().Add(seconds(f.s.Fleet.ReadyS)); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		select {
-		case <-exited:
-			f.opt.Log.Error("node ended before it was ready", "node", n.info.Name)
-			n.info.NeverUp++
-			return
-		default:
-		}
-		resp, err := client.Get("http://" + n.info.Listen + "/health/ready")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				n.info.ReadyAt = append(n.info.ReadyAt, f.rec.Since())
-				n.inFront.Store(true)
-				return
-			}
-		}
-	}
-	f.opt.Log.Error("node never came up", "node", n.info.Name, "ready_s", f.s.Fleet.ReadyS)
-	n.info.NeverUp++
+	return nil
 }
 
 func writePid(dir string, pid int) {
@@ -121,25 +71,22 @@
 	}
 }
 
-// signal sends sig to node n's present life; false where it has none running.
-func (n *node) signal(sig syscall.Signal) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil || n.cmd.ProcessState != nil {
-		return false
-	}
-	select {
-	case <-n.exited:
+// signal sends sig to the present life; false where none is running.
+func (p *process) signal(sig syscall.Signal) bool {
+	if p.wait(0) {
 		return false
-	default:
 	}
-	return n.cmd.Process.Signal(sig) == nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Signal(sig) == nil
 }
 
-func (n *node) wait(d time.Duration) bool {
-	n.mu.Lock()
-	exited := n.exited
-	n.mu.Unlock()
+// ended is closed once the present life is over; nil where there was none.
+func (p *process) ended() chan struct{} { p.mu.Lock(); defer p.mu.Unlock(); return p.exited }
+
+// wait waits up to d for the present life to end, and says whether none is running.
+func (p *process) wait(d time.Duration) bool {
+	exited := p.ended()
 	if exited == nil {
 		return true
 	}
@@ -155,3 +102,18 @@
 		return false
 	}
 }
+
+// stopAll terms every process (one stopped is continued first) and kills what has not ended in limit.
+func stopAll(ps []*process, limit time.Duration) {
+	for _, p := range ps {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGTERM)
+	}
+	end := time.Now().Add(limit)
+	for _, p := range ps {
+		if !p.wait(max(time.Until(end), 0)) {
+			p.signal(syscall.SIGKILL)
+			p.wait(5 * time.Second)
+		}
+	}
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -44,7 +44,7 @@
 	Evidence  map[string][]string `json:"evidence"` // by request id, the log lines that name it
 	NeverUp   []string            `json:"never_up"`
 	CPU       lab.CPU             `json:"cpu"`
-	LabShare  float64             `json:"lab_cpu_share"` // of the lab's and the nodes' CPU together
+	LabShare  float64             `json:"lab_cpu_share"` // of all CPU: the lab's, the nodes', the agents' and the replicas'
 	Skipped   int                 `json:"skipped"`
 	NoFile    [2]uint64           `json:"nofile"`
 	Links     int                 `json:"links"`
@@ -58,7 +58,7 @@
 	if out.Breaches == nil {
 		out.Breaches = []invariants.Breach{}
 	}
-	if total := r.CPU.LabS + r.CPU.NodesS; total > 0 {
+	if total := r.CPU.LabS + r.CPU.NodesS + r.CPU.AgentsS + r.CPU.ReplicasS; total > 0 {
 		out.LabShare = r.CPU.LabS / total
 	}
 	cuts := []float64{0}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -13,6 +13,7 @@
 
 	"starlingvalve/internal/invariants"
 	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/listdlab"
 	"starlingvalve/internal/lab/load"
 	"starlingvalve/internal/lab/standin"
 )
@@ -58,10 +59,12 @@
 	Served int64  `json:"served"`
 }
 
-// CPU is seconds of CPU, the lab's own and that of every node process it ended.
+// CPU is seconds of CPU, the lab's own and that of every process it ended.
 type CPU struct {
-	LabS   float64 `json:"lab_s"`
-	NodesS float64 `json:"nodes_s"`
+	LabS      float64 `json:"lab_s"`
+	NodesS    float64 `json:"nodes_s"`
+	AgentsS   float64 `json:"agents_s"`
+	ReplicasS float64 `json:"replicas_s"`
 }
 
 // Options are how a run is placed.
@@ -71,18 +74,22 @@
 }
 
 type fleet struct {
-	s       *Scenario
-	opt     Options
-	rec     *standin.Recorder
-	net     faults.Net
-	disc    lister
-	servers []*standin.AppServer
-	nodes   []*node
-	mu      sync.Mutex
-	recs    Records
-	open    map[string]time.Duration // excuses not yet closed, by what opened them
-	cpu     atomic.Int64             // node CPU in ns, of processes waited for
-	wg      sync.WaitGroup
+	s        *Scenario
+	opt      Options
+	rec      *standin.Recorder
+	place    *place
+	net      faults.Net
+	disc     lister
+	cluster  *listdlab.Cluster // where the run is on listd
+	servers  []*standin.AppServer
+	nodes    []*node
+	agents   []*process
+	mu       sync.Mutex
+	recs     Records
+	open     map[string]time.Duration // excuses not yet closed, by what opened them
+	cpu      atomic.Int64             // node CPU in ns, of processes waited for
+	cpuListd atomic.Int64             // the same of agents
+	wg       sync.WaitGroup
 }
 
 // Run carries out a scenario and gives its records, checked. The fleet is ended by the time it returns, and
@@ -97,6 +104,10 @@
 	f := &fleet{s: s, opt: opt, rec: standin.NewRecorder(), open: map[string]time.Duration{}}
 	f.recs.Scenario = s
 	f.recs.NoFile = raiseNoFile()
+	var err error
+	if f.place, err = takePlace(); err != nil {
+		return nil, err
+	}
 	defer f.end()
 	if err := f.start(); err != nil {
 		return nil, err
@@ -135,6 +146,7 @@
 	r := &f.recs
 	r.Sent, r.Skipped, r.Attempts = result.Sent, result.Skipped, f.rec.Attempts()
 	for _, n := range f.nodes {
+		n.info.Pids = n.pids
 		r.Nodes = append(r.Nodes, *n.info)
 	}
 	for _, srv := range f.servers {
@@ -142,7 +154,10 @@
 	}
 	var self syscall.Rusage
 	syscall.Getrusage(syscall.RUSAGE_SELF, &self)
-	r.CPU = CPU{LabS: cpuSeconds(self), NodesS: float64(f.cpu.Load()) / 1e9}
+	r.CPU = CPU{LabS: cpuSeconds(self), NodesS: float64(f.cpu.Load()) / 1e9, AgentsS: float64(f.cpuListd.Load()) / 1e9}
+	if f.cluster != nil {
+		r.CPU.ReplicasS = f.cluster.CPU().Seconds()
+	}
 	fragile := map[string]bool{}
 	for _, c := range f.classes() {
 		fragile[c.name] = c.fragile
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"fmt"
 	"sort"
-	"strconv"
-	"strings"
 
 	"github.com/BurntSushi/toml"
 )
@@ -58,7 +56,7 @@
 
 // Event is one step of the timeline. Which fields count depends on Do:
 //
-//	kill, term, hup, restart, stop, cont   nodes
+//	kill, term, hup, restart, stop, cont   nodes, agents, replicas
 //	partition                              between (two selectors), or nodes with servers/zone
 //	heal                                   (all links)
 //	link                                   between, delay_ms, jitter_ms, bytes_per_s, refuse, blackhole, duplicate,
@@ -69,10 +67,12 @@
 type Event struct {
 	AtS       float64   `toml:"at_s"`
 	Do        string    `toml:"do"`
-	Nodes     string    `toml:"nodes"`   // "0.7" a share from the first, "3" one, "0-4" a range, "all"
-	Servers   string    `toml:"servers"` // the same, over servers
+	Nodes     string    `toml:"nodes"`    // "0.7" a share from the first, "3" one, "0-4" a range, "all", "zone:NAME"
+	Servers   string    `toml:"servers"`  // the same, over servers
+	Agents    string    `toml:"agents"`   // the same, over the nodes' agents (discovery "listd")
+	Replicas  string    `toml:"replicas"` // the same, over listd's replicas; or "leader"
 	Zone      string    `toml:"zone"`
-	Between   [2]string `toml:"between"` // "clients", "discovery", "nodes:SEL", "servers:SEL", "zone:NAME"
+	Between   [2]string `toml:"between"` // docs/lab.md, "between"
 	Mode      string    `toml:"mode"`
 	State     string    `toml:"state"`
 	DownS     float64   `toml:"down_s"`
@@ -134,54 +134,9 @@
 		if e.AtS < 0 || e.AtS > s.DurationS {
 			return nil, fmt.Errorf("scenario %s: events[%d]: at_s %v is outside the run", name, i, e.AtS)
 		}
-		if e.Loss < 0 || e.Loss > 1 || e.Reorder < 0 || e.Reorder > 1 || e.Truncate < 0 {
-			return nil, fmt.Errorf("scenario %s: events[%d]: loss and reorder are shares within 0 and 1, truncate is not below 0", name, i)
-		}
-		for _, sel := range []struct {
-			text string
-			n    int
-		}{{e.Nodes, s.Fleet.Nodes}, {e.Servers, s.Fleet.Servers}} {
-			if _, err := Select(sel.text, sel.n); err != nil {
-				return nil, fmt.Errorf("scenario %s: events[%d]: %w", name, i, err)
-			}
+		if err := s.checkEvent(e); err != nil {
+			return nil, fmt.Errorf("scenario %s: events[%d]: %w", name, i, err)
 		}
 	}
 	return &s, nil
 }
-
-// Select reads a selector over n things: "" none, "all", "3" one, "2-5" a range, "0.7" a share from the first.
-func Select(text string, n int) ([]int, error) {
-	var out []int
-	switch {
-	case text == "":
-	case text == "all":
-		for i := range n {
-			out = append(out, i)
-		}
-	case strings.Contains(text, "-"):
-		a, b, _ := strings.Cut(text, "-")
-		lo, err1 := strconv.Atoi(a)
-		hi, err2 := strconv.Atoi(b)
-		if err1 != nil || err2 != nil || lo > hi || lo < 0 || hi >= n {
-			return nil, fmt.Errorf("selector %q is not a range within 0-%d", text, n-1)
-		}
-		for i := lo; i <= hi; i++ {
-			out = append(out, i)
-		}
-	case strings.Contains(text, "."):
-		f, err := strconv.ParseFloat(text, 64)
-		if err != nil || f <= 0 || f > 1 {
-			return nil, fmt.Errorf("selector %q is not a share within 0 and 1", text)
-		}
-		for i := range int(f*float64(n) + 0.5) {
-			out = append(out, i)
-		}
-	default:
-		i, err := strconv.Atoi(text)
-		if err != nil || i < 0 || i >= n {
-			return nil, fmt.Errorf("selector %q is not one of 0-%d", text, n-1)
-		}
-		out = []int{i}
-	}
-	return out, nil
-}
--- a/internal/lab/scenario_test.go
+++ b/internal/lab/scenario_test.go
@@ -27,7 +27,6 @@
 		"[load]\nrat = 3\n":                                  `unknown key "load.rat"`,
 		"[[events]]\nat_s = 1\ndo = \"explode\"\n":           `do "explode" is not an action`,
 		"[[events]]\nat_s = 1\ndo = \"kill\"\nnodes = \"9\"": `selector "9" is not one of 0-3`,
-		"[[events]]\nat_s = 1\ndo = \"link\"\nloss = 1.5":   "loss and reorder are shares",
 		"[fleet]\nnodes = 0\n":                               "fleet.nodes 0",
 	} {
 		if _, err := ParseScenario("x", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
--- /dev/null
+++ b/internal/lab/selectors.go
@@ -0,0 +1,134 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// zone is the zone of the i-th node, agent, replica or server: they are spread over the zones in turn.
+func (s *Scenario) zone(i int) string { return s.Fleet.Zones[i%len(s.Fleet.Zones)] }
+
+// checkEvent says what is wrong with an event's selectors, shares or states.
+func (s *Scenario) checkEvent(e Event) error {
+	listd := s.Fleet.Discovery == "listd"
+	agents, replicas := 0, 0
+	if listd {
+		agents, replicas = s.Fleet.Nodes, s.Fleet.Replicas
+	}
+	for _, sel := range []struct {
+		text string
+		n    int
+	}{{e.Nodes, s.Fleet.Nodes}, {e.Servers, s.Fleet.Servers}, {e.Agents, agents}} {
+		if _, err := s.selected(sel.text, sel.n); err != nil {
+			return err
+		}
+	}
+	if e.Replicas != "" && (e.Replicas != "leader" || !listd) {
+		if _, err := s.selected(e.Replicas, replicas); err != nil {
+			return err
+		}
+	}
+	if e.Zone != "" && !slices.Contains(s.Fleet.Zones, e.Zone) {
+		return fmt.Errorf("zone %q is none of the fleet's", e.Zone)
+	}
+	if e.Do == "list" && e.State != "ready" && e.State != "draining" && e.State != "gone" {
+		return fmt.Errorf("state %q is none of ready, draining, gone", e.State)
+	}
+	if e.Loss < 0 || e.Loss > 1 || e.Reorder < 0 || e.Reorder > 1 || e.Truncate < 0 {
+		return errors.New("loss and reorder are shares within 0 and 1, truncate is not below 0")
+	}
+	if e.Between == [2]string{} {
+		return nil
+	}
+	for _, end := range e.Between {
+		kind, sel, _ := strings.Cut(end, ":")
+		var err error
+		switch kind {
+		case "clients", "discovery":
+		case "nodes":
+			_, err = s.selected(sel, s.Fleet.Nodes)
+		case "servers":
+			_, err = s.selected(sel, s.Fleet.Servers)
+		case "agents":
+			_, err = s.selected(sel, agents)
+		case "replicas":
+			if sel != "leader" {
+				_, err = s.selected(sel, replicas)
+			}
+		case "zone", "not-zone":
+			if !slices.Contains(s.Fleet.Zones, sel) {
+				err = fmt.Errorf("zone %q is none of the fleet's", sel)
+			}
+		default:
+			err = fmt.Errorf("between: %q is none of clients, discovery, nodes:, servers:, agents:, replicas:, zone:, not-zone:", end)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pick is selected for a selector known to be good.
+func (s *Scenario) pick(text string, n int) []int {
+	out, _ := s.selected(text, n)
+	return out
+}
+
+// selected reads a selector over n things spread over the zones in turn: as Select, and "zone:NAME".
+func (s *Scenario) selected(text string, n int) ([]int, error) {
+	zone, ok := strings.CutPrefix(text, "zone:")
+	if !ok {
+		return Select(text, n)
+	}
+	if !slices.Contains(s.Fleet.Zones, zone) {
+		return nil, fmt.Errorf("zone %q is none of the fleet's", zone)
+	}
+	var out []int
+	for i := range n {
+		if s.zone(i) == zone {
+			out = append(out, i)
+		}
+	}
+	return out, nil
+}
+
+// Select reads a selector over n things: "" none, "all", "3" one, "2-5" a range, "0.7" a share from the first.
+func Select(text string, n int) ([]int, error) {
+	var out []int
+	switch {
+	case text == "":
+	case text == "all":
+		for i := range n {
+			out = append(out, i)
+		}
+	case strings.Contains(text, "-"):
+		a, b, _ := strings.Cut(text, "-")
+		lo, err1 := strconv.Atoi(a)
+		hi, err2 := strconv.Atoi(b)
+		if err1 != nil || err2 != nil || lo > hi || lo < 0 || hi >= n {
+			return nil, fmt.Errorf("selector %q is not a range within 0-%d", text, n-1)
+		}
+		for i := lo; i <= hi; i++ {
+			out = append(out, i)
+		}
+	case strings.Contains(text, "."):
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || f <= 0 || f > 1 {
+			return nil, fmt.Errorf("selector %q is not a share within 0 and 1", text)
+		}
+		for i := range int(f*float64(n) + 0.5) {
+			out = append(out, i)
+		}
+	default:
+		i, err := strconv.Atoi(text)
+		if err != nil || i < 0 || i >= n {
+			return nil, fmt.Errorf("selector %q is not one of 0-%d", text, n-1)
+		}
+		out = []int{i}
+	}
+	return out, nil
+}
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -22,6 +22,10 @@
 	return [2]uint64{l.Cur, l.Max}
 }
 
+// The names of the groups at links' ends: "clients", "discovery" (the stand-in), "n3", "server:ID", "agent:n3", "r0".
+func agentName(i int) string   { return fmt.Sprintf("agent:n%d", i) }
+func replicaName(i int) string { return fmt.Sprintf("r%d", i) }
+
 func (f *fleet) link(from, to, target, source string, seed uint64) (*faults.Link, error) {
 	l, err := faults.Open(from, to, "127.0.0.1:0", target, source, seed)
 	if err != nil {
@@ -48,11 +52,11 @@
 		entries = append(entries, standin.Entry{ID: spec.ID, Addr: srv.Addr, Zone: zone, Kind: "std-2c", State: "ready", Weight: 1})
 	}
 	if s.Fleet.Discovery == "listd" {
-		l, err := startListd(s.Fleet.ListdBin, f.opt.Dir, s.Fleet.Replicas, entries, f.opt.Log.Warn)
+		l, err := f.startListd(entries)
 		if err != nil {
 			return err
 		}
-		f.disc = l
+		f.disc, f.cluster = l, l.cluster
 	} else {
 		f.disc = standinList{standin.NewDiscovery(entries)}
 	}
@@ -66,15 +70,19 @@
 			}
 			addrs[srv.Spec.ID] = l.Addr
 		}
-		view, err := f.disc.View(n.info.Name, func(id string) string { return addrs[id] })
+		view, err := f.disc.View(n, func(id string) string { return addrs[id] })
 		if err != nil {
 			return err
 		}
-		dl, err := f.link(n.info.Name, "discovery", view, nodeIP(i), s.Seed+uint64(i))
+		to := "discovery"
+		if f.cluster != nil {
+			to = agentName(i)
+		}
+		dl, err := f.link(n.info.Name, to, view, nodeIP(i), s.Seed+uint64(i))
 		if err != nil {
 			return err
 		}
-		n.info.Listen = nodeListen(i)
+		n.info.Listen = f.place.node(i)
 		cl, err := f.link("clients", n.info.Name, n.info.Listen, "", s.Seed+uint64(i)+7)
 		if err != nil {
 			return err
@@ -93,19 +101,16 @@
 	return nil
 }
 
-// end terms every node, kills what has not ended in 10 s, and closes links and stand-ins. It may run twice.
+// end terms every node and agent, kills what has not ended in 10 s, and closes links, stand-ins and replicas. It may
+// run twice.
 func (f *fleet) end() {
+	var nodes []*process
 	for _, n := range f.nodes {
 		n.inFront.Store(false)
-		n.signal(syscall.SIGCONT)
-		n.signal(syscall.SIGTERM)
-	}
-	for _, n := range f.nodes {
-		if !n.wait(10 * time.Second) {
-			n.signal(syscall.SIGKILL)
-			n.wait(5 * time.Second)
-		}
+		nodes = append(nodes, &n.process)
 	}
+	stopAll(nodes, 10*time.Second)
+	stopAll(f.agents, 10*time.Second)
 	f.wg.Wait()
 	f.net.Close()
 	if f.disc != nil {
@@ -114,9 +119,13 @@
 	for _, s := range f.servers {
 		s.Stop()
 	}
-	for _, n := range f.nodes {
-		if n.log != nil {
-			n.log.Sync()
+	for _, p := range append(nodes, f.agents...) {
+		if p.log != nil {
+			p.log.Close()
+			p.log = nil
 		}
 	}
+	if f.place != nil {
+		f.place.close()
+	}
 }
