Let the lab's app servers fall by the cold rule, and judge the falls; regions

A cold stand-in was only slow: nothing showed a fleet that pushes a returning server over. It now rises from cold_from to whole in cold_s and falls at one request over N + 3*sqrt(N) + 3 in the settings' time; each fall is recorded with its requests, and is a breach where over two thirds came from nodes told of the start. Zones can be grouped in regions, which selectors name.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -158,7 +158,7 @@
 	if len(rep.NeverUp) > 0 {
 		fmt.Fprintf(w, "never came up: %s\n", strings.Join(rep.NeverUp, " "))
 	}
-	fmt.Fprintf(w, "breaches: %d\n", len(rep.Breaches))
+	fmt.Fprintf(w, "cold falls: %d; breaches: %d\n", rep.ColdFalls, len(rep.Breaches))
 	for i, b := range rep.Breaches {
 		if i == 20 {
 			fmt.Fprintf(w, "  ... %d more in report.json\n", len(rep.Breaches)-20)
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -3,8 +3,8 @@
 // go in, the breaches come out, each with the request id that shows it.
 //
 // The rules are the bench's (DESIGN, "Hard rules"): one final answer per request taken; a fragile class never runs
-// twice; one attempt out at a time per request; nothing new to a draining or gone server after the grace; nothing
-// reaches an app server that no client sent.
+// twice; one attempt out at a time per request; nothing new to a draining or gone server after the grace; no cold
+// app server pushed over by nodes told of its start; nothing reaches an app server that no client sent.
 package invariants
 
 import (
@@ -43,6 +43,20 @@
 	At     time.Duration
 }
 
+// Fall is a cold app server pushed over: from Start it was cold, at At it got one request too many.
+type Fall struct {
+	Server    string
+	Start, At time.Duration
+	Allowed   float64 // requests that it bore within the rule's time
+	Got       []Part  // those it got
+}
+
+// Part is one request of a Fall.
+type Part struct {
+	Node int
+	At   time.Duration
+}
+
 // Excuse is a window in which a node, or the links round it, were made to fail by the lab: requests it loses then
 // are the fault's cost, not a breach. Node -1 excuses every node.
 type Excuse struct {
@@ -58,6 +72,7 @@
 	Attempts []Attempt
 	Changes  []Change
 	Excuses  []Excuse
+	Falls    []Fall
 	Fragile  map[string]bool // classes that must never run twice
 	Grace    time.Duration   // after a change is made, how long attempts to the server may still start
 	Slack    time.Duration   // how long a change may take to reach the nodes when no fault holds it up
@@ -66,7 +81,7 @@
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent"
+	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent", "cold-fall"
 	ID     string // the request id; empty where the rule is not about one request
 	At     time.Duration
 	Detail string
@@ -112,6 +127,7 @@
 		}
 	}
 	out = append(out, r.afterGrace()...)
+	out = append(out, r.coldFalls()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
@@ -150,3 +166,30 @@
 	}
 	return out
 }
+
+// coldFalls finds the falls of which over two thirds came from nodes that had been told of the start.
+func (r Run) coldFalls() []Breach {
+	var out []Breach
+	for _, f := range r.Falls {
+		told := time.Duration(-1)
+		for _, c := range r.Changes {
+			if c.Server == f.Server && c.State == "ready" && c.At >= f.Start && (told < 0 || c.At < told) {
+				told = c.At
+			}
+		}
+		if told < 0 {
+			continue // nobody was
+		}
+		n := 0
+		for _, p := range f.Got {
+			if p.At > told+r.Slack && !r.excused("after-grace", p.Node, told, p.At) {
+				n++
+			}
+		}
+		if 3*n > 2*len(f.Got) {
+			out = append(out, Breach{"cold-fall", "", f.At, fmt.Sprintf("%s, up since %v, got %d requests where it bears %.0f; %d of nodes told",
+				f.Server, f.Start, len(f.Got), f.Allowed, n)})
+		}
+	}
+	return out
+}
--- a/internal/invariants/invariants_test.go
+++ b/internal/invariants/invariants_test.go
@@ -39,6 +39,11 @@
 			r.Changes = []Change{{Server: "s1", State: "draining", At: 0}}
 			r.Attempts[2].Start = 400 * ms
 		}},
+		{"cold-fall", func(r *Run) {
+			r.Changes = []Change{{Server: "s3", State: "ready", At: 100 * ms}}
+			r.Falls = []Fall{{Server: "s3", Start: 90 * ms, At: 300 * ms, Allowed: 2,
+				Got: []Part{{0, 140 * ms}, {0, 200 * ms}, {1, 210 * ms}, {1, 300 * ms}}}}
+		}},
 	} {
 		r := clean()
 		c.change(&r)
@@ -65,3 +70,30 @@
 		t.Errorf("within the grace, or back: %v", b)
 	}
 }
+
+// A fall is no breach where a third or more came from nodes that were not told: too early, cut off, or nobody was.
+func TestFallsOfUntoldNodes(t *testing.T) {
+	fall := Fall{Server: "s3", Start: 90 * ms, At: 300 * ms, Got: []Part{{0, 140 * ms}, {0, 200 * ms}, {1, 300 * ms}}}
+	told := []Change{{Server: "s3", State: "ready", At: 100 * ms}}
+	deaf := []Excuse{{Node: 1, Rule: "after-grace", From: 50 * ms, To: time.Second}}
+	for _, c := range []struct {
+		changes []Change
+		excuses []Excuse
+		n       int
+	}{{told, nil, 0}, {[]Change{{Server: "s3", State: "ready", At: 80 * ms}}, nil, 0}, {nil, nil, 0}} {
+		r := clean()
+		r.Falls, r.Changes, r.Excuses = []Fall{fall}, c.changes, c.excuses
+		if b := Check(r); len(b) != c.n {
+			t.Errorf("%v: %v", c.changes, b)
+		}
+	}
+	fall.Got[0].At = 160 * ms
+	r := clean()
+	r.Falls, r.Changes = []Fall{fall}, told
+	if b := Check(r); len(b) != 1 {
+		t.Errorf("all told: %v", b)
+	}
+	if r.Excuses = deaf; len(Check(r)) != 0 {
+		t.Errorf("a third deaf: %v", Check(r))
+	}
+}
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -45,11 +45,9 @@
 		return name == kind
 	case "discovery":
 		return name == kind || agent
-	case "zone":
-		return f.zoneOf(name) == sel
-	case "not-zone":
-		z := f.zoneOf(name)
-		return z != "" && z != sel
+	case "zone", "not-zone", "region":
+		hit, _ := f.s.within(selector, f.zoneOf(name))
+		return hit
 	case "nodes":
 		return !agent && slices.Contains(f.s.pick(sel, len(f.nodes)), f.index(name))
 	case "agents":
--- a/internal/lab/links_test.go
+++ b/internal/lab/links_test.go
@@ -11,7 +11,7 @@
 // four nodes, three servers and three replicas over two zones, with a link of each kind.
 func labelled(t *testing.T) *fleet {
 	t.Helper()
-	s, err := ParseScenario("x", []byte("[fleet]\nnodes = 4\nservers = 3\nzones = [\"a\", \"b\"]\ndiscovery = \"listd\"\n"))
+	s, err := ParseScenario("x", []byte("[fleet]\nnodes = 4\nservers = 3\nzones = [\"a\", \"b\"]\ndiscovery = \"listd\"\nregions = {north = [\"b\"]}\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,6 +40,7 @@
 		{"nodes:1-2", "servers:all", "n1-" + s0},
 		{"zone:b", "zone:a", "n1-" + s0 + " agent:n2-r1 r0-r1 r1-r2 agent:n0-agent:n1"},
 		{"zone:a", "not-zone:a", "n1-" + s0 + " agent:n2-r1 r0-r1 r1-r2 agent:n0-agent:n1"},
+		{"region:north", "servers:all", "n1-" + s0},
 		{"nodes:2", "discovery", "n2-agent:n2"},
 		{"nodes:2", "agents:2", "n2-agent:n2"},
 		{"agents:zone:a", "replicas:all", "agent:n2-r1"},
@@ -62,7 +63,7 @@
 
 func TestEventsAreCheckedWhenRead(t *testing.T) {
 	for text, want := range map[string]string{
-		`do = "kill"` + "\nnodes = \"zone:c\"":                    `zone "c" is none of the fleet's`,
+		`do = "kill"` + "\nnodes = \"zone:c\"":                    `"zone:c" is no zone or region`,
 		`do = "kill"` + "\nagents = \"0\"":                        `selector "0" is not one of 0--1`,
 		`do = "kill"` + "\nreplicas = \"leader\"":                 `selector "leader"`,
 		`do = "link"` + "\nbetween = [\"clients\", \"moon:all\"]": `"moon:all" is none of`,
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -43,6 +43,7 @@
 	Breaches  []invariants.Breach `json:"breaches"`
 	Evidence  map[string][]string `json:"evidence"` // by request id, the log lines that name it
 	NeverUp   []string            `json:"never_up"`
+	ColdFalls int                 `json:"cold_falls"` // cold app servers pushed over, told of or not
 	CPU       lab.CPU             `json:"cpu"`
 	LabShare  float64             `json:"lab_cpu_share"` // of all CPU: the lab's, the nodes', the agents' and the replicas'
 	Skipped   int                 `json:"skipped"`
@@ -54,7 +55,7 @@
 // Build computes the report.
 func Build(r *lab.Records) *Report {
 	out := &Report{Scenario: r.Scenario.Name, PerNode: map[string]int{}, PerServer: map[string]int64{}, Breaches: r.Breaches,
-		CPU: r.CPU, Skipped: r.Skipped, NoFile: r.NoFile, Links: r.Links}
+		CPU: r.CPU, ColdFalls: len(r.Falls), Skipped: r.Skipped, NoFile: r.NoFile, Links: r.Links}
 	if out.Breaches == nil {
 		out.Breaches = []invariants.Breach{}
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -25,6 +25,7 @@
 	Attempts []invariants.Attempt `json:"attempts"`
 	Changes  []invariants.Change  `json:"changes"`
 	Excuses  []invariants.Excuse  `json:"excuses"`
+	Falls    []invariants.Fall    `json:"falls"` // cold app servers pushed over
 	Timeline []Done               `json:"timeline"`
 	Nodes    []NodeInfo           `json:"nodes"`
 	Servers  []ServerInfo         `json:"servers"`
@@ -144,7 +145,7 @@
 	f.end()
 	f.closeExcuses(end)
 	r := &f.recs
-	r.Sent, r.Skipped, r.Attempts = result.Sent, result.Skipped, f.rec.Attempts()
+	r.Sent, r.Skipped, r.Attempts, r.Falls = result.Sent, result.Skipped, f.rec.Attempts(), f.rec.Falls()
 	for _, n := range f.nodes {
 		n.info.Pids = n.pids
 		r.Nodes = append(r.Nodes, *n.info)
@@ -162,7 +163,7 @@
 	for _, c := range f.classes() {
 		fragile[c.name] = c.fragile
 	}
-	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses,
+	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses, Falls: r.Falls,
 		Fragile: fragile, Grace: time.Duration(f.setting("invariants", "drain_grace_ns")), Slack: time.Second,
 		End: seconds(s.Load.FromS + s.Load.ForS)})
 	return r, nil
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -25,15 +25,16 @@
 
 // Fleet is the processes of the run.
 type Fleet struct {
-	Nodes      int      `toml:"nodes"`
-	Servers    int      `toml:"servers"`
-	Zones      []string `toml:"zones"`
-	ReadyS     float64  `toml:"ready_s"`        // how long a node may take to answer /health/ready
-	NoticeS    float64  `toml:"front_notice_s"` // how long the front goes on dealing to a node that died
-	NodeBinary string   `toml:"node_binary"`
-	Discovery  string   `toml:"discovery"` // "standin" (the lab's own) or "listd" (replicas and an agent per node)
-	Replicas   int      `toml:"replicas"`  // of listd
-	ListdBin   string   `toml:"listd_binary"`
+	Nodes      int                 `toml:"nodes"`
+	Servers    int                 `toml:"servers"`
+	Zones      []string            `toml:"zones"`
+	Regions    map[string][]string `toml:"regions"`        // zones by region; a zone is in one at most
+	ReadyS     float64             `toml:"ready_s"`        // how long a node may take to answer /health/ready
+	NoticeS    float64             `toml:"front_notice_s"` // how long the front goes on dealing to a node that died
+	NodeBinary string              `toml:"node_binary"`
+	Discovery  string              `toml:"discovery"` // "standin" (the lab's own) or "listd" (replicas and an agent per node)
+	Replicas   int                 `toml:"replicas"`  // of listd
+	ListdBin   string              `toml:"listd_binary"`
 }
 
 // Servers is the make of every stand-in app server.
@@ -87,6 +88,9 @@
 	Truncate  int       `toml:"truncate"` // bytes a direction of a connection, or a datagram, may have
 }
 
+// coldMost is the settings' invariants.cold_ns: app servers are warm no later.
+const coldMost = 8.7e9
+
 var actions = map[string]bool{"kill": true, "term": true, "hup": true, "restart": true, "stop": true, "cont": true,
 	"partition": true, "heal": true, "link": true, "degrade": true, "restart-servers": true, "list": true}
 
@@ -121,6 +125,10 @@
 		return nil, fmt.Errorf("scenario %s: fleet.replicas %d is not within 1 to 7", name, s.Fleet.Replicas)
 	case len(s.Fleet.Zones) == 0:
 		return nil, fmt.Errorf("scenario %s: fleet.zones is empty", name)
+	case s.checkRegions() != nil:
+		return nil, fmt.Errorf("scenario %s: %w", name, s.checkRegions())
+	case s.Servers.ColdS*1e9 > coldMost:
+		return nil, fmt.Errorf("scenario %s: servers.cold_s %v is over the settings' %v", name, s.Servers.ColdS, coldMost/1e9)
 	case s.DurationS <= 0 || s.DurationS > 3600:
 		return nil, fmt.Errorf("scenario %s: duration_s %v is not within 0 to 3600", name, s.DurationS)
 	case s.Load.Rate <= 0 || s.Load.ForS <= 0 || s.Load.FromS+s.Load.ForS > s.DurationS:
--- a/internal/lab/scenario_test.go
+++ b/internal/lab/scenario_test.go
@@ -28,6 +28,9 @@
 		"[[events]]\nat_s = 1\ndo = \"explode\"\n":           `do "explode" is not an action`,
 		"[[events]]\nat_s = 1\ndo = \"kill\"\nnodes = \"9\"": `selector "9" is not one of 0-3`,
 		"[fleet]\nnodes = 0\n":                               "fleet.nodes 0",
+		"[fleet]\nregions = {g = [\"z\"]}":                   `fleet.regions.g: zone "z"`,
+		"[fleet]\nregions = {g = [\"a\"], h = [\"a\"]}":      `fleet.regions.h: zone "a" is in g already`,
+		"[servers]\ncold_s = 9\n":                            "servers.cold_s 9 is over",
 	} {
 		if _, err := ParseScenario("x", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/lab/selectors.go
+++ b/internal/lab/selectors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,6 +12,38 @@
 // zone is the zone of the i-th node, agent, replica or server: they are spread over the zones in turn.
 func (s *Scenario) zone(i int) string { return s.Fleet.Zones[i%len(s.Fleet.Zones)] }
 
+// checkRegions says what is wrong with the regions.
+func (s *Scenario) checkRegions() error {
+	in := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(s.Fleet.Regions)) {
+		for _, z := range s.Fleet.Regions[name] {
+			if !slices.Contains(s.Fleet.Zones, z) {
+				return fmt.Errorf("fleet.regions.%s: zone %q is none of the fleet's", name, z)
+			}
+			if in[z] != "" {
+				return fmt.Errorf("fleet.regions.%s: zone %q is in %s already", name, z, in[z])
+			}
+			in[z] = name
+		}
+	}
+	return nil
+}
+
+// within says whether a zone falls under "zone:NAME", "not-zone:NAME" or "region:NAME", and whether that is what text
+// is, of zones and regions that the fleet has.
+func (s *Scenario) within(text, zone string) (hit, ok bool) {
+	kind, name, _ := strings.Cut(text, ":")
+	switch kind {
+	case "zone":
+		return zone == name, slices.Contains(s.Fleet.Zones, name)
+	case "not-zone":
+		return zone != "" && zone != name, slices.Contains(s.Fleet.Zones, name)
+	case "region":
+		return slices.Contains(s.Fleet.Regions[name], zone), s.Fleet.Regions[name] != nil
+	}
+	return false, false
+}
+
 // checkEvent says what is wrong with an event's selectors, shares or states.
 func (s *Scenario) checkEvent(e Event) error {
 	listd := s.Fleet.Discovery == "listd"
@@ -58,12 +91,10 @@
 			if sel != "leader" {
 				_, err = s.selected(sel, replicas)
 			}
-		case "zone", "not-zone":
-			if !slices.Contains(s.Fleet.Zones, sel) {
-				err = fmt.Errorf("zone %q is none of the fleet's", sel)
-			}
+		case "zone", "not-zone", "region":
+			_, err = s.selected(end, s.Fleet.Nodes)
 		default:
-			err = fmt.Errorf("between: %q is none of clients, discovery, nodes:, servers:, agents:, replicas:, zone:, not-zone:", end)
+			err = fmt.Errorf("between: %q is none of clients, discovery, nodes:, servers:, agents:, replicas:, zone:, not-zone:, region:", end)
 		}
 		if err != nil {
 			return err
@@ -78,18 +109,18 @@
 	return out
 }
 
-// selected reads a selector over n things spread over the zones in turn: as Select, and "zone:NAME".
+// selected reads a selector over n things spread over the zones in turn: as Select, and "zone:NAME", "not-zone:NAME"
+// and "region:NAME".
 func (s *Scenario) selected(text string, n int) ([]int, error) {
-	zone, ok := strings.CutPrefix(text, "zone:")
-	if !ok {
+	if !strings.Contains(text, ":") {
 		return Select(text, n)
 	}
-	if !slices.Contains(s.Fleet.Zones, zone) {
-		return nil, fmt.Errorf("zone %q is none of the fleet's", zone)
+	if _, ok := s.within(text, ""); !ok {
+		return nil, fmt.Errorf("%q is no zone or region of the fleet's", text)
 	}
 	var out []int
 	for i := range n {
-		if s.zone(i) == zone {
+		if hit, _ := s.within(text, s.zone(i)); hit {
 			out = append(out, i)
 		}
 	}
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -43,7 +43,7 @@
 		zone := s.Fleet.Zones[j%len(s.Fleet.Zones)]
 		spec := standin.ServerSpec{ID: serverID(j), Zone: zone, Capacity: s.Servers.Capacity,
 			Latency: seconds(s.Servers.LatencyMS / 1000), Spread: s.Servers.Spread, MaxConns: s.Servers.MaxConns,
-			IdleClose: seconds(s.Servers.IdleS), ColdFor: seconds(s.Servers.ColdS)}
+			IdleClose: seconds(s.Servers.IdleS), Cold: f.coldRule()}
 		srv, err := standin.NewAppServer(spec, "127.0.0.1:0", nodeOf, f.rec, s.Seed*1000+uint64(j))
 		if err != nil {
 			return fmt.Errorf("app server %d: %w", j, err)
--- a/internal/lab/standin/appserver.go
+++ b/internal/lab/standin/appserver.go
@@ -48,7 +48,7 @@
 	Spread    float64
 	MaxConns  int           // connections held; more are turned away
 	IdleClose time.Duration // an idle connection is closed after this
-	ColdFor   time.Duration // after a restart it works three times slower for this long
+	Cold      ColdRule      // after a restart; its Rate is filled in from Capacity, Latency and Spread
 }
 
 // Recorder keeps what the stand-ins and the load saw, as offsets from Start. Safe for concurrent use.
@@ -57,6 +57,7 @@
 	mu       sync.Mutex
 	sent     map[string]bool
 	attempts []invariants.Attempt
+	falls    []invariants.Fall
 }
 
 // NewRecorder starts the run's clock.
@@ -83,6 +84,13 @@
 	return append([]invariants.Attempt(nil), r.attempts...)
 }
 
+// Falls gives a copy of every cold fall recorded.
+func (r *Recorder) Falls() []invariants.Fall {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]invariants.Fall(nil), r.falls...)
+}
+
 // AppServer is a stand-in app server on a loopback address that stays its own across restarts.
 type AppServer struct {
 	Spec    ServerSpec
@@ -90,21 +98,23 @@
 	nodeOf  func(remote string) int
 	rec     *Recorder
 	mode    atomic.Int32
-	coldTil atomic.Int64 // unix ns
 	slots   chan struct{}
 	waiting atomic.Int64
 	conns   atomic.Int64
 	served  atomic.Int64
 
-	mu  sync.Mutex
-	srv *http.Server
-	rnd *rand.Rand
+	mu   sync.Mutex
+	srv  *http.Server
+	rnd  *rand.Rand
+	cold cold
 }
 
 // NewAppServer listens on addr ("127.0.0.1:0" for any port). nodeOf tells which node a connection's source address belongs to.
 func NewAppServer(spec ServerSpec, addr string, nodeOf func(string) int, rec *Recorder, seed uint64) (*AppServer, error) {
 	s := &AppServer{Spec: spec, nodeOf: nodeOf, rec: rec, slots: make(chan struct{}, max(spec.Capacity, 1)),
 		rnd: rand.New(rand.NewPCG(seed, 0x5e7e))}
+	spec.Cold.Rate = float64(max(spec.Capacity, 1)) / (spec.Latency.Seconds() * math.Exp(spec.Spread*spec.Spread/2))
+	s.cold.rule = spec.Cold
 	if err := s.listen(addr); err != nil {
 		return nil, err
 	}
@@ -152,22 +162,56 @@
 func (s *AppServer) Restart(down time.Duration) error {
 	s.Stop()
 	time.Sleep(down)
-	s.coldTil.Store(time.Now().Add(s.Spec.ColdFor).UnixNano())
+	s.mu.Lock()
+	s.cold.restart(s.rec.Since())
+	s.mu.Unlock()
 	return s.listen(s.Addr)
 }
 
 func (s *AppServer) work() time.Duration {
 	s.mu.Lock()
-	z := s.rnd.NormFloat64()
+	z, share := s.rnd.NormFloat64(), 1.0
+	if s.cold.on {
+		share = s.cold.rule.Share(s.rec.Since() - s.cold.start)
+	}
 	s.mu.Unlock()
 	d := time.Duration(float64(s.Spec.Latency) * math.Exp(z*s.Spec.Spread))
 	if Mode(s.mode.Load()) == Slow {
 		d *= 10
 	}
-	if time.Now().UnixNano() < s.coldTil.Load() {
-		d *= 3
+	return time.Duration(float64(d) / share)
+}
+
+// fallen counts a request's arrival (node; -2 counts none) and says whether the server lies fallen: then it answers
+// nothing.
+func (s *AppServer) fallen(node int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.rec.Since()
+	if s.cold.down(now) {
+		return true
+	}
+	if node == -2 {
+		return false
+	}
+	fall, fell := s.cold.arrive(now, node)
+	if fell {
+		fall.Server = s.Spec.ID
+		s.rec.mu.Lock()
+		s.rec.falls = append(s.rec.falls, fall)
+		s.rec.mu.Unlock()
+	}
+	return fell
+}
+
+// breakOff resets the request's connection.
+func breakOff(w http.ResponseWriter) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		if tc, ok := c.(*net.TCPConn); ok {
+			tc.SetLinger(0)
+		}
+		c.Close()
 	}
-	return d
 }
 
 func turnAway(w http.ResponseWriter) {
@@ -190,14 +234,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.fallen(a.Node) {
+		breakOff(w)
+		return
+	}
 	switch Mode(s.mode.Load()) {
 	case Reset:
-		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tc, ok := c.(*net.TCPConn); ok {
-				tc.SetLinger(0)
-			}
-			c.Close()
-		}
+		breakOff(w)
 		return
 	case Silent:
 		<-r.Context().Done()
@@ -225,6 +268,10 @@
 	if !Sleep(r.Context(), s.work()) {
 		return
 	}
+	if s.fallen(-2) {
+		breakOff(w)
+		return
+	}
 	if Mode(s.mode.Load()) == Failing {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/lab/workload.go
+++ b/internal/lab/workload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"starlingvalve/internal/lab/load"
+	"starlingvalve/internal/lab/standin"
 )
 
 //go:embed settings.json
@@ -32,6 +33,13 @@
 	return v
 }
 
+// coldRule is the cold rule of the nodes' settings, with the scenario's time until a server is warm.
+func (f *fleet) coldRule() standin.ColdRule {
+	set := func(name string) float64 { return f.setting("invariants", name) }
+	return standin.ColdRule{From: set("cold_from"), For: seconds(f.s.Servers.ColdS), Factor: set("overload_factor"),
+		Span: time.Duration(set("tip_after_ns"))}
+}
+
 func (f *fleet) classes() []class {
 	var out []class
 	for _, c := range f.template()["classes"].([]any) {
