Fix the bodies of what a node says it holds, and where its local facts come from

A report also names its list's version, and a local fact who made it so and since when, outside every digest.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -149,7 +149,8 @@
 	WindowMS int64       `json:"window_ms"` // that Zones and Tenants count over
 	Zones    []ZoneCount `json:"zones,omitempty"`
 	Tenants  []TenantAck `json:"tenants,omitempty"` // every tenant the module knows
-	Held     []Held      `json:"held,omitempty"`    // what the module holds; all, or only what changed since Base
+	List     uint64      `json:"list,omitempty"`    // version of the server list that the module holds; 0: none
+	Held     []Held      `json:"held,omitempty"`    // local facts (settings, bans), and what the last answer wanted
 	Root     string      `json:"root"`              // digest over everything that the module holds (docs/drift.md)
 	Leaving  bool        `json:"leaving,omitempty"` // the node drains: its session ends with this report
 }
@@ -187,6 +188,10 @@
 	Key    string          `json:"key"`
 	Digest string          `json:"digest"`
 	Body   json.RawMessage `json:"body,omitempty"`
+	// Of a local fact (a ban, the settings): who made it so, and when by that machine's clock. For people; it is in
+	// no digest and decides nothing.
+	By      string `json:"by,omitempty"`
+	SinceMS int64  `json:"since_ms,omitempty"`
 }
 
 // ReportAnswer is the leader's (through the agent) word on a report.
@@ -194,7 +199,7 @@
 	TTLMS    int64    `json:"ttl_ms"`           // the session's lease, counted from the sending of the report
 	Revision uint64   `json:"revision"`         // the leader's
 	Resend   []string `json:"resend,omitempty"` // keys that the agent is to send its node again
-	Want     []string `json:"want,omitempty"`   // keys of Held whose bodies the next report is to carry; "*" for all
+	Want     []string `json:"want,omitempty"`   // what the next report's Held is to carry (drift.Serve), sent at once
 	Restart  bool     `json:"restart,omitempty"`
 	Out      bool     `json:"out,omitempty"` // the node is to say no at /health/ready
 }
