--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -151,7 +151,8 @@
 	Tenants  []TenantAck `json:"tenants,omitempty"` // every tenant the module knows
 	List     uint64      `json:"list,omitempty"`    // version of the server list that the module holds; 0: none
 	Held     []Held      `json:"held,omitempty"`    // local facts (settings, bans), and what the last answer wanted
-	Root     string      `json:"root"`              // digest over everything that the module holds (docs/drift.md)
+	Root     string      `json:"root"`              // digest over the zones, tenants and share that the module holds (docs/drift.md)
+	ListRoot string      `json:"list_root"`         // the same over the list entries in use
 	Leaving  bool        `json:"leaving,omitempty"` // the node drains: its session ends with this report
 }
 
