Judge zones: lost, cut off, gray, region; return by trial and steps; run the page's table

The leader's judge of docs/fleet.md: fresh evidence of a quorum of nodes and zones, room and panic threshold, hold-offs doubled by relapses, probation with rotating trials, steps gated on their own evidence and on the cold time. All 25 rows of the page's table are read from the page and played against the core; Apply takes no other.

--- /dev/null
+++ b/internal/fleet/zones/page_test.go
@@ -0,0 +1,380 @@
+package zones
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/page"
+)
+
+const sec = time.Second
+
+// TestPage runs every row of the page's state table against the core, and finds the core's table in the page's rows.
+func TestPage(t *testing.T) {
+	rows, err := page.Table("../../../docs/fleet.md", "Zones")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var said []Transition
+	for _, r := range rows {
+		said = append(said, Transition{r.State, r.Event, r.Condition, r.Next, strings.Contains(r.Effect, "relapse + 1")})
+		t.Run(r.String(), func(t *testing.T) {
+			run, ok := scenes[r.State+" "+r.Event+" "+r.Condition]
+			if !ok {
+				t.Fatal("no scene plays this row")
+			}
+			w, key, from := run(t)
+			if from < 0 { // nothing may have happened
+				if got := w.phase(key); got != r.Next || got != r.State {
+					t.Fatalf("%s: %s, want it to stay %s: %v", key, got, r.Next, w.steps)
+				}
+				return
+			}
+			got := w.steps[from]
+			back := got.after.Relapse > got.before.Relapse
+			if got.key != key || got.from != r.State || got.event != r.Event || got.to != r.Next || back != said[len(said)-1].Back {
+				t.Fatalf("got %v, want %s", got, r)
+			}
+		})
+	}
+	if !slices.Equal(said, Table()) {
+		t.Errorf("the page's rows and the core's differ:\n%v\n%v", said, Table())
+	}
+	if len(scenes) != len(rows) {
+		t.Errorf("%d scenes for %d rows", len(scenes), len(rows))
+	}
+}
+
+// TestOnlyTheTable: Apply takes no transition that no row has.
+func TestOnlyTheTable(t *testing.T) {
+	phases := []string{fleet.Serving, fleet.Left, fleet.Probation, fleet.Returning}
+	entry := map[string]Entry{}
+	for _, p := range phases[1:] {
+		e := Entry{Directive: fleet.Directive{Phase: p, ValidMS: 5000, HoldMS: 2000, Budget: 1, Slots: 9}}
+		if p == fleet.Returning {
+			e.Step, e.Share = 4, 1
+		}
+		entry[p] = e
+	}
+	for _, from := range phases {
+		for _, event := range []string{Lost, CutOff, Gray, Region, Quiet, Answers, "none"} {
+			for _, to := range phases {
+				s := State{Rev: 1, Directives: map[string]Entry{}, Past: map[string]Past{}}
+				if e, ok := entry[from]; ok {
+					e.Rev = 1
+					s.Directives["zone/a"] = e
+				} else {
+					s.Past["zone/a"] = Past{Rev: 1}
+				}
+				c := Change{Key: "zone/a", IfRev: 1, Event: event, Gone: to == fleet.Serving, Entry: entry[to]}
+				_, err := s.Apply(Command{IfState: 1, Items: []Change{c}}, func() uint64 { return 2 })
+				row := slices.ContainsFunc(table, func(x Transition) bool { return x.From == from && x.Event == event && x.To == to })
+				if err == nil && !row || err != nil && !errors.Is(err, ErrIllegal) {
+					t.Errorf("%s, %s -> %s: %v, in the table: %v", from, event, to, err, row)
+				}
+				if err != nil && s.Rev != 1 {
+					t.Errorf("%s, %s -> %s: refused, and changed", from, event, to)
+				}
+			}
+		}
+	}
+}
+
+// scene plays one row and gives the world, the key and which step is the row's; -1: none, it stays as it is.
+type scene func(t *testing.T) (w *world, key string, step int)
+
+// started is a calm fleet of three zones with proved rates.
+func started(t *testing.T, zones ...string) *world {
+	if len(zones) == 0 {
+		zones = []string{"a", "b", "c"}
+	}
+	w := newWorld(t, 7, 6, zones...)
+	w.run(5*sec, nil)
+	if len(w.steps) > 0 {
+		t.Fatalf("calm: %v", w.steps)
+	}
+	return w
+}
+
+func (w *world) untilPhase(phase string) {
+	w.until(phase, 90*sec, func() bool { return w.phase("zone/a") == phase })
+}
+
+func (w *world) untilStep(n int) {
+	w.until("step", 90*sec, func() bool { return w.s.Directives["zone/a"].Step == n })
+}
+
+// last gives the scene's end at the newest step.
+func (w *world) last() (*world, string, int) {
+	return w, w.steps[len(w.steps)-1].key, len(w.steps) - 1
+}
+
+// gone is a fleet that has left zone a; back one in which a answers again.
+func gone(t *testing.T) *world {
+	w := started(t)
+	w.kill("a")
+	w.untilPhase(fleet.Left)
+	return w
+}
+
+func back(t *testing.T, step int) *world {
+	w := gone(t)
+	w.heal()
+	w.untilStep(step)
+	return w
+}
+
+func loses(zone string, p float64, observer string) func(*wnode, string) float64 {
+	return func(n *wnode, y string) float64 {
+		if y == zone && (observer == "" || n.Zone == observer) {
+			return p
+		}
+		return 0
+	}
+}
+
+func again(t *testing.T, p float64, observer string) (*world, string, int) {
+	w := started(t)
+	key := Key("a", observer)
+	w.lose = loses("a", p, observer)
+	w.until("left", 5*sec, func() bool { return w.phase(key) == fleet.Left })
+	w.heal()
+	w.until("return", 90*sec, func() bool { return w.phase(key) == fleet.Serving })
+	w.lose = loses("a", p, observer)
+	w.until("left", 5*sec, func() bool { return w.phase(key) == fleet.Left })
+	return w.last()
+}
+
+var scenes map[string]scene // by state, event and condition
+
+func init() {
+	scenes = map[string]scene{
+		"serving lost room for all of it": func(t *testing.T) (*world, string, int) {
+			w := gone(t)
+			if e := w.s.Directives["zone/a"]; e.Share != 0 || e.Floor != 0 || e.Reason != Lost {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"serving lost room for a part": func(t *testing.T) (*world, string, int) {
+			w := newWorld(t, 7, 6, "a", "b", "c")
+			w.rate = 24
+			w.full["b"], w.full["c"] = true, true // they have no more to give: the half that they refuse shows it
+			w.run(5*sec, nil)
+			w.rate /= 4
+			w.run(4*sec, nil) // a lull: each gives a quarter of what it can
+			w.rate *= 2.4
+			w.run(4*sec, nil)
+			w.kill("a")
+			w.untilPhase(fleet.Left)
+			if e := w.s.Directives["zone/a"]; e.Share <= 0 || e.Share >= 1 || e.Budget <= 0 {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"serving lost returned in the last 60 s": func(t *testing.T) (*world, string, int) { return again(t, 1, "") },
+		"serving lost below the panic threshold": func(t *testing.T) (*world, string, int) {
+			w := started(t)
+			w.listed["a"] = 4 * perWS // of 6 * perWS
+			w.rate /= 8
+			w.run(12*sec, nil)
+			w.kill("a")
+			w.run(4*sec, nil)
+			if f := w.j.Findings(); len(f) != 1 || f[0].Event != Lost || f[0].Held != "panic" {
+				t.Errorf("%+v", f)
+			}
+			return w, "zone/a", -1
+		},
+		"serving cut-off of observers X": func(t *testing.T) (*world, string, int) {
+			w := started(t)
+			w.lose = loses("a", 1, "b")
+			w.until("left", 5*sec, func() bool { return w.phase("zone/a@b") == fleet.Left })
+			if w.phase("zone/a") != fleet.Serving || w.portion(w.nodes[0], "a").Share != 1 {
+				t.Error("others than b's nodes left too")
+			}
+			return w, "zone/a@b", len(w.steps) - 1
+		},
+		"serving cut-off returned in the last 60 s": func(t *testing.T) (*world, string, int) { return again(t, 1, "b") },
+		"serving gray share p lost": func(t *testing.T) (*world, string, int) {
+			w := started(t)
+			w.lose = loses("a", 0.3, "")
+			w.untilPhase(fleet.Left)
+			if e := w.s.Directives["zone/a"]; e.Share < 0.5 || e.Share > 0.8 || e.Floor != e.Share {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"serving gray returned in the last 60 s": func(t *testing.T) (*world, string, int) { return again(t, 0.4, "") },
+		"serving region most of its region's zones are lost": func(t *testing.T) (*world, string, int) {
+			w := newWorld(t, 7, 4, "a", "b", "c", "d", "e", "f", "g")
+			w.set.Region = map[string]string{"a": "1", "b": "1", "c": "1", "d": "2", "e": "2", "f": "2", "g": "2"}
+			w.j = NewJudge(w.set)
+			w.run(5*sec, nil)
+			w.kill("a", "b")
+			w.until("left", 5*sec, func() bool { return w.phase("zone/c") == fleet.Left })
+			n := len(w.steps) - 1
+			if w.steps[n].at != w.steps[n-1].at || w.steps[n-1].event != Lost || w.s.Directives["zone/c"].Share != 0 {
+				t.Errorf("not one command: %v", w.steps)
+			}
+			return w, "zone/c", n
+		},
+		"serving quiet 60 s without a relapse": func(t *testing.T) (*world, string, int) {
+			w, _, _ := again(t, 1, "")
+			w.heal()
+			w.untilPhase(fleet.Serving)
+			n := len(w.steps)
+			w.until("calm", 70*sec, func() bool { return len(w.steps) > n })
+			if w.s.Past["zone/a"].Relapse != 0 {
+				t.Errorf("%+v", w.s.Past)
+			}
+			return w, "zone/a", n
+		},
+		"left lost no more room": func(t *testing.T) (*world, string, int) {
+			w := gone(t) // nodes that cannot hear go on: the hold-off does not begin while they say so
+			w.hears = func(*wnode) (fleet.Time, bool) { return 0, false }
+			for _, n := range w.nodes {
+				n.holds = map[string]held{}
+			}
+			w.run(6*sec, nil)
+			return w, "zone/a", -1
+		},
+		"left lost more room for what is still served": func(t *testing.T) (*world, string, int) {
+			w, _, n := scenes["serving lost room for a part"](t)
+			w.full = map[string]bool{}
+			w.rate *= 2 // the others prove more, then carry less
+			w.run(3*sec, nil)
+			w.rate /= 4
+			w.until("less", 20*sec, func() bool { return len(w.steps) > n+1 })
+			if got := w.steps[n+1]; got.after.Share >= got.before.Share {
+				t.Errorf("%v", w.steps)
+			}
+			return w, "zone/a", n + 1
+		},
+		"left gray p changed by 0.2 or more": func(t *testing.T) (*world, string, int) {
+			w, _, n := scenes["serving gray share p lost"](t)
+			w.lose = loses("a", 0.5, "")
+			w.until("less", 20*sec, func() bool { return len(w.steps) > n+1 })
+			return w, "zone/a", n + 1
+		},
+		"left quiet the hold-off is not over": func(t *testing.T) (*world, string, int) {
+			w := gone(t)
+			w.run(1900*time.Millisecond, nil)
+			return w, "zone/a", -1
+		},
+		"left quiet the hold-off is over": func(t *testing.T) (*world, string, int) {
+			w := gone(t)
+			w.untilPhase(fleet.Probation)
+			e := w.s.Directives["zone/a"]
+			zones := map[byte]bool{}
+			for _, n := range e.Trial {
+				zones[n[0]] = true
+			}
+			if len(e.Trial) != 3 || len(zones) != 3 || e.Floor != 0 || e.Share != 0 || e.Budget <= 0 {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"left answers a part was still served, the hold-off is over, enough": func(t *testing.T) (*world, string, int) {
+			w, _, _ := scenes["serving gray share p lost"](t)
+			w.heal()
+			at := w.now
+			w.untilPhase(fleet.Returning)
+			if e := w.s.Directives["zone/a"]; w.now-at < 2*sec || e.Share != 1 || e.Step != 4 || e.Floor != e.Base {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"probation answers enough, under 0.1 lost": func(t *testing.T) (*world, string, int) {
+			w := back(t, 1)
+			if e := w.s.Directives["zone/a"]; e.Share != 0.1 || e.Floor != 0 || e.Trial != nil {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"probation lost ": func(t *testing.T) (*world, string, int) {
+			w := gone(t)
+			w.untilPhase(fleet.Probation)
+			w.untilPhase(fleet.Left)
+			if e := w.s.Directives["zone/a"]; e.HoldMS != 4000 {
+				t.Errorf("%+v", e)
+			}
+			return w.last()
+		},
+		"probation quiet 3 s without answers enough": func(t *testing.T) (*world, string, int) {
+			w := gone(t)
+			w.heal()
+			w.untilPhase(fleet.Probation)
+			n, trial := len(w.steps), w.s.Directives["zone/a"].Trial
+			w.hears = func(x *wnode) (fleet.Time, bool) { return 0, !slices.Contains(trial, x.Node) } // they never hear of it
+			for _, x := range w.nodes {
+				delete(x.holds, "zone/a")
+				x.holds["zone/a"] = held{e: Entry{Directive: fleet.Directive{Phase: fleet.Left, ValidMS: 1e6}}, at: w.now}
+			}
+			w.until("end", 4*sec, func() bool { return len(w.steps) > n })
+			return w, "zone/a", n
+		},
+		"probation quiet the former trial is over": func(t *testing.T) (*world, string, int) {
+			w, _, n := scenes["probation quiet 3 s without answers enough"](t)
+			end := w.now
+			w.until("other trial", 10*sec, func() bool { return len(w.steps) > n+1 })
+			if got := w.steps[n+1]; w.now-end < w.set.Valid || slices.ContainsFunc(got.after.Trial, func(x string) bool {
+				return slices.Contains(w.steps[n].before.Trial, x)
+			}) {
+				t.Errorf("%v after: %+v", w.now-end, got.after.Directive)
+			}
+			return w, "zone/a", n + 1
+		},
+		"returning answers enough of this step, not the last": func(t *testing.T) (*world, string, int) {
+			w := back(t, 2)
+			n := len(w.steps)
+			if w.steps[n-1].at-w.steps[n-2].at < sec || w.s.Directives["zone/a"].Floor != 0.1 {
+				t.Errorf("%v", w.steps)
+			}
+			return w.last()
+		},
+		"returning answers enough of the last step": func(t *testing.T) (*world, string, int) {
+			w := back(t, 4)
+			w.untilPhase(fleet.Serving)
+			return w.last()
+		},
+		"returning lost step 1, or a quorum sees it fail": func(t *testing.T) (*world, string, int) {
+			w := back(t, 1)
+			w.kill("a")
+			w.untilPhase(fleet.Left)
+			n := len(w.steps) - 1
+			w.heal()
+			w.untilStep(4)
+			w.run(sec, nil)
+			w.kill("a")
+			w.until("left", 5*sec, func() bool { return w.phase("zone/a") == fleet.Left || w.s.Directives["zone/a"].Step < 4 })
+			return w, "zone/a", n
+		},
+		"returning lost a later step, in part": func(t *testing.T) (*world, string, int) {
+			w := back(t, 3)
+			w.lose = loses("a", 0.5, "")
+			n := len(w.steps)
+			w.until("step back", 5*sec, func() bool { return len(w.steps) > n })
+			if e := w.steps[n].after; e.Step != 2 || e.Floor != 0 || e.Relapse != 1 {
+				t.Errorf("%+v", e)
+			}
+			return w, "zone/a", n
+		},
+		"returning quiet 10 s without answers enough": func(t *testing.T) (*world, string, int) {
+			w := back(t, 2)
+			w.rate = 0.01
+			for _, n := range w.nodes {
+				n.carry = map[string]float64{}
+			}
+			n := len(w.steps)
+			w.run(12*sec, nil)
+			if len(w.steps) != n {
+				t.Errorf("%v", w.steps[n:])
+			}
+			return w, "zone/a", -1
+		},
+	}
+}
--- a/internal/fleet/zones/settings.go
+++ b/internal/fleet/zones/settings.go
@@ -23,6 +23,7 @@
 	Stale     fleet.Time // a node's evidence older than this is not counted
 	Hold      fleet.Time // a finding must hold for so long
 	GrayHold  fleet.Time // a gray finding
+	GraySlow  fleet.Time // a gray finding that bad servers may explain
 	FailPart  float64    // of a node's tried servers lost: it sees the zone fail
 	GrayFrom  float64    // share lost of the fleet's attempts: gray
 	GrayStep  float64    // a gray share is changed by this or more
@@ -49,7 +50,7 @@
 // Default is Settings as docs/fleet.md states them, for a fleet of so many slots.
 func Default(slots int) Settings {
 	return Settings{Slots: slots, ColdFrom: 0.2, ColdTime: 5 * time.Second,
-		Look: time.Second, Stale: 2 * time.Second, Hold: 300 * time.Millisecond, GrayHold: time.Second,
+		Look: time.Second, Stale: 2 * time.Second, Hold: 300 * time.Millisecond, GrayHold: time.Second, GraySlow: 5 * time.Second,
 		FailPart: 0.6, GrayFrom: 0.15, GrayStep: 0.2, GrayTries: 20, Headroom: 2, RoomPart: 0.9, Panic: 0.4,
 		HoldOff: 2 * time.Second, HoldOffMax: time.Minute, Calm: time.Minute,
 		Trials: 3, TrialTime: 3 * time.Second, TrialNeed: 6,
--- a/internal/fleet/zones/table.go
+++ b/internal/fleet/zones/table.go
@@ -28,7 +28,9 @@
 	{fleet.Serving, Lost, "returned in the last 60 s", fleet.Left, true},
 	{fleet.Serving, Lost, "below the panic threshold", fleet.Serving, false},
 	{fleet.Serving, CutOff, "of observers X", fleet.Left, false},
+	{fleet.Serving, CutOff, "returned in the last 60 s", fleet.Left, true},
 	{fleet.Serving, Gray, "share p lost", fleet.Left, false},
+	{fleet.Serving, Gray, "returned in the last 60 s", fleet.Left, true},
 	{fleet.Serving, Region, "most of its region's zones are lost", fleet.Left, false},
 	{fleet.Serving, Quiet, "60 s without a relapse", fleet.Serving, false},
 	{fleet.Left, Lost, "no more room", fleet.Left, false},
@@ -43,8 +45,8 @@
 	{fleet.Probation, Quiet, "the former trial is over", fleet.Probation, false},
 	{fleet.Returning, Answers, "enough of this step, not the last", fleet.Returning, false},
 	{fleet.Returning, Answers, "enough of the last step", fleet.Serving, false},
-	{fleet.Returning, Lost, "step 1", fleet.Left, true},
-	{fleet.Returning, Lost, "a later step", fleet.Returning, true},
+	{fleet.Returning, Lost, "step 1, or a quorum sees it fail", fleet.Left, true},
+	{fleet.Returning, Lost, "a later step, in part", fleet.Returning, true},
 	{fleet.Returning, Quiet, "10 s without answers enough", fleet.Returning, false},
 }
 
