Hold the tenants' rules over random schedules, and find planted faults

The core must hold T1, T2, T3, T5 and T6 whatever nodes have heard. It found and this mends: a draft that forgot who may hold a larger floor, a division refused whole for one tenant of many, a larger floor forgotten while an older run of the node is there.

--- a/internal/fleet/tenants/division.go
+++ b/internal/fleet/tenants/division.go
@@ -47,6 +47,15 @@
 
 func (s *State) keepBehind(e *Entry, rate float64) { e.Behind = s.behindAt(e, rate) }
 
+// caughtUp notes that a run goes by the present generation, so that its node's larger floor is no more. It does not
+// count while the node has a run that the divisions don't know yet, or one before it that may still be there.
+func (s *State) caughtUp(e *Entry, r Run) {
+	if l := s.Runs[r.Node]; l != nil && l.Incarnation == r.Incarnation &&
+		!slices.ContainsFunc(s.Ghosts, func(g Ghost) bool { return g.Node == r.Node }) {
+		delete(e.Behind, r.Node)
+	}
+}
+
 // pool is what may be leased of a quota of rate: what its floors leave, never below 0.
 func (s *State) pool(rate float64, behind map[string]float64) float64 {
 	return max(0, rate-s.reserve(rate, behind))
@@ -79,7 +88,16 @@
 }
 
 // most is the sum of what runs may hold leased of a name.
-func (s *State) most(name string) float64 { return s.mosts()[name] }
+func (s *State) most(name string) float64 {
+	sum := 0.0
+	for _, n := range sortedKeys(s.Runs) {
+		sum += s.Runs[n].Most[name]
+	}
+	for _, g := range s.Ghosts {
+		sum += g.Most[name]
+	}
+	return sum
+}
 
 // mosts gives it for every name, each sum taken in the order of the nodes.
 func (s *State) mosts() map[string]float64 {
@@ -113,7 +131,8 @@
 }
 
 // divide carries out a division: first what runs have confirmed and which are over, then the grants. A run of a larger
-// incarnation takes its node's place and begins with nothing; its predecessor stays a ghost until it is over.
+// incarnation takes its node's place and begins with nothing; its predecessor stays a ghost until it is over. Where the
+// raises of a tenant would take what runs may hold over its pool, that tenant has none of them.
 func (s *State) divide(c Command, rev func() uint64) ([]string, error) {
 	d := c.Division
 	switch {
@@ -135,22 +154,28 @@
 		}
 	}
 	next := s.draft(d)
-	raised := map[string]bool{}
+	raises := map[string][]Grant{} // by tenant: one rate each, above what the run may hold
 	for _, g := range d.Grants {
-		l := next.Runs[g.Node]
 		for name, r := range g.Rates {
-			if r > l.Most[name] {
-				raised[name] = true
+			if l := next.Runs[g.Node]; r <= l.Most[name] {
+				set(l.Rates, name, r)
+			} else {
+				raises[name] = append(raises[name], Grant{Run: g.Run, Rates: map[string]float64{name: r}})
 			}
-			set(l.Rates, name, r)
-			set(l.Most, name, max(l.Most[name], r))
 		}
 	}
 	most := next.mosts()
-	for _, name := range sortedKeys(raised) {
-		pool := next.Pool(name)
-		if sum := most[name]; sum > pool+slack*max(pool, 1) {
-			return nil, fmt.Errorf("%w: division: leases of tenant %q would come to %g of %g", ErrStale, name, sum, pool)
+	for name, grants := range raises {
+		pool, sum := next.Pool(name), most[name]
+		for _, g := range grants {
+			sum += g.Rates[name] - next.Runs[g.Node].Most[name]
+		}
+		if sum > pool+slack*max(pool, 1) {
+			continue
+		}
+		for _, g := range grants {
+			l := next.Runs[g.Node]
+			l.Rates[name], l.Most[name] = g.Rates[name], g.Rates[name]
 		}
 	}
 	return s.take(next, d, rev()), nil
@@ -158,7 +183,7 @@
 
 // draft copies the leases as they are after what d confirms and ends, with an empty one for each new run.
 func (s *State) draft(d *Division) *State {
-	next := &State{Tenants: s.Tenants, Slots: d.Slots, Runs: map[string]*Lease{}}
+	next := &State{Tenants: s.Tenants, Known: s.Known, Slots: d.Slots, Runs: map[string]*Lease{}}
 	over := map[Run]bool{}
 	for _, r := range d.Over {
 		over[r] = true
@@ -185,7 +210,7 @@
 		if l != nil && l.Incarnation == g.Incarnation {
 			continue
 		}
-		if l != nil && len(l.Most) > 0 {
+		if l != nil {
 			next.Ghosts = append(next.Ghosts, Ghost{Run: Run{g.Node, l.Incarnation}, Most: l.Most})
 		}
 		next.Runs[g.Node] = &Lease{Incarnation: g.Incarnation, Rates: map[string]float64{}, Most: map[string]float64{}}
@@ -195,18 +220,11 @@
 
 // take makes a draft the state: nothing before has changed anything.
 func (s *State) take(next *State, d *Division, rev uint64) (changed []string) {
-	for _, h := range d.Held {
-		for _, e := range s.Tenants {
-			if _, ok := e.Behind[h.Node]; ok && h.Revision >= e.Rev {
-				delete(e.Behind, h.Node)
-			}
-		}
-	}
 	s.Division++
 	s.Divided = rev
-	nodes := make([]string, 0, len(next.Runs))
-	for n := range next.Runs {
-		nodes = append(nodes, n)
+	runs := make([]Run, 0, len(next.Runs))
+	for n, l := range next.Runs {
+		runs = append(runs, Run{n, l.Incarnation})
 	}
 	for _, g := range d.Grants {
 		l := next.Runs[g.Node]
@@ -222,7 +240,14 @@
 	slices.Sort(changed)
 	changed = slices.Compact(changed)
 	s.Runs, s.Ghosts, s.Slots = next.Runs, next.Ghosts, next.Slots
-	s.know(nodes)
+	s.know(runs)
+	for _, h := range d.Held {
+		for _, e := range s.Tenants {
+			if h.Revision >= e.Rev {
+				s.caughtUp(e, h.Run)
+			}
+		}
+	}
 	for _, k := range changed {
 		if s.Runs[strings.TrimPrefix(k, keyShare)] == nil {
 			s.tomb(Tomb{Key: k, Rev: rev})
--- a/internal/fleet/tenants/judge.go
+++ b/internal/fleet/tenants/judge.go
@@ -77,12 +77,12 @@
 func (j *Judge) Step(now fleet.Time, s *State, epoch uint64, present []fleet.Member) []Command {
 	present = slices.Clone(present)
 	slices.SortFunc(present, func(a, b fleet.Member) int { return strings.Compare(a.Node, b.Node) })
-	nodes := make([]string, len(present))
+	runs := make([]Run, len(present))
 	for i, m := range present {
-		nodes[i] = m.Node
+		runs[i] = Run{m.Node, m.Incarnation}
 	}
 	for n := range j.views {
-		if _, ok := slices.BinarySearch(nodes, n); !ok {
+		if _, ok := slices.BinarySearchFunc(present, n, func(m fleet.Member, n string) int { return strings.Compare(m.Node, n) }); !ok {
 			delete(j.views, n)
 		}
 	}
@@ -97,7 +97,7 @@
 		if c, ok := j.rollout(now, s, e, name, present); ok {
 			c.Name, c.UID, c.IfRev, c.Epoch = name, e.UID, e.Rev, epoch
 			if c.Op == Commit || c.Op == Applied {
-				c.Nodes = nodes
+				c.Runs = runs
 			}
 			out = append(out, c)
 		}
--- a/internal/fleet/tenants/lend.go
+++ b/internal/fleet/tenants/lend.go
@@ -133,8 +133,9 @@
 			}
 		}
 	}
+	ghost := slices.ContainsFunc(s.Ghosts, func(g Ghost) bool { return g.Node == node })
 	for _, e := range s.Tenants {
-		if _, ok := e.Behind[node]; ok && rev >= e.Rev {
+		if _, ok := e.Behind[node]; ok && rev >= e.Rev && !ghost {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/fleet/tenants/model_test.go
@@ -0,0 +1,365 @@
+package tenants
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// model is a small fleet in one process: a replicated state, a leader that changes, and runs of nodes that hear late,
+// are cut off, crash, come back from their disks, or are outlived by an older run. Every choice is pick's. fault plants
+// one mistake in the parts around the core, or in what it is told.
+type model struct {
+	pick       func(n int) int
+	fault      string
+	now        fleet.Time
+	s, twin    *State // the twin replica is given the same commands
+	rev, epoch uint64
+	j          *Judge
+	sess       map[string]*session
+	runs       []*run
+	queue      []event
+	committed  map[uint64]map[uint64]string // uid, generation: digest
+	staging    map[string]fleet.Time        // tenant and revision: first seen staged under this leader
+	office     fleet.Time
+	inc        uint64
+	nodes      []string
+	answers    map[string]copyOf // by node, while the revision is theirs
+	breach     string
+}
+
+type event struct {
+	at fleet.Time
+	do func()
+}
+
+type session struct {
+	inc     uint64
+	present bool
+	renewed fleet.Time
+	caught  bool
+}
+
+// run is one process: its agent and its module.
+type run struct {
+	name         string
+	inc, seq     uint64
+	held, disk   copyOf
+	lease        fleet.Time
+	ready        bool
+	dead, cut    bool
+	zombie       bool // has a successor on its machine
+	refuses      bool
+	staged, deny map[string]bool // digests ever staged, ever refused
+	load         float64
+	out          fleet.Time
+}
+
+type copyOf struct {
+	rev     uint64
+	tenants map[string]fleet.Tenant
+	share   fleet.Shares
+}
+
+const (
+	modelTTL   = 6 * time.Second
+	modelTick  = 100 * time.Millisecond
+	modelSlots = 5
+)
+
+var modelNames = []string{"amouage", "lulu"}
+
+func newModel(pick func(int) int, fault string) *model {
+	m := &model{pick: pick, fault: fault, s: &State{}, twin: &State{}, sess: map[string]*session{},
+		committed: map[uint64]map[uint64]string{}, staging: map[string]fleet.Time{}, answers: map[string]copyOf{},
+		j: NewJudge(Config{Slots: modelSlots, TTL: modelTTL}), nodes: []string{"n1", "n2", "n3", "n4"}}
+	for _, n := range m.nodes {
+		m.start(n, copyOf{})
+	}
+	return m
+}
+
+func (m *model) start(name string, disk copyOf) {
+	m.inc++
+	m.runs = append(m.runs, &run{name: name, inc: m.inc, held: disk, disk: disk, load: float64(m.pick(60)),
+		staged: map[string]bool{}, deny: map[string]bool{}})
+}
+
+func (m *model) after(ticks int, do func()) {
+	m.queue = append(m.queue, event{m.now + time.Duration(ticks)*modelTick, do})
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.breach == "" {
+		m.breach = fmt.Sprintf("at %v: ", m.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// apply carries a command out on both replicas, as raft would.
+func (m *model) apply(c Command) error {
+	if m.fault == "epoch" {
+		c.Epoch = m.epoch
+	}
+	if c.Op == Divide && m.fault == "held" {
+		for n, l := range m.s.Runs {
+			c.Division.Held = append(c.Division.Held, Held{Run{n, l.Incarnation}, m.rev})
+		}
+	}
+	if c.Op == Divide && m.fault == "over" {
+		for _, g := range m.s.Ghosts {
+			c.Division.Over = append(c.Division.Over, g.Run)
+		}
+	}
+	before := m.s.Phase(c.Name)
+	var was *fleet.Generation
+	if e := m.s.Tenants[c.Name]; e != nil {
+		was = e.Staged
+	}
+	at := m.rev
+	_, err := m.s.Apply(c, m.epoch, func() uint64 { m.rev++; return m.rev })
+	_, err2 := m.twin.Apply(c, m.epoch, func() uint64 { at++; return at })
+	if fmt.Sprint(err) != fmt.Sprint(err2) || at != m.rev {
+		m.fail("replicas differ: %v, %v", err, err2)
+	}
+	if err != nil {
+		return err
+	}
+	switch e := m.s.Tenants[c.Name]; c.Op {
+	case Commit:
+		if m.committed[e.UID] == nil {
+			m.committed[e.UID] = map[uint64]string{}
+		}
+		m.committed[e.UID][was.Number] = was.Digest
+		for _, r := range m.runs {
+			if s := m.sess[r.name]; s != nil && s.present && s.inc == r.inc && !r.dead && !r.staged[was.Digest] {
+				m.fail("T5: %s is committed at %d, and %s has not staged it", c.Name, was.Number, r.name)
+			}
+		}
+	case Rollback:
+		if before != PhaseStaging || c.Node == "" || c.Reason == "" {
+			m.fail("T5: rolled back from %s by %q for %q", before, c.Node, c.Reason)
+		}
+	}
+	return nil
+}
+
+func (m *model) present() (out []fleet.Member) {
+	for n, s := range m.sess {
+		if s.present {
+			out = append(out, fleet.Member{Node: n, Incarnation: s.inc})
+		}
+	}
+	return out
+}
+
+// tick lets a tenth of a second go.
+func (m *model) tick() {
+	m.now += modelTick
+	queue := m.queue
+	m.queue = nil
+	for _, e := range queue {
+		if e.at <= m.now {
+			e.do()
+		} else {
+			m.queue = append(m.queue, e)
+		}
+	}
+	for _, n := range m.nodes {
+		if s := m.sess[n]; s != nil && s.present && m.now-max(s.renewed, m.office) >= modelTTL {
+			s.present = false
+			m.epoch++
+		}
+	}
+	for _, r := range m.runs {
+		r.step(m)
+	}
+	for _, c := range m.j.Step(m.now, m.s, m.epoch, m.present()) {
+		m.after(m.pick(3), func() { m.apply(c) })
+	}
+	m.check()
+}
+
+func (r *run) step(m *model) {
+	if r.zombie && (m.now >= r.lease && m.fault != "lease") {
+		r.dead = true
+	}
+	if r.dead || r.cut {
+		return
+	}
+	m.after(m.pick(6), func() { // asks a replica for intent
+		c := m.intent(r.name)
+		m.after(m.pick(6), func() { r.hear(m, c) })
+	})
+	if m.now >= r.out {
+		r.out = m.now + 3*modelTick
+		rep, sent := r.report(m), m.now
+		m.after(m.pick(6), func() { m.reported(r, rep, sent) })
+	}
+}
+
+// intent is what a replica answers a node with.
+func (m *model) intent(node string) copyOf {
+	if c, ok := m.answers[node]; ok && c.rev == m.rev {
+		return c
+	}
+	c := copyOf{rev: m.rev, tenants: map[string]fleet.Tenant{}}
+	for _, it := range m.s.ItemsFor(node) {
+		switch {
+		case it.Gone:
+		case it.Key == keyShare+node:
+			json.Unmarshal(it.Body, &c.share)
+		default:
+			var t fleet.Tenant
+			json.Unmarshal(it.Body, &t)
+			c.tenants[it.Key[len(keyTenant):]] = t
+		}
+	}
+	m.answers[node] = c
+	return c
+}
+
+func (r *run) hear(m *model, c copyOf) {
+	if r.dead || r.cut || c.rev < r.held.rev {
+		return
+	}
+	c.tenants = maps.Clone(c.tenants)
+	for name, t := range c.tenants {
+		old := r.held.tenants[name]
+		if m.fault == "uid" && t.UID != old.UID && old.Committed != nil && t.Committed == nil {
+			t.Committed = old.Committed
+			c.tenants[name] = t
+		}
+		if t.Staged != nil && r.refuses && !r.staged[t.Staged.Digest] {
+			r.deny[t.Staged.Digest] = true
+		} else if t.Staged != nil && !r.deny[t.Staged.Digest] {
+			r.staged[t.Staged.Digest] = true
+		}
+	}
+	r.disk, r.held = c, c // the copy is on disk before it is told
+}
+
+func (r *run) report(m *model) fleet.Report {
+	r.seq++
+	rep := fleet.Report{Member: fleet.Member{Node: r.name, Incarnation: r.inc}, Seq: r.seq, Revision: r.held.rev}
+	for name, t := range r.held.tenants {
+		a := fleet.TenantAck{Name: name, UID: t.UID, Offered: r.load}
+		if t.Committed != nil {
+			a.Committed, a.Digest = t.Committed.Number, t.Committed.Digest
+		}
+		if g := t.Staged; g != nil {
+			switch {
+			case r.staged[g.Digest] || m.fault == "liar":
+				a.Staged, a.Digest = g.Number, g.Digest
+			case r.deny[g.Digest]:
+				a.Refused = "routes[0]: matches no server"
+			}
+		}
+		rep.Tenants = append(rep.Tenants, a)
+	}
+	return rep
+}
+
+// reported is the leader's part in sessions, as docs/fleet.md has it.
+func (m *model) reported(r *run, rep fleet.Report, sent fleet.Time) {
+	s := m.sess[r.name]
+	switch {
+	case r.cut:
+		return
+	case s == nil || rep.Incarnation > s.inc:
+		m.sess[r.name] = &session{inc: rep.Incarnation, present: true}
+		s = m.sess[r.name]
+		m.epoch++
+	case rep.Incarnation < s.inc || !s.present:
+		m.after(m.pick(4), func() {
+			if r.zombie {
+				r.dead = true
+			} else if r.inc == rep.Incarnation && !r.cut { // the process goes on as a new run
+				m.inc++
+				r.inc, r.seq, r.lease, r.ready = m.inc, 0, 0, false
+			}
+		})
+		return
+	}
+	s.renewed = m.now
+	s.caught = s.caught || CaughtUp(m.s, rep) || m.fault == "ready"
+	m.j.Observe(m.now, fleet.NodeView{Member: rep.Member, At: m.now, Report: rep})
+	ready := s.caught
+	m.after(m.pick(4), func() {
+		if r.inc == rep.Incarnation && !r.cut {
+			r.lease, r.ready = max(r.lease, sent+modelTTL*98/100), r.ready || ready
+		}
+	})
+}
+
+// check holds the invariants against what every process would do with a request now.
+func (m *model) check() {
+	for _, name := range modelNames {
+		e := m.s.Tenants[name]
+		lo, hi, uids := ^uint64(0), uint64(0), map[uint64]bool{}
+		floors, leased := map[string]float64{}, 0.0
+		for _, r := range m.runs {
+			t, ok := r.held.tenants[name]
+			if r.dead || !ok && e == nil {
+				continue
+			}
+			g := t.Committed
+			if m.fault == "staged" && t.Staged != nil && r.staged[t.Staged.Digest] {
+				g = t.Staged
+			}
+			if s := m.sess[r.name]; s != nil && s.present && s.inc == r.inc && r.ready && e != nil && !e.Removing {
+				if g != nil && t.UID != e.UID && e.Committed != nil && !t.Removing {
+					uids[t.UID] = true
+				} else if t.UID == e.UID && g != nil {
+					lo, hi = min(lo, g.Number), max(hi, g.Number)
+					uids[t.UID] = true
+				} else if e.Committed != nil {
+					lo = 0
+				}
+			}
+			if g == nil || t.Removing {
+				continue
+			}
+			if m.committed[t.UID][g.Number] != g.Digest || Digest(g.Spec) != g.Digest {
+				m.fail("T1: %s serves %s by generation %d of %d, never committed", r.name, name, g.Number, t.UID)
+			}
+			if e == nil || t.UID != e.UID {
+				continue
+			}
+			if r.held.share.Slots > 0 {
+				floors[r.name] = max(floors[r.name], fleet.FloorPart*g.Spec.Quota.Rate/float64(r.held.share.Slots))
+			}
+			if (m.now < r.lease || m.fault == "lease") && (r.held.share.Incarnation == r.inc || m.fault == "run") {
+				leased += r.held.share.Rates[name]
+			}
+		}
+		if hi > 0 && hi > lo+1 {
+			m.fail("T2: generations %d to %d of %s are served at one time", lo, hi, name)
+		}
+		if len(uids) > 1 {
+			m.fail("T6: %s is served as two tenants: %v", name, uids)
+		}
+		if e == nil || e.Committed == nil {
+			continue
+		}
+		sum := leased
+		for _, f := range floors {
+			sum += f
+		}
+		if rate := e.Committed.Spec.Quota.Rate; leased > 0 && sum > rate*(1+1e-6) {
+			m.fail("T3: shares of %s come to %g of %g", name, sum, rate)
+		}
+		key := fmt.Sprint(name, e.Rev)
+		if e.Staged == nil {
+			continue
+		}
+		if _, ok := m.staging[key]; !ok {
+			m.staging[key] = m.now
+		}
+		if d := m.now - max(m.staging[key], m.office); d > StageTimeout+modelTTL {
+			m.fail("T5: %s is being staged for %v", name, d)
+		}
+	}
+}
--- a/internal/fleet/tenants/state.go
+++ b/internal/fleet/tenants/state.go
@@ -154,7 +154,7 @@
 		if !s.CommitRoom(c.Name) {
 			return nil, fmt.Errorf("%w: commit of tenant %q: leases of the larger quota may still be held", ErrStale, c.Name)
 		}
-		s.know(c.Nodes)
+		s.know(c.Runs)
 		s.keepBehind(e, e.Staged.Spec.Quota.Rate)
 		e.Committed, e.Staged, e.Applying = e.Staged, nil, true
 	case Rollback:
@@ -169,9 +169,9 @@
 		if !e.Applying || e.Committed.Number != c.Generation {
 			return wrong()
 		}
-		s.know(c.Nodes)
-		for _, n := range c.Nodes {
-			delete(e.Behind, n)
+		s.know(c.Runs)
+		for _, r := range c.Runs {
+			s.caughtUp(e, r)
 		}
 		e.Applying = false
 		return nil, nil // the item is as it was
@@ -192,15 +192,15 @@
 
 // know notes that nodes were counted. Of more than twice the slots those last counted longest ago are forgotten,
 // their larger floors with them.
-func (s *State) know(nodes []string) {
+func (s *State) know(runs []Run) {
 	if s.Known == nil {
 		s.Known = map[string]uint64{}
 	}
 	s.Counts++
-	for _, n := range nodes {
-		s.Known[n] = s.Counts
+	for _, r := range runs {
+		s.Known[r.Node] = s.Counts
 	}
-	most := 2 * max(s.Slots, len(nodes))
+	most := 2 * max(s.Slots, len(runs))
 	if s.Slots == 0 || len(s.Known) <= most {
 		return
 	}
--- a/internal/fleet/tenants/tenants.go
+++ b/internal/fleet/tenants/tenants.go
@@ -23,16 +23,16 @@
 )
 
 // ErrStale refuses a command of the judge that was decided from what has changed since: the item's revision, the
-// tenant's uid or generation, the session epoch, or a lease that may still be held. The judge decides anew.
+// tenant's uid or generation, the session epoch, or a larger quota's lease that may still be held. The judge decides anew.
 var ErrStale = errors.New("decided from an older state")
 
 // Ops of a Command. Put and Delete are operators'; the others the judge's.
 const (
 	Put      = "put"      // propose Spec over Generation (0: the name is free)
 	Delete   = "delete"   // remove the tenant at Generation: no new requests
-	Commit   = "commit"   // staged on all of Nodes, the present ones at Epoch
+	Commit   = "commit"   // staged on all of Runs, the present ones at Epoch
 	Rollback = "rollback" // Node refused, or did not stage in time, for Reason
-	Applied  = "applied"  // all of Nodes serve by the committed generation: its predecessor is retired
+	Applied  = "applied"  // all of Runs serve by the committed generation: its predecessor is retired
 	Drained  = "drained"  // removal: no present node has requests of it open; its quota goes
 	Unquoted = "unquoted" // removal: all present nodes hold that its quota is gone; its namespace goes
 	Divide   = "divide"   // change leased parts of quotas: Division
@@ -46,15 +46,15 @@
 	Spec       *fleet.Spec `json:"spec,omitempty"`       // put
 	UID        uint64      `json:"uid,omitempty"`        // the judge's: of the tenant meant
 	IfRev      uint64      `json:"if_rev,omitempty"`     // the judge's: revision of the item that it decided from
-	Epoch      uint64      `json:"epoch,omitempty"`      // the judge's: session epoch that Nodes were counted at
-	Nodes      []string    `json:"nodes,omitempty"`      // commit, applied: the present nodes, by name
+	Epoch      uint64      `json:"epoch,omitempty"`      // the judge's: session epoch that Runs were counted at
+	Runs       []Run       `json:"runs,omitempty"`       // commit, applied: the present runs
 	Node       string      `json:"node,omitempty"`       // rollback
 	Reason     string      `json:"reason,omitempty"`     // rollback
 	Division   *Division   `json:"division,omitempty"`   // divide
 }
 
-// Division changes leased parts. The state refuses it whole (ErrStale) where the parts that runs may hold after
-// it would add up to more than a quota leaves beside its floors, whoever decided it.
+// Division changes leased parts. The state leaves out the raises of a tenant whose runs might hold more after them
+// than the quota leaves beside its floors, whoever decided it.
 type Division struct {
 	Slots  int     `json:"slots"`            // the fleet's whole number of nodes; fixed by the first division
 	Held   []Held  `json:"held,omitempty"`   // what present runs have confirmed
