Run every row of the page's Tenants table against the core

The page and the core must not part. The rows are read from docs/fleet.md and played by state, event and condition; every command given to every phase may move it only as a row says.

--- /dev/null
+++ b/internal/fleet/tenants/page_test.go
@@ -0,0 +1,277 @@
+package tenants
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/page"
+)
+
+// fixture is a state with two present nodes that answer as told.
+type fixture struct {
+	s       *State
+	j       *Judge
+	rev     uint64
+	epoch   uint64
+	present []fleet.Member
+	now     fleet.Time
+	seq     uint64
+}
+
+func newFixture() *fixture {
+	return &fixture{s: &State{}, j: NewJudge(Config{Slots: 2, TTL: 6 * time.Second}), epoch: 1,
+		present: []fleet.Member{{Node: "n1", Incarnation: 1}, {Node: "n2", Incarnation: 2}}}
+}
+
+func (f *fixture) apply(c Command) error {
+	_, err := f.s.Apply(c, f.epoch, func() uint64 { f.rev++; return f.rev })
+	return err
+}
+
+func (f *fixture) put(rate float64, at uint64) error {
+	spec := fleet.Spec{Name: "lulu", Quota: fleet.Quota{Rate: rate}}
+	return f.apply(Command{Op: Put, Name: "lulu", Generation: at, Spec: &spec})
+}
+
+func (f *fixture) committed() uint64 {
+	if e := f.s.Tenants["lulu"]; e != nil && e.Committed != nil {
+		return e.Committed.Number
+	}
+	return 0
+}
+
+// answer lets nodes report that they hold all that is intended, but for what change does to a node's word.
+func (f *fixture) answer(change func(node string, a *fleet.TenantAck)) {
+	f.seq++
+	for _, m := range f.present {
+		r := fleet.Report{Member: m, Seq: f.seq, Revision: f.rev}
+		for name, e := range f.s.Tenants {
+			a := fleet.TenantAck{Name: name, UID: e.UID}
+			if e.Committed != nil {
+				a.Committed, a.Digest = e.Committed.Number, e.Committed.Digest
+			}
+			if e.Staged != nil {
+				a.Staged, a.Digest = e.Staged.Number, e.Staged.Digest
+			}
+			if change != nil {
+				change(m.Node, &a)
+			}
+			r.Tenants = append(r.Tenants, a)
+		}
+		f.j.Observe(f.now, fleet.NodeView{Member: m, At: f.now, Report: r})
+	}
+}
+
+// step carries out what the judge decides for the tenants, divisions only where asked; its last error.
+func (f *fixture) step(divide bool) (err error) {
+	for _, c := range f.j.Step(f.now, f.s, f.epoch, f.present) {
+		if c.Op != Divide || divide {
+			err = errors.Join(err, f.apply(c))
+		}
+	}
+	return err
+}
+
+// moved is a step whose commands come after a node has joined.
+func (f *fixture) moved() error {
+	f.answer(nil)
+	cs := f.j.Step(f.now, f.s, f.epoch, f.present)
+	f.epoch++
+	return f.apply(cs[0])
+}
+
+// to brings the tenant into a phase; with old, one that was committed before.
+func (f *fixture) to(t *testing.T, phase string, old bool) {
+	t.Helper()
+	do := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := func() { f.answer(nil); do(f.step(false)) }
+	if phase != PhaseNone && (old || phase != PhaseStaging) {
+		do(f.put(100, 0))
+		next()
+		if phase != PhaseApplying {
+			next()
+		}
+	}
+	switch phase {
+	case PhaseStaging:
+		do(f.put(50, f.committed()))
+	case PhaseRemoving, PhaseUnquoted:
+		do(f.apply(Command{Op: Delete, Name: "lulu", Generation: 1}))
+		if phase == PhaseUnquoted {
+			next()
+		}
+	}
+	if got := f.s.Phase("lulu"); got != phase {
+		t.Fatalf("set up %s, want %s", got, phase)
+	}
+}
+
+// events of the page, by event and condition; for put and delete an empty condition is the present generation.
+var pageEvents = map[string]func(f *fixture) error{
+	"put/":                              func(f *fixture) error { return f.put(60, f.committed()) },
+	"put/valid, generation 0":           func(f *fixture) error { return f.put(60, 0) },
+	"put/valid, the present generation": func(f *fixture) error { return f.put(60, f.committed()) },
+	"put/valid, another generation":     func(f *fixture) error { return f.put(60, 7) },
+	"put/invalid":                       func(f *fixture) error { return f.put(-1, f.committed()) },
+	"delete/": func(f *fixture) error {
+		return f.apply(Command{Op: Delete, Name: "lulu", Generation: f.committed()})
+	},
+	"delete/the present generation": func(f *fixture) error {
+		return f.apply(Command{Op: Delete, Name: "lulu", Generation: 1})
+	},
+	"delete/another generation": func(f *fixture) error {
+		return f.apply(Command{Op: Delete, Name: "lulu", Generation: 9})
+	},
+	"*/by all present nodes, same epoch":        func(f *fixture) error { f.answer(nil); return f.step(false) },
+	"drained/no present node has requests open": func(f *fixture) error { f.answer(nil); return f.step(false) },
+	"drained/a present node has requests open": func(f *fixture) error {
+		f.answer(func(n string, a *fleet.TenantAck) { a.Open = len(n) })
+		return f.step(false)
+	},
+	"*/not by all present nodes": func(f *fixture) error {
+		f.answer(nil)
+		f.j.views["n2"].Report.Revision--
+		return f.step(false)
+	},
+	"*/the epoch has changed": (*fixture).moved,
+	"staged/leases over the smaller quota may still be held": func(f *fixture) error {
+		f.s.Slots, f.s.Runs = 2, map[string]*Lease{"n1": {Incarnation: 1, Most: map[string]float64{"lulu": 70}}}
+		f.answer(nil)
+		if cs := f.j.Step(f.now, f.s, f.epoch, f.present); slices.ContainsFunc(cs, func(c Command) bool { return c.Op == Commit }) {
+			return errors.New("the judge commits")
+		}
+		e := f.s.Tenants["lulu"]
+		return f.apply(Command{Op: Commit, Name: "lulu", UID: e.UID, IfRev: e.Rev, Generation: e.Staged.Number, Epoch: f.epoch})
+	},
+	"refused/by one present node": func(f *fixture) error {
+		f.answer(func(n string, a *fleet.TenantAck) {
+			if n == "n2" {
+				a.Refused = "routes[0]: matches no server"
+			}
+		})
+		return f.step(false)
+	},
+	"timeout/a present node has not staged within 10 s": func(f *fixture) error {
+		f.answer(func(n string, a *fleet.TenantAck) {
+			if n == "n2" {
+				a.Digest = "0"
+			}
+		})
+		err := f.step(false)
+		f.now += StageTimeout
+		return errors.Join(err, f.step(false))
+	},
+}
+
+func TestPageTable(t *testing.T) {
+	rows, err := page.Table("../../../docs/fleet.md", "Tenants")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		t.Run(r.String(), func(t *testing.T) {
+			f := newFixture()
+			cond, fresh := strings.CutSuffix(r.Condition, ", never committed")
+			cond, _ = strings.CutSuffix(cond, ", committed before")
+			f.to(t, r.State, !fresh)
+			do := pageEvents[r.Event+"/"+cond]
+			if do == nil {
+				do = pageEvents["*/"+cond]
+			}
+			if do == nil {
+				t.Fatalf("no test plays %q with %q", r.Event, r.Condition)
+			}
+			before := f.rev
+			err := do(f)
+			if got := f.s.Phase("lulu"); got != r.Next {
+				t.Errorf("next %s, want %s (%v)", got, r.Next, err)
+			}
+			f.effect(t, r.Effect, err, before)
+		})
+	}
+	t.Run("every transition is in a row", func(t *testing.T) { everyTransition(t, rows) })
+}
+
+func (f *fixture) effect(t *testing.T, effect string, err error, before uint64) {
+	want, refused := strings.CutPrefix(effect, "refused: ")
+	kinds := map[string]error{"conflict": fleet.ErrConflict, "not found": fleet.ErrUnknown, "names": fleet.ErrInvalid, "stale": ErrStale}
+	if !refused {
+		if err != nil {
+			t.Errorf("error %v", err)
+		}
+	} else {
+		matched := false
+		for word, kind := range kinds {
+			if strings.HasPrefix(want, word) {
+				matched = errors.Is(err, kind)
+			}
+		}
+		if _, named, _ := strings.Cut(want, ", "); !matched || !strings.Contains(err.Error(), named) && named != "" || f.rev != before {
+			t.Errorf("error %v at revision %d, was %d; want %s", err, f.rev, before, effect)
+		}
+	}
+	e := f.s.Tenants["lulu"]
+	_, why := f.s.Tenant("lulu")
+	ok := map[string]func() bool{
+		"uid made":   func() bool { return e.UID == f.rev && e.Staged.Number == 1 },
+		"staged + 1": func() bool { return e.Staged.Number == e.Committed.Number+1 },
+		"no new":     func() bool { return e.Removing },
+		"committed":  func() bool { return e.Committed != nil && e.Staged == nil },
+		"rolled back, node": func() bool {
+			return e.Staged == nil && e.Committed.Number == 1 && strings.Contains(e.RolledBack, "node n2: ")
+		},
+		"rolled back, the": func() bool { return strings.Contains(why.Error(), "node n2: ") },
+		"quota and routes": func() bool { return e.QuotaGone },
+		"namespace": func() bool {
+			old := f.s.Tombs[0].UID
+			return f.put(60, 0) == nil && f.s.Tenants["lulu"].UID > old && f.s.Tenants["lulu"].Committed == nil
+		},
+	}
+	for prefix, holds := range ok {
+		if strings.HasPrefix(effect, prefix) && !holds() {
+			t.Errorf("effect %q does not hold: %+v, %v", effect, e, why)
+		}
+	}
+}
+
+// everyTransition gives every command to every phase: what changes the phase must be a row.
+func everyTransition(t *testing.T, rows []page.Row) {
+	events := map[string][]string{Put: {"put"}, Delete: {"delete"}, Commit: {"staged"}, Rollback: {"refused", "timeout"},
+		Applied: {"applied"}, Drained: {"drained"}, Unquoted: {"applied"}, Divide: nil}
+	for _, phase := range []string{PhaseNone, PhaseSettled, PhaseStaging, PhaseApplying, PhaseRemoving, PhaseUnquoted} {
+		for _, old := range []bool{false, true} {
+			for op := range events {
+				f := newFixture()
+				f.to(t, phase, old)
+				c := Command{Op: op, Name: "lulu", Generation: f.committed(), Epoch: f.epoch, Node: "n1", Reason: "r",
+					Spec: &fleet.Spec{Name: "lulu", Quota: fleet.Quota{Rate: 3}}, Division: &Division{Slots: 2}}
+				if e := f.s.Tenants["lulu"]; e != nil {
+					c.UID, c.IfRev = e.UID, e.Rev
+					if e.Staged != nil && op != Put && op != Delete {
+						c.Generation = e.Staged.Number
+					}
+				}
+				f.apply(c)
+				next := f.s.Phase("lulu")
+				for _, event := range events[op] {
+					if next != phase && !slices.ContainsFunc(rows, func(r page.Row) bool {
+						return r.State == phase && r.Event == event && r.Next == next
+					}) {
+						t.Errorf("%s | %s -> %s is in no row", phase, event, next)
+					}
+				}
+				if next != phase && len(events[op]) == 0 {
+					t.Errorf("%s moves %s to %s", op, phase, next)
+				}
+			}
+		}
+	}
+}
