--- /dev/null
+++ b/internal/fleet/drift/canonical.go
@@ -0,0 +1,132 @@
+// Package drift compares what the control plane intended with what each node's decision module holds, names what
+// differs and plans its repair (docs/drift.md). It is a pure core: no I/O, no clock, no goroutine; the caller passes
+// its own monotonic time. State is the part that raft replicates, Judge the soft part at the leader, Local an
+// agent's word on its own node.
+package drift
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"starlingvalve/internal/fleet"
+)
+
+// Canonical writes v's JSON in the one form that digests are made of: names in byte order, no white space, numbers in
+// one way, and no member at its zero value (null, false, 0, "", [], {}). Elements of lists stay. An error is one of
+// marshalling v, or of a number beyond a float64.
+func Canonical(v any) ([]byte, error) {
+	raw, ok := v.(json.RawMessage)
+	if !ok {
+		var err error
+		if raw, err = json.Marshal(v); err != nil {
+			return nil, err
+		}
+	}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var x any
+	if err := d.Decode(&x); err != nil {
+		return nil, err
+	}
+	out, _, err := write(nil, x)
+	return out, err
+}
+
+// write appends x and says whether x is a zero value.
+func write(out []byte, x any) ([]byte, bool, error) {
+	switch x := x.(type) {
+	case nil:
+		return append(out, "null"...), true, nil
+	case bool:
+		return strconv.AppendBool(out, x), !x, nil
+	case string:
+		s, err := json.Marshal(x)
+		return append(out, s...), x == "", err
+	case json.Number:
+		s, err := number(string(x))
+		return append(out, s...), s == "0", err
+	case []any:
+		out = append(out, '[')
+		for i, e := range x {
+			if i > 0 {
+				out = append(out, ',')
+			}
+			var err error
+			if out, _, err = write(out, e); err != nil {
+				return nil, false, err
+			}
+		}
+		return append(out, ']'), len(x) == 0, nil
+	case map[string]any:
+		names := make([]string, 0, len(x))
+		for k := range x {
+			names = append(names, k)
+		}
+		slices.Sort(names)
+		out = append(out, '{')
+		empty := true
+		for _, k := range names {
+			start := len(out)
+			if !empty {
+				out = append(out, ',')
+			}
+			name, err := json.Marshal(k)
+			if err != nil {
+				return nil, false, err
+			}
+			out = append(append(out, name...), ':')
+			var zero bool
+			if out, zero, err = write(out, x[k]); err != nil {
+				return nil, false, err
+			}
+			if zero {
+				out = out[:start]
+				continue
+			}
+			empty = false
+		}
+		return append(out, '}'), empty, nil
+	}
+	return nil, false, fmt.Errorf("no JSON value: %T", x)
+}
+
+// number is the one spelling of a JSON number: integers below 2^63 (2^64 unsigned) as digits, others as the shortest
+// decimal of the same float64.
+func number(s string) (string, error) {
+	if i, err := strconv.ParseInt(s, 10, 64); err == nil {
+		return strconv.FormatInt(i, 10), nil
+	}
+	if u, err := strconv.ParseUint(s, 10, 64); err == nil {
+		return strconv.FormatUint(u, 10), nil
+	}
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return "", err
+	}
+	if f == math.Trunc(f) && math.Abs(f) < 1<<53 {
+		return strconv.FormatInt(int64(f), 10), nil
+	}
+	return strconv.FormatFloat(f, 'g', -1, 64), nil
+}
+
+// none is the canonical body of a fact that is not held.
+const none = "{}"
+
+// Digest is xxhash64 in 16 hex digits.
+func Digest(b []byte) string { return hex(xxhash.Sum64(b)) }
+
+// Hold makes a fact of a key and any value that marshals to the key's body. ok is false where it is not held: its
+// canonical body is empty.
+func Hold(key string, v any) (h fleet.Held, ok bool, err error) {
+	b, err := Canonical(v)
+	if err != nil {
+		return fleet.Held{}, false, fmt.Errorf("%s: %w", key, err)
+	}
+	return fleet.Held{Key: key, Digest: Digest(b), Body: b}, string(b) != none, nil
+}
--- /dev/null
+++ b/internal/fleet/drift/differ.go
@@ -0,0 +1,107 @@
+package drift
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+
+	"starlingvalve/internal/fleet"
+)
+
+// textMost is how many bytes of a value a difference shows.
+const textMost = 200
+
+// Differences names the fields in which two canonical bodies of a fact differ, in order, by their path
+// ("committed.routes[0].zone"). Where only one side has the fact, it is one difference without a field. Bodies that
+// are not JSON differ as a whole.
+func Differences(key string, intended, applied json.RawMessage) []Difference {
+	a, aok := parse(intended)
+	b, bok := parse(applied)
+	if !aok || !bok || a == nil || b == nil {
+		if bytes.Equal(intended, applied) {
+			return nil
+		}
+		return []Difference{{Key: key, Intended: show(intended), Applied: show(applied)}}
+	}
+	var out []Difference
+	walk("", a, b, func(field string, x, y any) {
+		out = append(out, Difference{Key: key, Field: field, Intended: text(x), Applied: text(y)})
+	})
+	return out
+}
+
+func parse(b json.RawMessage) (any, bool) {
+	if len(b) == 0 {
+		return nil, true
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.UseNumber()
+	var x any
+	return x, d.Decode(&x) == nil
+}
+
+// walk calls differ for every field in which x and y differ; a field that one lacks is nil there.
+func walk(path string, x, y any, differ func(string, any, any)) {
+	if a, ok := x.(map[string]any); ok {
+		if b, ok := y.(map[string]any); ok {
+			names := slices.AppendSeq(slices.Collect(maps.Keys(a)), maps.Keys(b))
+			slices.Sort(names)
+			for _, k := range slices.Compact(names) {
+				p := k
+				if path != "" {
+					p = path + "." + k
+				}
+				walk(p, a[k], b[k], differ)
+			}
+			return
+		}
+	}
+	if a, ok := x.([]any); ok {
+		if b, ok := y.([]any); ok {
+			for i := range max(len(a), len(b)) {
+				var u, v any
+				if i < len(a) {
+					u = a[i]
+				}
+				if i < len(b) {
+					v = b[i]
+				}
+				walk(path+"["+strconv.Itoa(i)+"]", u, v, differ)
+			}
+			return
+		}
+	}
+	if text(x) != text(y) {
+		differ(path, x, y)
+	}
+}
+
+func text(x any) string {
+	b, _, err := write(nil, x)
+	if err != nil {
+		return "?"
+	}
+	return show(b)
+}
+
+func show(b []byte) string {
+	switch {
+	case len(b) == 0:
+		return "null"
+	case len(b) > textMost:
+		return string(bytes.ToValidUTF8(b[:textMost], nil)) + "..."
+	}
+	return string(b)
+}
+
+// bodyOf finds a fact among those in key order of their trees.
+func bodyOf(held []fleet.Held, key string) json.RawMessage {
+	for i := range held {
+		if held[i].Key == key {
+			return held[i].Body
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/drift/tree.go
@@ -0,0 +1,173 @@
+package drift
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"starlingvalve/internal/fleet"
+)
+
+const (
+	fanOut = 16
+	depth  = 2 // hex digits of a leaf's path
+	leaves = fanOut * fanOut
+	digits = "0123456789abcdef"
+)
+
+// Tree is a digest tree over facts: 256 leaves by the first two hex digits of the hash of a fact's key, 16 inner
+// nodes, a root. Building one costs two hashes a fact and 273 for the nodes; it holds the facts' keys and digests.
+type Tree struct {
+	facts [leaves][]fact // by key
+	leaf  [leaves]uint64
+	inner [fanOut]uint64
+	root  uint64
+	size  int
+}
+
+type fact struct{ key, digest string }
+
+// NewTree makes the tree over facts with different keys, in any order; of facts with one key the last counts.
+func NewTree(held []fleet.Held) *Tree {
+	t := &Tree{}
+	for _, h := range held {
+		p := xxhash.Sum64String(h.Key) >> 56
+		at, found := slices.BinarySearchFunc(t.facts[p], h.Key, func(f fact, k string) int { return strings.Compare(f.key, k) })
+		if found {
+			t.facts[p][at].digest = h.Digest
+			continue
+		}
+		t.facts[p] = slices.Insert(t.facts[p], at, fact{h.Key, h.Digest})
+		t.size++
+	}
+	var d xxhash.Digest
+	for p, facts := range t.facts {
+		if len(facts) == 0 {
+			continue
+		}
+		d.Reset()
+		for _, f := range facts {
+			d.WriteString(f.key)
+			d.WriteString("\x00")
+			d.WriteString(f.digest)
+			d.WriteString("\x00")
+		}
+		t.leaf[p] = d.Sum64()
+	}
+	for i := range t.inner {
+		t.inner[i] = over(t.leaf[i*fanOut : (i+1)*fanOut])
+	}
+	t.root = over(t.inner[:])
+	return t
+}
+
+// over is the hash over the hashes of children; 0 where all are empty.
+func over(of []uint64) uint64 {
+	var b [8 * fanOut]byte
+	empty := true
+	for i, h := range of {
+		binary.BigEndian.PutUint64(b[8*i:], h)
+		empty = empty && h == 0
+	}
+	if empty {
+		return 0
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// Root is the digest over all facts, 16 hex digits; all 0 for none.
+func (t *Tree) Root() string { return hex(t.root) }
+
+// Len is the number of facts.
+func (t *Tree) Len() int { return t.size }
+
+// Diff gives the keys that only one of two trees holds, or both with other digests, in order, and how many hashes
+// of one tree and digests of its facts the other's owner had to be given to find them: two trees with k differing keys need at
+// most 1 + 16 + 16k hashes and the facts of k leaves.
+func Diff(a, b *Tree) (keys []string, hashes int) {
+	if hashes = 1; a.root == b.root {
+		return nil, hashes
+	}
+	hashes += fanOut
+	for i := range fanOut {
+		if a.inner[i] == b.inner[i] {
+			continue
+		}
+		hashes += fanOut
+		for p := i * fanOut; p < (i+1)*fanOut; p++ {
+			if a.leaf[p] != b.leaf[p] {
+				hashes += len(b.facts[p])
+				keys = append(keys, differing(a.facts[p], b.facts[p])...)
+			}
+		}
+	}
+	slices.Sort(keys)
+	return keys, hashes
+}
+
+// differing gives the keys in which two sorted lists of facts differ.
+func differing(a, b []fact) (keys []string) {
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].key < b[0].key:
+			keys, a = append(keys, a[0].key), a[1:]
+		case len(a) == 0 || b[0].key < a[0].key:
+			keys, b = append(keys, b[0].key), b[1:]
+		default:
+			if a[0].digest != b[0].digest {
+				keys = append(keys, a[0].key)
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return keys
+}
+
+// below gives the range of leaves under a path of at most two hex digits.
+func below(path string) (from, to int, ok bool) {
+	if len(path) > depth {
+		return 0, 0, false
+	}
+	from, to = 0, leaves
+	for _, c := range []byte(path) {
+		i := strings.IndexByte(digits, c)
+		if i < 0 {
+			return 0, 0, false
+		}
+		width := (to - from) / fanOut
+		from += i * width
+		to = from + width
+	}
+	return from, to, true
+}
+
+// at is the hash of the node at a path.
+func (t *Tree) at(path string) uint64 {
+	from, _, _ := below(path)
+	switch len(path) {
+	case 0:
+		return t.root
+	case 1:
+		return t.inner[from/fanOut]
+	}
+	return t.leaf[from]
+}
+
+// list gives the facts under a path.
+func (t *Tree) list(path string) (out []fact) {
+	from, to, ok := below(path)
+	for p := from; ok && p < to; p++ {
+		out = append(out, t.facts[p]...)
+	}
+	return out
+}
+
+func hex(h uint64) string {
+	var b [16]byte
+	for i := range b {
+		b[i] = digits[h>>(60-4*i)&15]
+	}
+	return string(b[:])
+}
