Run every row of drift's state tables against its core

The tables of docs/drift.md were not checked against the code. Each row of the verdicts is run from every state that it names, and each row of the repair; all combinations of what a repair depends on give no transition that is in no row. Found and mended so: a judge that was away showed a silent node in step, and a new one lost since when a node was stuck or diverged.

--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -72,7 +72,8 @@
 func (j *Judge) again(now fleet.Time) {
 	j.office, j.since = now, now
 	for _, n := range j.nodes {
-		n.back, n.aheadAt, n.born = now, never, max(n.born, now)
+		n.counts(now)
+		n.born = now
 		n.repair.until = max(n.repair.until, now+j.bounds.Wait)
 	}
 }
@@ -97,9 +98,8 @@
 		n.shown, n.shownAt, n.shownRev, n.repair, n.refreshed = was.shown, was.shownAt, was.shownRev, was.repair, was.refreshed
 	case n.heard && v.Report.Seq <= n.report.Seq:
 		return fmt.Errorf("%w: %s: sequence %d after %d", fleet.ErrFenced, v.Node, v.Report.Seq, n.report.Seq)
-	case !n.heard || now-n.at >= j.bounds.Fresh:
-		n.back = now
 	}
+	anew := !n.heard || now-n.at >= j.bounds.Fresh || n.at < j.office
 	j.floor[v.Node] = v.Incarnation
 	n.Member = v.Member
 	if n.prevRev = 0; n.heard {
@@ -107,6 +107,9 @@
 	}
 	n.report, n.at, n.heard = v.Report, now, true
 	n.reports++
+	if n.windows++; anew {
+		n.counts(now)
+	}
 	if body := n.hearLocal(); body != nil && (len(j.bodies) < 64 || j.bodies[n.settings] != nil) {
 		j.bodies[n.settings] = body
 	}
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -18,6 +18,8 @@
 	back    fleet.Time // since when it is counted: its first report after silence, of this incarnation, in this office
 	prevRev uint64     // revision of the report before; 0: there is none
 	reports uint64     // since its verdict was last written
+	start   [2]uint64  // revision and list version of the first report that is counted
+	windows int        // reports since then
 
 	behind  [2]lag // of intent, of the list
 	trees   [2]content
@@ -193,7 +195,7 @@
 	if quiet := now - max(n.at, n.born, office); quiet >= bd.Fresh {
 		return finding{state: Silent, items: n.shown.items, more: n.shown.more, overrides: n.shown.overrides, evidence: whyQuiet}
 	}
-	if !n.heard {
+	if !n.heard || n.at < office {
 		return finding{}
 	}
 	above := b.known && n.report.Revision > b.rev
@@ -207,6 +209,7 @@
 			Intended: strconv.FormatUint(b.rev, 10), Applied: strconv.FormatUint(n.report.Revision, 10)}}}
 	}
 	f := finding{overrides: slices.Clone(n.local)}
+	was := n.shown.state
 	asking := n.findContent(now, bd, &f)
 	if len(n.behaviour) > 0 {
 		f.items = append(f.items, n.behaviour...)
@@ -218,6 +221,9 @@
 	}
 	switch {
 	case f.state != "" || above:
+	case was == Diverged && n.shown.evidence == whyCounts && n.windows < 3:
+	case was == Stuck && lagging && n.report.Revision <= n.start[0] && n.report.List <= n.start[1]:
+	case (was == Diverged || was == Ahead) && (asking || !n.judged()): // what was found by an earlier leader stands
 	case asking:
 		f.state, f.evidence = CatchingUp, whyAsking
 	case len(f.overrides) > 0:
@@ -227,7 +233,7 @@
 		}
 	case lagging:
 		f.state, f.evidence = CatchingUp, whyBehind
-	case !n.trees[0].judged || !n.trees[1].judged:
+	case !n.judged():
 		f.state, f.evidence = CatchingUp, whyUnknown
 	default:
 		f.state, f.evidence = InStep, whySame
@@ -235,6 +241,14 @@
 	return f
 }
 
+func (n *node) judged() bool { return n.trees[0].judged && n.trees[1].judged }
+
+// counts starts the node's bounds anew.
+func (n *node) counts(now fleet.Time) {
+	n.back, n.aheadAt, n.windows = now, never, 0
+	n.start = [2]uint64{n.report.Revision, n.report.List}
+}
+
 // worse puts a state where there is none yet, or ahead for diverged.
 func (f *finding) worse(state, evidence string) {
 	if f.state == "" || state == Ahead {
--- /dev/null
+++ b/internal/fleet/drift/table_test.go
@@ -0,0 +1,325 @@
+package drift
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/page"
+)
+
+const drift = "../../../docs/drift.md"
+
+// starts bring the first node of a rig into a state, by what a node can do.
+var starts = map[string]func(*rig){
+	"none":     func(r *rig) { r.step() },
+	InStep:     func(r *rig) {},
+	CatchingUp: func(r *rig) { r.behind(); r.run(time.Second) },
+	Stuck:      func(r *rig) { r.behind(); r.run(4 * time.Second) },
+	Diverged:   func(r *rig) { r.nodes[0].plant = change("zone/z2", nil); r.run(time.Second) },
+	Ahead:      func(r *rig) { r.nodes[0].plant = above; r.run(time.Second) },
+	Overridden: func(r *rig) { r.ban(); r.run(time.Second) },
+	Silent:     func(r *rig) { r.quiet = true; r.run(2500 * ms) },
+}
+
+var above = change("zone/z2", fleet.HeldZone{Rev: 1 << 40})
+
+// behind has something new intended that the first node does not hear.
+func (r *rig) behind() {
+	r.nodes[0].deaf = true
+	r.put("zone/z3@z1", left(0.1))
+	r.hear()
+}
+
+func (r *rig) ban() {
+	b := hold("ban/s3", fleet.HeldBan{Out: true})
+	b.By, b.SinceMS = "door", 99
+	r.nodes[0].local = append(r.nodes[0].local, b)
+}
+
+// events are the rows' events and conditions, as what happens to a rig in some state. They give what is wrong.
+var events = map[string]func(*rig) error{
+	"report|all as intended": func(r *rig) error { return r.then(time.Second, func() {}) },
+	"report|a ban":           func(r *rig) error { return r.then(time.Second, r.ban) },
+	"report|other settings than the fleet's": func(r *rig) error {
+		r.then(time.Second, func() { r.nodes[0].local = []fleet.Held{settings(77)} })
+		if o := r.verdict(0).Overrides; len(o) != 1 || o[0].By != "SIGHUP" || o[0].SinceMS != 17 || !has(o[0].Fields, "settings", "nodes") {
+			return fmt.Errorf("overrides %+v", o)
+		}
+		return nil
+	},
+	"report|outstanding, inside the bound": func(r *rig) error { return r.then(2500*ms, r.behind) },
+	"report|outstanding, past the bound": func(r *rig) error {
+		r.then(3500*ms, r.behind)
+		return r.names("zone/z3@z1", "rev")
+	},
+	"report|other content, being named": func(r *rig) error {
+		return r.then(2500*ms, func() { r.nodes[0].plant, r.nodes[0].mute = change("zone/z2", nil), true })
+	},
+	"report|other content, named": func(r *rig) error {
+		r.then(time.Second, func() {
+			r.nodes[0].plant = change("server/s3", fleet.HeldServer{Zone: "z9", Kind: "k", State: "ready", Size: 1})
+		})
+		return r.names("server/s3", "zone")
+	},
+	"report|other content, not named within the bound": func(r *rig) error {
+		r.then(3900*ms, func() { r.nodes[0].plant, r.nodes[0].mute = change("zone/z2", nil), true })
+		return r.names("*", "root")
+	},
+	"report|behaviour, two reports running": func(r *rig) error {
+		r.then(2100*ms, func() { r.nodes[0].counts = sent(1, 99) })
+		return r.names("zone/z2", "sent")
+	},
+	"report|behaviour, one report": func(r *rig) error {
+		return r.then(2600*ms, func() { r.nodes[0].counts = sent(3, 3) })
+	},
+	"report|revision above the leader's, inside 1 s": func(r *rig) error {
+		r.quiet = true
+		r.nodes[0].rev += 10
+		r.send(r.nodes[0])
+		r.run(500 * ms)
+		return nil
+	},
+	"report|revision above the leader's, past 1 s": func(r *rig) error {
+		r.quiet = false
+		r.nodes[0].rev += 10
+		r.run(2100 * ms)
+		return r.names("*", "revision")
+	},
+	"report|item above the committed one": func(r *rig) error {
+		r.then(time.Second, func() { r.nodes[0].plant = above })
+		return r.names("zone/z2", "rev")
+	},
+	"report|not comparable yet": func(r *rig) error {
+		r.nodes[0].rev = 1
+		r.send(r.nodes[0])
+		r.step()
+		return nil
+	},
+	"report|older incarnation": func(r *rig) error {
+		old := *r.nodes[0]
+		old.Incarnation--
+		return r.refuses(&old)
+	},
+	"report|sequence seen before": func(r *rig) error {
+		if r.verdict(0).State != "none" {
+			old := *r.nodes[0]
+			old.seq--
+			return r.refuses(&old)
+		}
+		return nil
+	},
+	"quiet|2 s without a report": func(r *rig) error { r.quiet = true; r.run(2500 * ms); return nil },
+	"quiet|the judge was away": func(r *rig) error {
+		r.now += 30 * time.Second
+		r.step()
+		return nil
+	},
+	"left|the node's last report said leaving": func(r *rig) error {
+		r.nodes[0].leaving, r.quiet = true, true
+		r.send(r.nodes[0])
+		r.present = r.present[1:]
+		r.run(300 * ms)
+		return nil
+	},
+	"quiet|no session for 10 min": func(r *rig) error {
+		r.quiet, r.present = true, r.present[1:]
+		r.run(601 * time.Second)
+		return nil
+	},
+}
+
+// then mends the node, has something happen and lets its reports come.
+func (r *rig) then(d time.Duration, what func()) error {
+	r.mend()
+	what()
+	r.run(d)
+	return nil
+}
+
+func (r *rig) names(key, field string) error {
+	if v := r.verdict(0); !has(v.Items, key, field) {
+		return fmt.Errorf("%+v names no %s %s", v, key, field)
+	}
+	return nil
+}
+
+func (r *rig) refuses(m *module) error {
+	r.refused = nil
+	r.send(m)
+	r.step()
+	if len(r.refused) != 1 || !errors.Is(r.refused[0], fleet.ErrFenced) {
+		return fmt.Errorf("refused %v", r.refused)
+	}
+	return nil
+}
+
+// sent has the reports from the first to the last count attempts to a zone that is left.
+func sent(first, last int) func(*fleet.Report) {
+	n := 0
+	return func(r *fleet.Report) {
+		if n++; n >= first && n <= last {
+			r.Zones = []fleet.ZoneCount{{Zone: "z2", Sent: 4, Listed: 2}}
+		}
+	}
+}
+
+// Every row of the page is run against the judge, from every state that it names, on a fleet of twelve.
+func TestVerdictTable(t *testing.T) {
+	rows, err := page.Table(drift, "Verdicts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	said := map[string]bool{} // state and evidence
+	for _, row := range rows {
+		event := events[row.Event+"|"+row.Condition]
+		must(t, event != nil, "%v: no test makes this happen", row)
+		from := []string{row.State}
+		if but, any := strings.CutPrefix(row.State, "any"); any {
+			from = []string{"none", InStep, CatchingUp, Stuck, Diverged, Ahead, Overridden, Silent}
+			from = slices.DeleteFunc(from, func(s string) bool { return strings.Contains(but, s) })
+		}
+		for _, state := range from {
+			r := newRig(12)
+			if r.quiet = state == "none"; r.quiet {
+				r.present = r.present[1:]
+			}
+			r.run(5 * time.Second)
+			r.quiet, r.present = false, []fleet.Member{}
+			for _, m := range r.nodes {
+				r.present = append(r.present, m.Member)
+			}
+			starts[state](r)
+			must(t, r.verdict(0).State == state, "start %s: %+v", state, r.verdict(0))
+			next := row.Next
+			if next == "same" {
+				next = state
+			}
+			if err := event(r); err != nil {
+				t.Errorf("%v, from %s: %v", row, state, err)
+			}
+			if got := r.verdict(0); got.State != next {
+				t.Errorf("%v, from %s: %s (%+v)", row, state, got.State, got)
+			}
+			for i := 1; i < len(r.nodes); i++ {
+				must(t, r.verdict(i).State != Diverged && r.verdict(i).State != Stuck, "%v: %+v", row, r.verdict(i))
+			}
+		}
+		said[row.Next+"|"+row.Condition] = true
+	}
+	for _, w := range [][2]string{{InStep, whySame}, {Overridden, whyBan}, {Overridden, whySettings}, {CatchingUp, whyBehind}, {Stuck, whyLate},
+		{CatchingUp, whyAsking}, {CatchingUp, whyUnknown}, {Diverged, whyOther}, {Diverged, whyUnnamed}, {Diverged, whyCounts}, {Ahead, whyAbove},
+		{Ahead, whyItem}, {Silent, whyQuiet}} {
+		must(t, said[w[0]+"|"+w[1]], "no row for %v", w)
+	}
+}
+
+// repairCase is all that a repair's step depends on.
+type repairCase struct {
+	step                               string
+	tries                              int
+	shown                              string
+	over, relapsed, rate, room, doubts bool
+	absent                             bool
+}
+
+func (c repairCase) run() (next, act string) {
+	j, now := NewJudge(Defaults()), fleet.Time(time.Hour)
+	n := j.meet(now-time.Hour, fleet.Member{Node: "n"})
+	n.shown.state, n.shown.items = c.shown, []Difference{{Key: "zone/z"}}
+	n.repair.Step, n.repair.Tries, n.repair.until = c.step, c.tries, now+1
+	if c.over {
+		n.repair.until = now
+	}
+	if c.relapsed {
+		n.repair.mended = now - time.Second
+	}
+	if !c.rate {
+		j.resends.next, j.strong.next = now+time.Hour, now+time.Hour
+	}
+	j.doubting = c.doubts
+	outs, room := 1, 1
+	if c.room {
+		room = 2
+	}
+	if c.absent {
+		n.repair.leave()
+	} else {
+		act = j.repairStep(now, n, &outs, room)
+	}
+	if next = n.repair.Step; next == Idle {
+		next = "idle"
+	}
+	return next, act
+}
+
+// Every row of the repair's table is run; and of all combinations of what a step depends on, none gives a
+// transition that is in no row.
+func TestRepairTable(t *testing.T) {
+	rows, err := page.Table(drift, "Repair")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conditions := map[string]func(*repairCase){
+		"":                                func(c *repairCase) {},
+		"room in the rate":                func(c *repairCase) {},
+		"no room in the rate":             func(c *repairCase) { c.rate = false },
+		"relapsed, first wait not over":   func(c *repairCase) { c.relapsed = true },
+		"the detector suspects itself":    func(c *repairCase) { c.doubts = true },
+		"wait not over":                   func(c *repairCase) { c.over = false },
+		"wait over, under 3 tries":        func(c *repairCase) { c.tries = 2 },
+		"wait over, 3 tries":              func(c *repairCase) {},
+		"wait over, room among those out": func(c *repairCase) {},
+		"wait over, no room":              func(c *repairCase) { c.room = false },
+		"in step for less than its wait":  func(c *repairCase) { c.over = false },
+		"in step for its wait":            func(c *repairCase) {},
+	}
+	acts := map[string]string{"items re-sent": ActResend, "items re-sent, wait doubled": ActResend, "agent restarts": ActRestart,
+		"not ready": ActOut, "in front again": ActBack, "relapse counted if it drifts again": ActMended}
+	known := map[string]bool{}
+	for _, row := range rows {
+		set := conditions[row.Condition]
+		must(t, set != nil, "%v: no test makes this so", row)
+		from := []string{row.State}
+		if row.State == "any" {
+			from = []string{"idle", Resending, Restarting, Out}
+		}
+		for _, step := range from {
+			for _, shown := range map[string][]string{"drifts": {Stuck, Diverged, Ahead}, "mends": {InStep, Overridden}, "left": {Silent}}[row.Event] {
+				c := repairCase{step: step, tries: 3, shown: shown, over: true, rate: true, room: true, absent: row.Event == "left"}
+				if c.step == "idle" {
+					c.step = Idle
+				}
+				set(&c)
+				if next, act := c.run(); next != row.Next || act != acts[row.Effect] {
+					t.Errorf("%v: %+v gives %s, %q", row, c, next, act)
+				}
+			}
+			known[step+"|"+row.Event+"|"+row.Next] = true
+		}
+	}
+	bits := []bool{false, true}
+	for _, step := range []string{Idle, Resending, Restarting, Out} {
+		for _, shown := range []string{Stuck, Diverged, Ahead, InStep, Overridden, CatchingUp, Silent} {
+			for i := range 64 {
+				c := repairCase{step, 1 + i%4, shown, bits[i>>1&1], bits[i>>2&1], bits[i>>3&1], bits[i>>4&1], bits[i>>5&1], false}
+				next, _ := c.run()
+				from, event := step, "mends"
+				if from == Idle {
+					from = "idle"
+				}
+				if drifts(shown) {
+					event = "drifts"
+				}
+				if next != from && !known[from+"|"+event+"|"+next] {
+					t.Errorf("%+v gives %s: no row", c, next)
+				}
+				must(t, next == from || !slices.Contains([]string{CatchingUp, Silent}, shown), "%+v moves", c)
+			}
+		}
+	}
+}
--- a/internal/fleet/drift/view.go
+++ b/internal/fleet/drift/view.go
@@ -26,7 +26,7 @@
 			v = *old
 		}
 		switch {
-		case n == nil || n.shown.state == "" && old != nil || !n.heard && old != nil && n.shown.state == old.State:
+		case n == nil || old != nil && (n.shown.state == "" || (!n.heard || n.at < j.office) && n.shown.state == old.State):
 			if v.State == InStep {
 				v.State, v.Evidence = CatchingUp, "no report to this leader yet"
 			}
