Give a node room for a request at servers that answer as if uncrowded

Observed: idle fleets refused up to 11 % in the lab with servers 95 % idle, 20 nodes with 12 servers 9 % and 200 with 60 servers 15 % in the module's event world. Cause: H is divided among the nodes that share a server; under 1 it is rounded by chance (crowd), at 0 an idle server counts as overloaded, now and then none of a subset is normal, and q2 is then 1. Change: room, the part of one request that a node may always have, from the server's latency: all of it up to a third of the way from the uncrowded latency to the wanted one, none at the wanted one, falling in between, so that not all nodes come at once. H is the larger of the two, rounded by chance as before. Nothing changes for H over 1 or sparse nodes.

--- a/decide/overload.go
+++ b/decide/overload.go
@@ -21,6 +21,7 @@
 	reportSlack = 1.25                   // on thresholds for reports, which lag and come on top of own counts
 	reportCap   = 1000.0                 // requests; no server holds more to any use
 	leastWindow = 2.0                    // requests of all nodes at a server, at least, learned or not
+	fullUntil   = 1 / 3.0                // of the way from the uncrowded latency to the wanted one: room for one
 	anchor      = 0.3                    // part of H drawn from the fleet: own noise must not starve a server
 	memoryTau   = 600.0                  // s; to forget peak rates and uncrowded latency: longer than troubles
 )
@@ -110,13 +111,28 @@
 	return float64(m.set.Nodes*max(1, len(m.near))) / float64(max(1, len(m.ring)))
 }
 
+// room is the part of one request that this node may always have at a server. Where many nodes share a
+// server, each one's part of H is under 1, its own count of none tells nothing, and an idle server would be
+// overloaded by chance; so its latency tells: near the uncrowded one there is room for one request of each
+// node, at the wanted one for none, and H alone decides. In between it falls: not all nodes come at once.
+func (m *Module) room(s *server) float64 {
+	want := math.Min(queueFactor*m.base, m.aimed)
+	switch {
+	case m.answers == 0:
+		return 1 // nothing tells of a crowd
+	case want <= m.base:
+		return 0
+	}
+	return math.Min(1, (want-m.latencyOf(s))/(want-m.base)/(1-fullUntil))
+}
+
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
 // node sends a server less than one request in a validity, and its own count tells nothing: there n is the
 // requests that a server reports, or those ahead of one's own by its delay in uncrowded ones; it lapses.
 // Stuck attempts are out for other reasons than load, and would hold n above H.
 func (m *Module) crowd(s *server) (n, h float64) {
 	if !m.sparse() {
-		return s.n - s.stuck, math.Floor(m.high(s) + s.dither)
+		return s.n - s.stuck, math.Floor(math.Max(m.high(s), m.room(s)) + s.dither)
 	}
 	if m.least == 0 || m.aimed == 0 {
 		return s.n, 1
