Let a node save up three requests of a tenant's share, however small

Observed: a bucket held one second of the node's part of a share, so where that is under one request (20 nodes and a brand of 12 a second) it never held a token: the brand's requests never had priority, place-order among them. Cause: the bound in within. Change: the bound is three requests at least, as much as the smallest brand has at 4 nodes, where it works; within moves to the policy. The rate is as before: over time no more than the quota is within it, plus what the nodes may save up.

--- a/decide/crowd_test.go
+++ b/decide/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 	"time"
@@ -205,3 +206,32 @@
 		}
 	}
 }
+
+// A tenant within its quota has priority at every node, however small the node's part of it; one far over its quota has it
+// for no more than the quota and what the nodes may save up.
+func TestSmallTenantsHavePriorityWithinTheirQuota(t *testing.T) {
+	const quota, seconds = 12.0, 200
+	for _, nodes := range []int{4, 20, 40, 100, 300} {
+		for over, least := range map[float64]float64{0.67: 0.9, 10: 0} {
+			s := sparseSettings(nodes)
+			s.Tenants = []Tenant{{Name: "small", Quota: quota}}
+			m, r := New(s, 1), rand.New(rand.NewSource(1))
+			m.Handle(time.Hour, sparseList(1))
+			came, within := 0, 0.0
+			rate := over * quota / float64(nodes)
+			for now := time.Hour; now < time.Hour+seconds*time.Second*time.Duration(nodes)/4; came++ {
+				now += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+				id := RequestID(fmt.Sprint(came))
+				m.Handle(now, RequestArrived{ID: id, Class: "dear", Tenant: "small", Patience: time.Second})
+				if q := m.requests[id]; q != nil && q.priority {
+					within++
+				}
+				m.Handle(now, AttemptEnded{ID: id, Server: 1, Over: true, Elapsed: time.Millisecond})
+			}
+			if most := quota/4*seconds + math.Max(leastBurst, quota/float64(nodes)) + 1; within < least*float64(came) || within > most {
+				t.Errorf("%d nodes, %v of the quota: %v of %d with priority, want a part of %v, at most %v", nodes, over, within,
+					came, least, most)
+			}
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,6 +12,7 @@
 const (
 	tickEvery   = 25 * time.Millisecond // s; the round of checks: well under any aim
 	worthPart   = 0.5                   // of the top worth: classes of like worth are not night and day
+	leastBurst  = 3.0                   // requests that a node may save up of a tenant's share, at least
 	stuckFactor = 20.0                  // multiple of the mean latency; an attempt out longer is stuck
 	holdPart    = 0.15                  // part of the aim a refused client is told to wait, jittered
 )
@@ -66,6 +67,18 @@
 	return m.out
 }
 
+// within takes a token of the tenant's share, if there is one. Requests come in bunches: a node's part of a
+// small share must save up some, however many nodes there are.
+func (t *tenant) within(now Time) bool {
+	burst := math.Max(t.perNode, leastBurst)
+	t.tokens, t.at = math.Min(burst, t.tokens+t.perNode*(now-t.at).Seconds()), now
+	ok := t.tokens >= 1
+	if ok {
+		t.tokens--
+	}
+	return ok
+}
+
 func (m *Module) arrive(e RequestArrived) {
 	if m.requests[e.ID] != nil {
 		return
--- a/decide/state.go
+++ b/decide/state.go
@@ -154,16 +154,6 @@
 	return m.classes[name]
 }
 
-// within takes a token of the tenant's share, if there is one.
-func (t *tenant) within(now Time) bool {
-	t.tokens, t.at = math.Min(t.perNode, t.tokens+t.perNode*(now-t.at).Seconds()), now
-	ok := t.tokens >= 1
-	if ok {
-		t.tokens--
-	}
-	return ok
-}
-
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
 		m.known[id] = &server{since: m.now, quietUntil: m.now, place: mix(uint64(id) * 0x9e3779b97f4a7c15)}
