Give the checker the fleet's rules: zones, tenants, drift

A run with a control plane is checked against what came out of listd: attempts and tries at left zones past 1 s, fragile trials, budgets of a return, zones left that no fault touched; tenants with nothing committed or removed, quotas over their sum; alarms nobody caused, planted drift not found, a stopped node shown in step. 16 mutations of one clean run are each caught by their rule alone; a deaf node, a stopped one and a first rollout are not.

--- /dev/null
+++ b/internal/invariants/fleet_test.go
@@ -0,0 +1,129 @@
+package invariants
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const sec = time.Second
+
+// cleanFleet is a run of three nodes in zones a, b, c: zone b is left at 10 s, tried by node 0 from 14 s, returns with a
+// budget from 17 s and is served from 20 s. Tenant "new" is committed at 5 s and removed at 25 s; "old" is of the
+// settings. Node 2 is stopped from 30 to 45 s, node 1 made to drift at 30 s.
+func cleanFleet() Run {
+	f := &Fleet{NodeZone: []string{"a", "b", "c"}, ServerZone: map[string]string{"sa": "a", "sb": "b", "sc": "c"},
+		Faulted: map[string]time.Duration{"b": 9 * sec}, Settings: map[string]bool{"old": true}, Lives: 3,
+		Told: []Told{{Key: "tenant/new", Rev: 1, At: 4 * sec},
+			{Key: "tenant/new", Rev: 2, At: 5 * sec, Committed: true, Rate: 20, Burst: 4},
+			{Key: "zone/b", Rev: 3, At: 10 * sec, Phase: "left"},
+			{Key: "zone/b", Rev: 4, At: 14 * sec, Phase: "probation", Trial: []int{0}, Budget: 4},
+			{Key: "zone/b", Rev: 5, At: 17 * sec, Phase: "returning", Share: 0.1, Budget: 9},
+			{Key: "zone/b", Rev: 6, At: 20 * sec, Gone: true},
+			{Key: "tenant/new", Rev: 7, At: 25 * sec, Committed: true, Removing: true}},
+		Verdicts: []Verdict{{Node: 0, At: sec, State: "in-step"}, {Node: 1, At: sec, State: "in-step"}, {Node: 2, At: sec, State: "in-step"},
+			{Node: 1, At: 32 * sec, State: "overridden", What: "settings"}, {Node: 2, At: 33 * sec, State: "silent"}},
+		Planted: []Planted{{Node: 1, At: 30 * sec}}}
+	r := Run{Fleet: f, End: 60 * sec, Slack: sec, Fragile: map[string]bool{"place-order": true},
+		Excuses: []Excuse{{Node: 2, From: 30 * sec, To: 50 * sec, Back: 45 * sec, Why: "stopped n2"}}}
+	add := func(at time.Duration, node int, server, account, class string) {
+		r.put(at, node, server, account, class)
+	}
+	for i := range 40 { // 10/s of "old" at a and c throughout
+		add(time.Duration(i)*sec, i%2*2, []string{"sa", "sc"}[i%2], "old", "schedule-view")
+	}
+	add(9*sec, 1, "sb", "old", "place-order")
+	add(10*sec+500*ms, 1, "sb", "old", "schedule-view") // inside the bound
+	add(15*sec+500*ms, 0, "sb", "old", "schedule-view") // the trial
+	for i := range 8 {
+		add(18*sec+500*ms+time.Duration(i)*10*ms, i%3, "sb", "old", "schedule-view") // within the budget
+	}
+	for i := range 30 {
+		add(22*sec+time.Duration(i)*50*ms, i%3, "sb", "new", "schedule-view") // at its quota
+	}
+	add(25*sec+500*ms, 1, "sb", "new", "schedule-view")
+	return r
+}
+
+// put adds one request, answered at its first attempt.
+func (r *Run) put(at time.Duration, node int, server, account, class string) {
+	id := fmt.Sprint("r", len(r.Sent))
+	r.Sent = append(r.Sent, Sent{ID: id, Class: class, Account: account, Node: node, At: at, Done: at + 30*ms, Status: 200, Taken: true})
+	r.Attempts = append(r.Attempts, Attempt{ID: id, Class: class, Server: server, Node: node, Start: at + ms, End: at + 20*ms, Ran: true})
+}
+
+func TestCleanFleetHasNoBreach(t *testing.T) {
+	if b := Check(cleanFleet()); len(b) != 0 {
+		t.Fatal(b)
+	}
+}
+
+// A broken run of each rule is caught, by that rule alone.
+func TestEachFleetRuleIsCaught(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule   string
+		n      int
+		change func(*Run)
+	}{
+		"attempt at a left zone":        {"Z-left", 1, func(r *Run) { r.put(12*sec, 2, "sb", "old", "schedule-view") }},
+		"try at a left zone":            {"Z-left", 1, func(r *Run) { r.Fleet.Tries = []Try{{2, "sb", 12 * sec}} }},
+		"attempt in others' trial":      {"Z-left", 1, func(r *Run) { r.put(15*sec+500*ms, 2, "sb", "old", "schedule-view") }},
+		"order in the trial":            {"Z-trial", 1, func(r *Run) { r.put(15*sec+500*ms, 0, "sb", "old", "place-order") }},
+		"zone left for one observer":    {"Z-left", 1, func(r *Run) { r.observed(); r.put(52*sec, 0, "sc", "old", "schedule-view") }},
+		"left though nothing was wrong": {"Z-wrong", 1, func(r *Run) { r.Fleet.Faulted = nil }},
+		"left before the fault":         {"Z-wrong", 1, func(r *Run) { r.Fleet.Faulted["b"] = 11 * sec }},
+		"over the return's budget": {"Z-budget", 1, func(r *Run) {
+			for i := range 20 { // 28 where 9 + 3*sqrt(9) + 3 are allowed
+				r.put(18*sec+520*ms+time.Duration(i)*10*ms, i%3, "sb", "old", "schedule-view")
+			}
+		}},
+		"tenant nobody committed": {"T-uncommitted", 1, func(r *Run) { r.put(3*sec, 0, "sa", "x", "schedule-view") }},
+		"tenant only staged":      {"T-uncommitted", 1, func(r *Run) { r.put(2*sec, 0, "sa", "new", "schedule-view") }},
+		"removed tenant":          {"T-removed", 1, func(r *Run) { r.put(28*sec, 0, "sa", "new", "schedule-view") }},
+		"over the quota": {"T-quota", 1, func(r *Run) {
+			for i := range 30 {
+				r.put(23*sec+time.Duration(i)*30*ms, 0, "sa", "new", "schedule-view")
+			}
+		}},
+		"ahead":            {"D-ahead", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "ahead", ""}) }},
+		"false alarm":      {"D-false", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "diverged", ""}) }},
+		"drift not found":  {"D-missed", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts[:3], r.Fleet.Verdicts[4:]...) }},
+		"silent not shown": {"D-silent", 1, func(r *Run) { r.Fleet.Verdicts = r.Fleet.Verdicts[:4] }},
+	} {
+		r := cleanFleet()
+		c.change(&r)
+		b := Check(r)
+		if len(b) != c.n || b[0].Rule != c.rule {
+			t.Errorf("%s: %v, want %d of %s", name, b, c.n, c.rule)
+		}
+	}
+}
+
+// observed has zone c cut off from zone a, seen by zone a's nodes alone.
+func (r *Run) observed() {
+	r.Fleet.Faulted["c"] = 50 * sec
+	r.Fleet.Told = append(r.Fleet.Told, Told{Key: "zone/c@a", Rev: 8, At: 50*sec + 500*ms, Phase: "left"})
+	r.put(52*sec, 1, "sc", "old", "schedule-view") // of zone b: stays
+}
+
+// What the rules let be: a node that can't hear, a quota just changed, an alarm on a node under a fault.
+func TestFleetRulesKnowTheirExcuses(t *testing.T) {
+	for name, change := range map[string]func(*Run){
+		"deaf node at a left zone": func(r *Run) {
+			r.put(12*sec, 2, "sb", "old", "schedule-view")
+			r.Excuses = append(r.Excuses, Excuse{Node: 2, Rule: "after-grace", From: 9 * sec, To: 13 * sec, Back: 11 * sec, Why: "deaf n2"})
+		},
+		"alarm on a node that is down": func(r *Run) {
+			r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{2, 36 * sec, "stuck", ""})
+		},
+		"settings' tenant with its first rollout": func(r *Run) {
+			r.Fleet.Told = append(r.Fleet.Told, Told{Key: "tenant/old", Rev: 9, At: 20 * sec})
+		},
+	} {
+		r := cleanFleet()
+		change(&r)
+		if b := Check(r); len(b) != 0 {
+			t.Errorf("%s: %v", name, b)
+		}
+	}
+}
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -2,6 +2,8 @@
 // what app servers received, and what the lab did to the fleet. It does no I/O and keeps no clock: a run's records
 // go in, the breaches come out, each with the request id that shows it.
 //
+// A run with a control plane is also held to the fleet's rules (docs/lab.md, "The fleet's rules").
+//
 // The rules are the bench's (DESIGN, "Hard rules"): one final answer per request taken; a fragile class never runs
 // twice; one attempt out at a time per request; nothing new to a draining or gone server after the grace; no cold
 // app server pushed over by nodes told of its start; nothing reaches an app server that no client sent.
@@ -65,7 +67,8 @@
 	Node     int
 	Rule     string // "answer", "after-grace", or "" for both
 	From, To time.Duration
-	Why      string
+	Back     time.Duration // when the fault itself ended; To has what it goes on costing
+	Why      string        // what opened it: "down n3", "stopped n3", "cut n3", "deaf n3", "agent ...", "replica ..."
 }
 
 // Run is all that the checker reads.
@@ -75,6 +78,7 @@
 	Changes  []Change
 	Excuses  []Excuse
 	Falls    []Fall
+	Fleet    *Fleet          // of a run with a control plane
 	Fragile  map[string]bool // classes that must never run twice
 	Grace    time.Duration   // after a change is made, how long attempts to the server may still start
 	Slack    time.Duration   // how long a change may take to reach the nodes when no fault holds it up
@@ -83,7 +87,7 @@
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent", "cold-fall"
+	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent", "cold-fall"; Z-, T- and D- of the fleet
 	ID     string // the request id; empty where the rule is not about one request
 	At     time.Duration
 	Detail string
@@ -140,17 +144,18 @@
 	}
 	out = append(out, r.afterGrace()...)
 	out = append(out, r.coldFalls()...)
+	out = append(out, r.fleet()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
 
-// excused says whether a window of the rule covers node's request from..to (to zero: never ended, so up to the end).
+// excused says whether a window of the rule (any for "") covers node's request from..to (to zero: never ended, so up to the end).
 func (r Run) excused(rule string, node int, from, to time.Duration) bool {
 	if to == 0 {
 		to = r.End
 	}
 	for _, e := range r.Excuses {
-		if (e.Node == node || e.Node == -1) && (e.Rule == "" || e.Rule == rule) && e.From <= to && from <= e.To {
+		if (e.Node == node || e.Node == -1) && (e.Rule == "" || rule == "" || e.Rule == rule) && e.From <= to && from <= e.To {
 			return true
 		}
 	}
--- a/internal/lab/excuses.go
+++ b/internal/lab/excuses.go
@@ -31,7 +31,7 @@
 		delete(f.open, key)
 		for i := range f.recs.Excuses {
 			if e := &f.recs.Excuses[i]; e.To == -1 && e.Why == key {
-				e.To = at + tail
+				e.To, e.Back = at+tail, at
 			}
 		}
 	}
