Play drift's core on a network of 300 nodes, and mend what the random plays found

The judge had been tested node by node only. A simulated fleet drops, delays and doubles its reports, restarts in turn, pauses nodes and leaders for 10 s and changes leaders with clocks 2 s apart: nothing is called diverged, ahead or stuck. Found by the random plays and mended: versions that a judge had not seen between two steps were judged by those before them, and a late report brought back a node that had left.

--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -45,6 +45,7 @@
 // version is an item as it was from a revision on.
 type version struct {
 	rev       uint64
+	until     uint64 // it is known to have held up to this revision; what came then may not have been seen
 	gone      bool
 	unknown   bool       // nothing is known of it before the next version
 	seen      fleet.Time // when the judge first saw it
@@ -67,7 +68,7 @@
 func (e *entry) at(n uint64) *version {
 	for i := len(e.versions) - 1; i >= 0; i-- {
 		if v := &e.versions[i]; v.rev <= n {
-			if v.unknown {
+			if v.unknown || i < len(e.versions)-1 && n > v.until {
 				return nil
 			}
 			return v
@@ -169,6 +170,7 @@
 			b.servers = insert(b.servers, e)
 		}
 	}
+	e.last().until = b.rev
 	e.versions = append(e.versions, v)
 	if over := len(e.versions) - versionsKept; over > 0 { // what was before the first kept is not known
 		e.versions = slices.Delete(e.versions, 0, over)
@@ -270,7 +272,7 @@
 	return held, whole
 }
 
-// directive gives the directive that holds for a zone at a node at revision n, with its own revision; nil for none.
+// directive gives the directive that holds for a zone at a node at revision n, with its own revision; nil for none, or where it is not known.
 func (b *book) directive(zone string, n uint64, m fleet.Member) (d *fleet.Directive, rev uint64) {
 	for _, key := range []string{"zone/" + zone, "zone/" + zone + "@" + m.Zone} {
 		e := b.entries[key]
@@ -278,7 +280,10 @@
 			continue
 		}
 		v := e.at(n)
-		if v == nil || v.gone || v.directive.Phase == fleet.Serving {
+		if v == nil {
+			return nil, 0
+		}
+		if v.gone || v.directive.Phase == fleet.Serving {
 			continue
 		}
 		if d == nil || fleet.Narrower(*d, *v.directive) {
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -208,6 +208,7 @@
 		c.Forget[n.Node] = v.Rev
 		return true // until the verdict has gone
 	}
+	j.floor[n.Node] = max(j.floor[n.Node], n.Incarnation+1) // what comes late does not bring it back
 	delete(j.nodes, n.Node)
 	return true
 }
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -25,6 +25,7 @@
 	trees   [2]content
 	redo    bool // to be compared again: the report is of a revision that the judge had not seen
 	aheadAt fleet.Time
+	expected
 
 	suspects  []Difference // behaviour that the last report showed
 	behaviour []Difference // and the one before as well
@@ -47,6 +48,14 @@
 	refreshed  fleet.Time
 }
 
+// expected is what a node is to hold at a revision, by the book of a generation.
+type expected struct {
+	rev, gen uint64
+	held     []fleet.Held
+	tree     *Tree
+	whole    bool
+}
+
 // lag is the earliest outstanding revision, and since when it counts.
 type lag struct {
 	rev  uint64
@@ -106,9 +115,14 @@
 	if n.redo = !b.known || r.Revision > b.rev; n.redo {
 		return
 	}
-	if held, whole := b.expect(r.Revision, n.Member); whole {
-		n.trees[0].compare(now, r, r.Root, inFleet, NewTree(held), held, func(key string, applied json.RawMessage) bool {
-			return aheadOf(bodyOf(held, key), applied, r.Revision)
+	if e := &n.expected; e.tree == nil || e.rev != r.Revision || e.gen != b.gen {
+		*e = expected{rev: r.Revision, gen: b.gen}
+		e.held, e.whole = b.expect(r.Revision, n.Member)
+		e.tree = NewTree(e.held)
+	}
+	if e := &n.expected; e.whole {
+		n.trees[0].compare(now, r, r.Root, inFleet, e.tree, e.held, func(key string, applied json.RawMessage) bool {
+			return aheadOf(bodyOf(e.held, key), applied, r.Revision)
 		})
 	}
 	if b.noList {
--- a/internal/fleet/drift/repair.go
+++ b/internal/fleet/drift/repair.go
@@ -68,10 +68,7 @@
 			if r.mended != never && now-r.mended < b.Damp {
 				r.Relapse = min(r.Relapse+1, 5)
 			}
-			r.waiting, r.until = true, now
-			if r.Relapse > 0 {
-				r.until = now + r.wait(b, 0)
-			}
+			r.waiting, r.until = true, now+r.wait(b, 0)
 		}
 		if now >= r.until && j.resends.take(now, b.ResendEvery) {
 			return r.resend(now, b, 1)
--- /dev/null
+++ b/internal/fleet/drift/sim_test.go
@@ -0,0 +1,343 @@
+package drift
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// world is a fleet on a network that drops, delays, doubles and reorders, in simulated time. The leader's clock is
+// off from the world's by skew. Nodes stamp incarnations with clocks that are off by up to 2 s.
+type world struct {
+	*intent
+	rng            *rand.Rand
+	now, skew      fleet.Time
+	j              *Judge
+	st             *State
+	rev            uint64
+	nodes          []*simNode
+	queue          events_
+	seq            int
+	loss           float64
+	paused         fleet.Time // the leader, till then
+	stepAt         fleet.Time
+	commands       []Command // proposed, not yet applied
+	judged         func(v Verdict)
+	resent, outMax int
+	old            []fleet.Report // some reports, for replays
+	applied        Intended       // what the leader's own state machine has come to
+	appliedAt      fleet.Time
+}
+
+type simNode struct {
+	module
+	up         bool
+	paused     fleet.Time // till then
+	session    fleet.Time // when the leader last heard of it, in the world's time
+	reportAt   fleet.Time
+	life       int  // counts its runs
+	fetching   bool // intent is on its way
+	frozen     bool // planted: its agent's watch hangs
+	heardAt    fleet.Time
+	restarting bool
+}
+
+type event_ struct {
+	at  fleet.Time
+	seq int
+	run func()
+}
+type events_ []event_
+
+func (q events_) Len() int { return len(q) }
+func (q events_) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events_) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events_) Push(x any)   { *q = append(*q, x.(event_)) }
+func (q *events_) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+func newWorld(nodes int, seedOf uint64, loss float64, b Bounds) *world {
+	w := &world{intent: seed(nodes), rng: rand.New(rand.NewPCG(seedOf, 1)), now: time.Hour, j: NewJudge(b), st: &State{}, loss: loss}
+	for i := range nodes {
+		n := &simNode{module: module{Member: fleet.Member{Node: nodeName(i), Zone: fmt.Sprintf("z%d", 1+i%3)}}}
+		w.nodes = append(w.nodes, n)
+		w.start(n)
+	}
+	w.j.Office(w.now+w.skew, w.st)
+	return w
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event_{w.now + d, w.seq, f})
+}
+
+// deliver has a message arrive: late, twice or never.
+func (w *world) deliver(f func()) {
+	times := 1
+	if x := w.rng.Float64(); x < w.loss {
+		times = 0
+	} else if x > 0.98 {
+		times = 2
+	}
+	for range times {
+		w.after(time.Duration(2+w.rng.IntN(100))*ms, f)
+	}
+}
+
+// start runs a node's process: it fetches intent before it reports, so its first report is not empty.
+func (w *world) start(n *simNode) {
+	n.life++
+	skew := time.Duration(w.rng.IntN(4000)-2000) * ms
+	n.Incarnation = max(n.Incarnation+1, uint64(w.now+10*time.Second+skew))
+	n.module = module{Member: n.Member, local: []fleet.Held{settings(50)}, plant: n.plant}
+	n.up, n.paused, n.fetching, n.reportAt = true, 0, false, w.now+time.Duration(w.rng.IntN(500))*ms
+	w.fetch(n)
+}
+
+func (w *world) stop(n *simNode) {
+	n.leaving = true
+	w.send(n)
+	n.up = false
+}
+
+// fetch is the watch of intent: it answers with all that is intended when it is asked.
+func (w *world) fetch(n *simNode) {
+	if n.fetching || n.frozen {
+		return
+	}
+	n.fetching = true
+	life, in := n.life, w.in
+	w.after(500*ms, func() { n.fetching = n.fetching && n.life != life })
+	w.deliver(func() {
+		if n.life == life && n.up && w.now >= n.paused && in.Revision > n.rev {
+			n.hear(in)
+			n.fetching = false
+		}
+	})
+}
+
+func (w *world) send(n *simNode) {
+	r := n.report()
+	n.reportAt = w.now + time.Duration(500+w.rng.IntN(500))*ms
+	if w.rng.IntN(50) == 0 {
+		w.old = append(w.old, r)
+	}
+	life := n.life
+	w.deliver(func() { w.arrive(n, r, life) })
+}
+
+func (w *world) arrive(n *simNode, r fleet.Report, life int) {
+	if w.now < w.paused {
+		w.after(w.paused-w.now, func() { w.arrive(n, r, life) })
+		return
+	}
+	if w.j.Observe(w.now+w.skew, fleet.NodeView{Member: r.Member, At: w.now + w.skew, Report: r}) != nil {
+		return
+	}
+	n.session, n.heardAt = w.now, w.now
+	if r.Leaving {
+		n.session = -time.Hour
+	}
+	resend, want, _, _ := w.j.Answer(n.Node)
+	w.resent += len(resend)
+	w.deliver(func() {
+		if n.life != life || !n.up {
+			return
+		}
+		if n.want = want; len(want) > 0 {
+			n.reportAt = min(n.reportAt, w.now+50*ms)
+		}
+		if len(resend) > 0 && !n.frozen {
+			n.hear(w.in)
+		}
+	})
+}
+
+// tick is 20 ms of the world.
+func (w *world) tick() {
+	w.now += 20 * ms
+	for len(w.queue) > 0 && w.queue[0].at <= w.now {
+		heap.Pop(&w.queue).(event_).run()
+	}
+	for _, n := range w.nodes {
+		if !n.up || w.now < n.paused {
+			continue
+		}
+		if n.rev < w.in.Revision {
+			w.fetch(n)
+		}
+		if w.now >= n.reportAt && n.rev > 0 {
+			w.send(n)
+		}
+	}
+	if w.now < w.paused || w.now < w.stepAt {
+		return
+	}
+	w.stepAt = w.now + 100*ms
+	w.step()
+}
+
+func (w *world) step() {
+	if w.now-w.appliedAt >= 300*ms {
+		w.applied, w.appliedAt = w.in, w.now
+	}
+	var present []fleet.Member
+	for _, n := range w.nodes {
+		if w.now-n.session < 6*time.Second && n.session > 0 {
+			present = append(present, n.Member)
+		}
+	}
+	if w.rng.IntN(8) > 0 { // else raft is slow: the commands wait for a step
+		for _, c := range w.commands {
+			c.AtMS = int64(w.now / ms)
+			w.st.Apply(c, func() uint64 { w.rev++; return w.rev })
+		}
+		w.commands = nil
+	}
+	w.commands = append(w.commands, w.j.Step(w.now+w.skew, w.st, w.applied, present)...)
+	outs := 0
+	for _, v := range w.j.Verdicts(w.now+w.skew, int64(w.now/ms), w.st) {
+		if v.Repair.Step == Out {
+			outs++
+		}
+		if w.judged != nil {
+			w.judged(v)
+		}
+	}
+	w.outMax = max(w.outMax, outs)
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.tick()
+	}
+}
+
+// failover puts another leader in office, with another clock and nothing but what is replicated.
+func (w *world) failover() {
+	w.commands = nil
+	w.old = slices.DeleteFunc(w.old, func(r fleet.Report) bool { // a new leader takes the first it hears of a run
+		return slices.ContainsFunc(w.nodes, func(n *simNode) bool { return n.Member == r.Member })
+	})
+	w.skew = time.Duration(w.rng.IntN(4000)-2000) * ms
+	w.j = NewJudge(w.j.bounds)
+	w.j.Office(w.now+w.skew, w.st)
+}
+
+// churn changes what is intended.
+func (w *world) churn() {
+	switch w.rng.IntN(6) {
+	case 0:
+		w.put("zone/z2", left(float64(w.rng.IntN(10))/10))
+	case 1:
+		w.put("zone/z1@z3", left(float64(w.rng.IntN(10))/10))
+	case 2:
+		w.drop("zone/z2")
+	case 3:
+		w.put(fmt.Sprintf("tenant/t%d", w.rng.IntN(5)), brand(1+w.rng.Uint64N(w.in.Revision), 2, 50))
+	case 4:
+		w.serve(fmt.Sprintf("s%d", w.rng.IntN(12)), []string{"ready", "draining", "gone"}[w.rng.IntN(3)])
+	case 5:
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.put("share/"+n.Node, fleet.Shares{Epoch: w.in.Revision, Slots: len(w.nodes), Rates: map[string]float64{"t0": w.rng.Float64()}})
+	}
+}
+
+// calm fails the test where a verdict says drift, or in step of a node that has not been heard.
+func (w *world) calm(fail func(string, ...any)) func(Verdict) {
+	by := map[string]*simNode{}
+	for _, n := range w.nodes {
+		by[n.Node] = n
+	}
+	return func(v Verdict) {
+		if n := by[v.Node]; n == nil {
+			fail("a verdict on nobody: %+v", v)
+		}
+		if drifts(v.State) {
+			fail("at %v: %+v", w.now-time.Hour, v)
+		}
+		if n := by[v.Node]; v.State == InStep && w.now-n.heardAt > 2200*ms {
+			fail("at %v: in step, last heard %v ago: %+v", w.now-time.Hour, w.now-n.heardAt, v)
+		}
+	}
+}
+
+// roll restarts every node in turn, each away for a second or two.
+func (w *world) roll(every time.Duration) {
+	for i, n := range w.nodes {
+		w.after(time.Duration(i)*every, func() {
+			w.stop(n)
+			w.after(time.Duration(1000+w.rng.IntN(1000))*ms, func() { w.start(n) })
+		})
+	}
+}
+
+// plants are the ways in which one node can drift for real, with the key and field that must be named.
+var plants = []struct {
+	name, key, field, state string
+	plant                   func(w *world, n *simNode)
+}{
+	{"a zone lost on the way", "zone/z2", "", Diverged, func(w *world, n *simNode) { n.plant = change("zone/z2", nil) }},
+	{"a truncated update", "tenant/t3", "committed.rate", Diverged, func(w *world, n *simNode) {
+		n.plant = change("tenant/t3", fleet.TenantBody(itemRev(w, "tenant/t3"), brand(itemRev(w, "tenant/t3"), 1, 70)))
+	}},
+	{"an old binary that knows no floor", "zone/z2", "floor", Diverged, func(w *world, n *simNode) {
+		rev := w.put("zone/z2", fleet.Directive{Phase: fleet.Left, Share: 0.5, Floor: 0.25, ValidMS: 5000})
+		n.plant = change("zone/z2", fleet.HeldZone{Rev: rev, Share: 0.5, ValidMS: 5000})
+	}},
+	{"a server kept that is gone", "server/s99", "", Diverged, func(w *world, n *simNode) {
+		n.plant = change("server/s99", fleet.HeldServer{Zone: "z1", Kind: "k", State: "ready", Size: 1})
+	}},
+	{"an old copy of the agent", "zone/z2", "rev", Stuck, func(w *world, n *simNode) { n.frozen = true; w.put("zone/z2", left(0.9)) }},
+	{"a generation that was never committed", "tenant/t1", "committed.generation", Ahead, func(w *world, n *simNode) {
+		n.plant = change("tenant/t1", fleet.TenantBody(itemRev(w, "tenant/t1"), brand(itemRev(w, "tenant/t1"), 2, 100)))
+	}},
+	{"another file by SIGHUP", "settings", "nodes", Overridden, func(w *world, n *simNode) { n.local = []fleet.Held{settings(7)} }},
+	{"a ban by the operators", "ban/s1", "", Overridden, func(w *world, n *simNode) {
+		n.local = append(slices.Clone(n.local), hold("ban/s1", fleet.HeldBan{Out: true}))
+	}},
+	{"attempts to a zone that is left", "zone/z2", "sent", Diverged, func(w *world, n *simNode) { n.counts = sent(1, 1<<30) }},
+	{"more admitted than its share", "tenant/t0", "admitted", Diverged, func(w *world, n *simNode) {
+		n.counts = func(r *fleet.Report) {
+			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Admitted: 30, Rate: 1.5}}
+		}
+	}},
+	{"a share above what was leased", "tenant/t0", "rate", Diverged, func(w *world, n *simNode) {
+		n.counts = func(r *fleet.Report) {
+			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Rate: 5}}
+		}
+	}},
+}
+
+func itemRev(w *world, key string) uint64 {
+	return w.in.Items[slices.IndexFunc(w.in.Items, func(it fleet.Item) bool { return it.Key == key })].Rev
+}
+
+// found runs the world until the node's verdict has the state and names the item; it gives how long that took.
+func (w *world) found(n *simNode, state, key, field string, most time.Duration) (time.Duration, Verdict) {
+	start, last := w.now, Verdict{}
+	for w.now-start < most {
+		w.tick()
+		for _, v := range w.j.Verdicts(w.now+w.skew, 0, w.st) {
+			if v.Node != n.Node {
+				continue
+			}
+			last = v
+			local := slices.ContainsFunc(v.Overrides, func(o Override) bool { return o.Key == key && (field == "" || has(o.Fields, key, field)) })
+			if v.State == state && (has(v.Items, key, field) || local) {
+				return w.now - start, v
+			}
+		}
+	}
+	return most + 1, last
+}
--- a/internal/fleet/drift/state.go
+++ b/internal/fleet/drift/state.go
@@ -101,8 +101,8 @@
 	Verdicts map[string]*Verdict `json:"verdicts,omitempty"`
 	Fleet    Baseline            `json:"fleet,omitzero"`
 	Rev      uint64              `json:"rev"` // of the last change
-	// Incarnations are the newest seen of every node that has or had a verdict, so that a forgotten node's old
-	// reports stay refused. The oldest names go beyond a bound.
+	// Incarnations are the least that are taken of every node that has or had a verdict, so that reports of an
+	// earlier run, or of one that has ended, stay refused. Beyond a bound the oldest go.
 	Incarnations map[string]uint64 `json:"incarnations,omitempty"`
 }
 
@@ -149,6 +149,7 @@
 			refused = fmt.Errorf("%w: %s: now at %d", fleet.ErrConflict, node, v.Rev)
 		default:
 			delete(s.Verdicts, node)
+			s.Incarnations[node] = v.Incarnation + 1 // it ended: its next run has a larger one
 			change()
 		}
 	}
--- a/internal/fleet/drift/table_test.go
+++ b/internal/fleet/drift/table_test.go
@@ -224,7 +224,7 @@
 	tries                              int
 	shown                              string
 	over, relapsed, rate, room, doubts bool
-	absent                             bool
+	absent, waiting                    bool // waiting: its first wait has begun
 }
 
 func (c repairCase) run() (next, act string) {
@@ -235,6 +235,7 @@
 	if c.over {
 		n.repair.until = now
 	}
+	n.repair.waiting = c.waiting
 	if c.relapsed {
 		n.repair.mended = now - time.Second
 	}
@@ -268,7 +269,8 @@
 		"":                                func(c *repairCase) {},
 		"room in the rate":                func(c *repairCase) {},
 		"no room in the rate":             func(c *repairCase) { c.rate = false },
-		"relapsed, first wait not over":   func(c *repairCase) { c.relapsed = true },
+		"first wait not over":             func(c *repairCase) { c.over = false },
+		"relapsed, first wait not over":   func(c *repairCase) { c.relapsed, c.waiting = true, false },
 		"the detector suspects itself":    func(c *repairCase) { c.doubts = true },
 		"wait not over":                   func(c *repairCase) { c.over = false },
 		"wait over, under 3 tries":        func(c *repairCase) { c.tries = 2 },
@@ -290,7 +292,7 @@
 		}
 		for _, step := range from {
 			for _, shown := range map[string][]string{"drifts": {Stuck, Diverged, Ahead}, "mends": {InStep, Overridden}, "left": {Silent}}[row.Event] {
-				c := repairCase{step: step, tries: 3, shown: shown, over: true, rate: true, room: true, absent: row.Event == "left"}
+				c := repairCase{step: step, tries: 3, shown: shown, over: true, rate: true, room: true, absent: row.Event == "left", waiting: true}
 				if c.step == "idle" {
 					c.step = Idle
 				}
@@ -305,8 +307,8 @@
 	bits := []bool{false, true}
 	for _, step := range []string{Idle, Resending, Restarting, Out} {
 		for _, shown := range []string{Stuck, Diverged, Ahead, InStep, Overridden, CatchingUp, Silent} {
-			for i := range 64 {
-				c := repairCase{step, 1 + i%4, shown, bits[i>>1&1], bits[i>>2&1], bits[i>>3&1], bits[i>>4&1], bits[i>>5&1], false}
+			for i := range 128 {
+				c := repairCase{step, 1 + i%4, shown, bits[i>>1&1], bits[i>>2&1], bits[i>>3&1], bits[i>>4&1], bits[i>>5&1], false, bits[i>>6&1]}
 				next, _ := c.run()
 				from, event := step, "mends"
 				if from == Idle {
