--- a/internal/fleet/drift/exchange.go
+++ b/internal/fleet/drift/exchange.go
@@ -22,6 +22,7 @@
 const (
 	listMost = 2048
 	bodyMost = 128 << 10
+	gotMost  = 64 << 10 // answers kept of one tree; then all is asked anew
 )
 
 // isList says which tree a fact is in; isLocal, that it is in neither.
@@ -107,7 +108,7 @@
 
 // hear takes the answers of one report.
 func (x *exchange) hear(root, letter string, held []fleet.Held) {
-	if x.root != root || x.got == nil {
+	if x.root != root || x.got == nil || len(x.got) > gotMost {
 		x.root, x.got = root, map[string]fleet.Held{}
 	}
 	for _, h := range held {
--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -11,7 +12,7 @@
 )
 
 // Intended is all that the control plane intends at a revision. Items are every item there is, and the gone ones
-// that the replica still knows of, each with its revision. Servers is the list under the same revisions, gone
+// that the replica still knows of, each with its revision (without those, what is gone is judged a little later). Servers is the list under the same revisions, gone
 // entries too; nil where the nodes' list is not the control plane's: then no list is compared.
 type Intended struct {
 	Revision uint64
@@ -39,12 +40,16 @@
 	return held, err
 }
 
+// goneKept is for how many revisions an item that is gone and no longer told of is remembered.
+const goneKept = 1000
+
 // versionsKept is how many versions of an item are remembered, for nodes that are a little behind.
 const versionsKept = 8
 
 // version is an item as it was from a revision on.
 type version struct {
 	rev       uint64
+	sure      uint64 // from rev to here it may have held already or not
 	until     uint64 // it is known to have held up to this revision; what came then may not have been seen
 	gone      bool
 	unknown   bool       // nothing is known of it before the next version
@@ -68,7 +73,7 @@
 func (e *entry) at(n uint64) *version {
 	for i := len(e.versions) - 1; i >= 0; i-- {
 		if v := &e.versions[i]; v.rev <= n {
-			if v.unknown || i < len(e.versions)-1 && n > v.until {
+			if v.unknown || n < v.sure || i < len(e.versions)-1 && n > v.until {
 				return nil
 			}
 			return v
@@ -141,9 +146,13 @@
 		}
 		b.add(key, v)
 	}
-	for key, e := range b.entries { // gone without a word: at the first revision at which it can have been
-		if !seen[key] && !e.last().gone && (!b.noList || !isList(key)) {
-			b.add(key, version{rev: b.rev + 1, gone: true, seen: now})
+	for key, e := range b.entries {
+		switch {
+		case seen[key] || b.noList && isList(key):
+		case !e.last().gone: // without a word: at some revision since the last
+			b.add(key, version{rev: b.rev + 1, sure: in.Revision, gone: true, seen: now})
+		case e.last().rev+goneKept < in.Revision:
+			b.remove(e)
 		}
 	}
 	b.rev, b.known = in.Revision, true
@@ -184,6 +193,13 @@
 	}
 }
 
+func (b *book) remove(e *entry) {
+	delete(b.entries, e.key)
+	is := func(o *entry) bool { return o == e }
+	b.zones, b.tenants, b.servers = slices.DeleteFunc(b.zones, is), slices.DeleteFunc(b.tenants, is), slices.DeleteFunc(b.servers, is)
+	maps.DeleteFunc(b.shares, func(_ string, o *entry) bool { return o == e })
+}
+
 // insert keeps entries in the order of their zones and observers, then of their keys: a zone's are together.
 func insert(in []*entry, e *entry) []*entry {
 	i, _ := slices.BinarySearchFunc(in, e, func(a, b *entry) int {
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -12,6 +12,9 @@
 	"starlingvalve/internal/fleet"
 )
 
+// changesMost is how many changes one command carries; others wait for the next step.
+const changesMost = 64
+
 // proposeAgain is how long a proposed change may take before it is proposed again.
 const proposeAgain = 500 * time.Millisecond
 
@@ -179,8 +182,10 @@
 		} else if act := j.repairStep(now, n, &outs, room); act != "" {
 			j.note(now, Entry{Node: name, Act: act, Why: n.shown.state + ": " + n.shown.evidence, Keys: n.keys()})
 		}
-		if ch, ok := j.change(now, n, st.Verdicts[name]); ok {
-			c.Set = append(c.Set, ch)
+		if len(c.Set) < changesMost {
+			if ch, ok := j.change(now, n, st.Verdicts[name]); ok {
+				c.Set = append(c.Set, ch)
+			}
 		}
 	}
 	if c.Set == nil && c.Forget == nil && c.Baseline == nil {
--- a/internal/fleet/drift/prop_test.go
+++ b/internal/fleet/drift/prop_test.go
@@ -40,7 +40,9 @@
 		}
 		if len(w.old) > 0 { // a replay of some earlier report, of this run of the node or of one before
 			r := w.old[w.rng.IntN(len(w.old))]
-			w.j.Observe(w.now+w.skew, fleet.NodeView{Member: r.Member, At: w.now + w.skew, Report: r})
+			if w.j.Observe(w.now+w.skew, fleet.NodeView{Member: r.Member, Report: r}) == nil { // it had been lost
+				w.node(r.Node).heardAt = w.now
+			}
 		}
 	}
 	w.run(12 * time.Second)
--- a/internal/fleet/drift/sim_test.go
+++ b/internal/fleet/drift/sim_test.go
@@ -234,6 +234,10 @@
 	w.j.Office(w.now+w.skew, w.st)
 }
 
+func (w *world) node(name string) *simNode {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.Node == name })]
+}
+
 // churn changes what is intended.
 func (w *world) churn() {
 	switch w.rng.IntN(6) {
@@ -255,18 +259,11 @@
 
 // calm fails the test where a verdict says drift, or in step of a node that has not been heard.
 func (w *world) calm(fail func(string, ...any)) func(Verdict) {
-	by := map[string]*simNode{}
-	for _, n := range w.nodes {
-		by[n.Node] = n
-	}
 	return func(v Verdict) {
-		if n := by[v.Node]; n == nil {
-			fail("a verdict on nobody: %+v", v)
-		}
 		if drifts(v.State) {
 			fail("at %v: %+v", w.now-time.Hour, v)
 		}
-		if n := by[v.Node]; v.State == InStep && w.now-n.heardAt > 2200*ms {
+		if n := w.node(v.Node); v.State == InStep && w.now-n.heardAt > 2200*ms {
 			fail("at %v: in step, last heard %v ago: %+v", w.now-time.Hour, w.now-n.heardAt, v)
 		}
 	}
@@ -299,6 +296,12 @@
 		n.plant = change("server/s99", fleet.HeldServer{Zone: "z1", Kind: "k", State: "ready", Size: 1})
 	}},
 	{"an old copy of the agent", "zone/z2", "rev", Stuck, func(w *world, n *simNode) { n.frozen = true; w.put("zone/z2", left(0.9)) }},
+	{"a replica from an old snapshot", "zone/z2", "rev", Stuck, func(w *world, n *simNode) {
+		old := w.in
+		w.put("zone/z2", left(0.9))
+		n.hear(old)
+		n.frozen = true
+	}},
 	{"a generation that was never committed", "tenant/t1", "committed.generation", Ahead, func(w *world, n *simNode) {
 		n.plant = change("tenant/t1", fleet.TenantBody(itemRev(w, "tenant/t1"), brand(itemRev(w, "tenant/t1"), 2, 100)))
 	}},
