Judge nodes that report without a session, and no first rollout as a removed tenant

A node whose agent is too far behind to be present would never have been judged: its reports count, no repair is tried on it, and it is not forgotten while it reports. A brand that the settings serve while its first rollout is staged was taken for a removed one.

--- a/internal/fleet/drift/behaviour.go
+++ b/internal/fleet/drift/behaviour.go
@@ -74,12 +74,15 @@
 		if v == nil {
 			continue // nothing is known of it there; content that should not be is found by its digest
 		}
-		if v.gone || v.tenant.Removing || v.tenant.Committed == nil {
+		if v.gone || v.tenant.Removing {
 			if v.rev <= n.prevRev && t.Admitted > 0 {
 				say(key, "admitted", 0, t.Admitted)
 			}
 			continue
 		}
+		if v.tenant.Committed == nil { // its first rollout; one that the settings name is served by them till then
+			continue
+		}
 		burst := max(v.tenant.Committed.Spec.Quota.Burst, t.Rate, 1)
 		if share != nil && v.rev <= n.prevRev {
 			if most, slots := share.most(e, t.Name); slots > 0 {
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -194,7 +194,7 @@
 	return []Command{c}
 }
 
-// gone says that a node is no more: it left, or has been without a session for long. Its verdict goes.
+// gone says that a node is no more: it left, or has been without a session and a report for long. Its verdict goes.
 func (j *Judge) gone(now fleet.Time, n *node, here bool, st *State, c *Command) bool {
 	if here {
 		n.absent = false
@@ -203,7 +203,7 @@
 	if !n.absent {
 		n.absent, n.gone = true, now
 	}
-	if !(n.heard && n.report.Leaving) && now-n.gone < j.bounds.Forget {
+	if !(n.heard && n.report.Leaving) && now-max(n.gone, n.at) < j.bounds.Forget {
 		return false
 	}
 	if v := st.Verdicts[n.Node]; v != nil {
--- a/internal/fleet/drift/sim_test.go
+++ b/internal/fleet/drift/sim_test.go
@@ -315,6 +315,15 @@
 			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Admitted: 30, Rate: 1.5}}
 		}
 	}},
+	{"requests of a tenant that is removed", "tenant/t0", "admitted", Diverged, func(w *world, n *simNode) {
+		uid := itemRev(w, "tenant/t0")
+		w.drop("tenant/t0")
+		n.counts = func(r *fleet.Report) {
+			if n.rev >= w.in.Revision {
+				r.Tenants = []fleet.TenantAck{{Name: "t0", UID: uid, Admitted: 1}}
+			}
+		}
+	}},
 	{"a share above what was leased", "tenant/t0", "rate", Diverged, func(w *world, n *simNode) {
 		n.counts = func(r *fleet.Report) {
 			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Rate: 5}}
--- a/internal/fleet/drift/table_test.go
+++ b/internal/fleet/drift/table_test.go
@@ -158,6 +158,16 @@
 	return nil
 }
 
+// A node that reports but has no session, as its agent's copy is too old for one, is judged all the same; no repair is
+// tried on it.
+func TestWithoutSession(t *testing.T) {
+	r := newRig(12)
+	r.present = r.present[1:]
+	starts[Stuck](r)
+	r.run(700 * time.Second)
+	must(t, r.verdict(0).State == Stuck && r.names("zone/z3@z1", "rev") == nil && len(r.j.Log(0)) == 0, "%+v", r.verdict(0))
+}
+
 // sent has the reports from the first to the last count attempts to a zone that is left.
 func sent(first, last int) func(*fleet.Report) {
 	n := 0
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -201,7 +201,7 @@
 	TTLMS    int64    `json:"ttl_ms"`           // the session's lease, counted from the sending of the report
 	Revision uint64   `json:"revision"`         // the leader's
 	Resend   []string `json:"resend,omitempty"` // keys that the agent is to send its node again
-	Want     []string `json:"want,omitempty"`   // what the next report's Held is to carry (drift.Serve), sent at once
+	Want     []string `json:"want,omitempty"`   // what the next report's Held is to carry (drift.Fill), sent at once
 	Restart  bool     `json:"restart,omitempty"`
 	Out      bool     `json:"out,omitempty"` // the node is to say no at /health/ready
 }
