--- a/cmd/listd/main.go
+++ b/cmd/listd/main.go
@@ -2,6 +2,7 @@
 //
 //	listd serve --id a --peer a=RAFT=HTTP --peer b=RAFT=HTTP --peer c=RAFT=HTTP --dir DATA
 //	listd agent --replica HTTP --replica HTTP --listen 127.0.0.1:PORT
+//	listd tenants apply FILE | status NAME | delete NAME --replica HTTP --replica HTTP
 //
 // serve runs one replica of three or five: PROTOCOL's GET /registry/instances and the registration API.
 // agent runs beside a node and serves it the list it watches from the replicas.
@@ -28,7 +29,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "listd", Short: "The list of app servers, replicated", SilenceUsage: true}
-	root.AddCommand(serveCmd(), agentCmd())
+	root.AddCommand(serveCmd(), agentCmd(), tenantsCmd())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
