--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,6 +60,8 @@
 	case SettingsChanged:
 		m.configure(e.Settings)
 		m.relist()
+	case ZoneTold, TenantTold, ShareTold, FleetSynced:
+		m.told(e)
 	case TimerFired:
 		m.tick()
 		m.do(timer)
@@ -86,6 +88,11 @@
 	c := m.classOf(e.Class)
 	r := &request{id: e.ID, class: c, rules: m.set, arrived: m.now, deadline: m.now + e.Patience}
 	m.requests[e.ID], m.open = r, append(m.open, r)
+	if !m.admit(r, e.Tenant) {
+		m.finish(r)
+		return
+	}
+	m.draw()
 	m.arrivals, m.arrivedAt = m.arrivals*decay(m.now-m.arrivedAt, rateMemory)+1/rateMemory, m.now
 	m.worth += classGain * (c.Worth - m.worth)
 	r.priority = c.Worth >= math.Min(m.worth, worthPart*m.top) // the paper's priority messages
@@ -147,6 +154,7 @@
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
 	m.relieve(a)
+	m.seen(r, a, e)
 	m.reported(a.server, e.Report)
 	m.judge(a.server, r, e)
 	switch {
@@ -163,6 +171,7 @@
 func (m *Module) again(r *request, costly bool) {
 	worthless := r.class.LateWorth == 0 && r.class.Aim > 0 && m.now-r.arrived >= r.class.Aim
 	if !worthless && (m.budget >= 1 || !costly) {
+		m.draw()
 		s, mode := m.pick(m.near, r)
 		if s == nil && !m.mayRefuse(r) {
 			s, mode = m.pick(m.list, r) // its key may bind it to servers outside the subset
@@ -202,6 +211,7 @@
 // close forgets a request once its attempts are in; those still out are called off.
 func (m *Module) close(r *request) {
 	r.done = true
+	m.leave(r)
 	for i := range r.attempts {
 		if r.rules.MayCancel && !r.attempts[i].ended && !r.started {
 			m.do(CancelAttempt{ID: r.id, Attempt: i})
--- a/decide/fleet_events.go
+++ b/decide/fleet_events.go
@@ -10,7 +10,8 @@
 	// ZoneTold is the fleet's directive on a zone, as it holds for this node.
 	ZoneTold struct {
 		Zone       string
-		Revision   uint64
+		Revision   uint64        // of the item
+		Intent     uint64        // of the intent it was read from, 0: Revision; news of an older one changes nothing
 		Serving    bool          // there is none, or no longer: the zone is served as ever
 		Share      float64       // part of the ordinary attempts that may go to the zone's servers: 0 to 1
 		Floor      float64       // the share once the directive is older than Valid
@@ -29,7 +30,7 @@
 		Age               time.Duration
 	}
 	// ShareTold is this node's leased part of the quotas, over the floor part that it always has. It holds for
-	// Valid from when it is told.
+	// Valid from when it is told. It is told after the tenants of the same intent: it was divided by their rates.
 	ShareTold struct {
 		Epoch uint64
 		Slots int                // nodes that the floor part is divided by
--- /dev/null
+++ b/decide/fleet_state.go
@@ -0,0 +1,227 @@
+package decide
+
+// What the module keeps of the fleet's facts, and the counts that it gives for reports. Nothing is decided here.
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// fleet is what is held while Settings.Fleet is set; without it Module.fleet is nil.
+type fleet struct {
+	zones  map[string]*directive
+	order  []*directive // by zone
+	brands map[string]*brand
+	names  []*brand // by name
+	share  ShareTold
+	until  Time // when the leased shares lapse
+	since  Time // when the window began
+}
+
+// directive is the fleet's word on a zone.
+type directive struct {
+	ZoneTold
+	born   Time // when it had Age 0
+	closed bool // to the request at hand
+}
+
+// brand is a tenant as the fleet knows it; imported means that the settings name it and intent has not yet.
+type brand struct {
+	name                               string
+	uid, revision                      uint64
+	committed, staged                  *TenantRules
+	imported, removing, unquoted, gone bool
+	tokens                             float64            // requests that its share allows now
+	classTokens                        map[string]float64 // the same by class, where a class has a rate
+	at                                 Time               // of tokens
+	divided                            float64            // its rate when its leased share was divided; 0: not known
+	void                               bool               // that division was of another tenant of its name
+	live                               []*TenantRoute     // the routes that match a server in use, at the last choice of a subset
+	open, arrived, admitted            int
+}
+
+// evidence counts a server's attempts in a window.
+type evidence struct{ begun, ended, lost, ok int }
+
+func newFleet(now Time) *fleet {
+	return &fleet{zones: map[string]*directive{}, brands: map[string]*brand{}, since: now}
+}
+
+// adopt takes the settings' tenants: each is generation 1 of the settings until intent commits one of its own.
+func (f *fleet) adopt(tenants []Tenant) {
+	for _, b := range f.brands {
+		b.imported = false
+	}
+	for _, t := range tenants {
+		if b := f.brands[t.Name]; b == nil {
+			f.keep(&brand{name: t.Name, imported: true})
+		} else {
+			b.imported = b.committed == nil && !b.gone
+		}
+	}
+}
+
+// keep puts a tenant in the place of what its name had.
+func (f *fleet) keep(b *brand) {
+	f.brands[b.name] = b
+	f.names = slices.SortedFunc(maps.Values(f.brands), func(a, b *brand) int { return cmp.Compare(a.name, b.name) })
+}
+
+// governs tells whether the fleet has a word on a tenant that ends the settings' one.
+func (f *fleet) governs(name string) bool {
+	return f != nil && f.brands[name] != nil && !f.brands[name].imported
+}
+
+// slots is what floors and bursts of quotas are divided by.
+func (m *Module) slots() float64 {
+	if n := m.fleet.share.Slots; n > 0 {
+		return float64(n)
+	}
+	return float64(m.set.Nodes)
+}
+
+// directive gives the one on a zone, or nil.
+func (m *Module) directive(zone string) *directive {
+	if m.fleet == nil {
+		return nil
+	}
+	return m.fleet.zones[zone]
+}
+
+// refill lets a server's part of its zone's rate grow. What is not used within tokenLife is lost, so that nodes
+// that had nothing to send save up no burst that meets at one server.
+func (m *Module) refill(s *server, rate float64) {
+	if s.paceAt == 0 {
+		s.pace, s.paceAt = m.random(), m.now // a first request from every node at once would be a burst
+	}
+	s.pace += rate * (m.now - s.paceAt).Seconds()
+	s.paceAt = m.now
+	if most := 1 + rate*tokenLife.Seconds(); rate*tokenLife.Seconds() >= 1 {
+		s.pace = math.Min(s.pace, most)
+	} else if s.pace > most {
+		if s.pace = math.Mod(s.pace, 1); s.pace <= most-1 {
+			s.pace++
+		}
+	}
+}
+
+// silence is how long an attempt is out before that counts as no answer.
+func (m *Module) silence(r *request) time.Duration {
+	least := m.set.ConnectTimeout
+	if m.answers < 1/classGain {
+		least = max(least, time.Second) // little is known yet
+	}
+	return max(least, time.Duration(silentFactor*m.mean*r.class.relative*float64(time.Second)))
+}
+
+// seen counts an attempt that ended. Silence shorter than any answer takes says nothing.
+func (m *Module) seen(r *request, a *attempt, e AttemptEnded) {
+	if m.fleet == nil {
+		return
+	}
+	lost, c := false, &a.server.seen
+	switch e.Code {
+	case Cancelled, Moot:
+		return
+	case TimedOut:
+		lost = true
+		if !a.silent && e.Elapsed < min(m.set.ConnectTimeout, m.silence(r)/2) {
+			return
+		}
+	case ConnectFailed, Reset:
+		lost = true
+	case OK:
+		c.ok++
+	}
+	if lost && a.silent {
+		return // counted when it fell silent
+	}
+	c.ended++
+	if lost {
+		c.lost++
+	}
+}
+
+// Window gives what was seen since it was last called, or since the start, and begins anew. Without Settings.Fleet
+// it is empty.
+func (m *Module) Window(now Time) FleetWindow {
+	if m.fleet == nil {
+		return FleetWindow{Since: now}
+	}
+	m.now = max(m.now, now)
+	w := FleetWindow{Since: m.fleet.since}
+	m.fleet.since = now
+	for _, r := range m.open {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.ended && !a.relieved && !a.silent && m.now-a.sent > m.silence(r) {
+				a.silent = true
+				a.server.seen.ended++
+				a.server.seen.lost++
+			}
+		}
+	}
+	zones := map[string]*ZoneWindow{}
+	of := func(name string) *ZoneWindow {
+		if zones[name] == nil {
+			zones[name] = &ZoneWindow{Zone: name}
+		}
+		return zones[name]
+	}
+	for _, s := range m.ring {
+		z := of(s.Zone)
+		z.Listed++
+		if s.rate > 0 {
+			z.Rate += m.rateOf(s)
+		}
+	}
+	for _, s := range m.known {
+		c := s.seen
+		if c == (evidence{}) {
+			continue
+		}
+		z := of(s.Zone)
+		z.Attempts, z.Lost, z.OK, z.Begun = z.Attempts+c.ended, z.Lost+c.lost, z.OK+c.ok, z.Begun+c.begun
+		if c.ended > 0 {
+			z.Servers++
+			if c.lost == c.ended {
+				z.LostServers++
+			}
+		}
+		s.seen = evidence{}
+	}
+	for _, z := range zones {
+		z.Rate /= float64(max(1, z.Listed))
+		w.Zones = append(w.Zones, *z)
+	}
+	slices.SortFunc(w.Zones, func(a, b ZoneWindow) int { return cmp.Compare(a.Zone, b.Zone) })
+	for _, b := range m.fleet.names {
+		if b.gone || b.uid == 0 && !b.imported {
+			continue
+		}
+		t := TenantWindow{Name: b.name, UID: b.uid, Open: b.open, Arrived: b.arrived, Admitted: b.admitted}
+		b.arrived, b.admitted = 0, 0
+		if g := b.committed; g != nil {
+			t.Committed, t.Digest = g.Generation, g.Digest
+			floor, leased := m.quota(b)
+			t.Rate = floor
+			if m.now < m.fleet.until {
+				t.Rate += leased
+			}
+		} else if b.imported {
+			t.Committed, t.Rate = 1, m.tenants[b.name].perNode
+			if b.uid != 0 {
+				t.Committed = 0 // intent has named it, and commits none yet
+			}
+		}
+		if g := b.staged; g != nil {
+			if t.Refused = m.refusal(g); t.Refused == "" && len(m.list) > 0 {
+				t.Staged, t.Digest = g.Generation, g.Digest
+			}
+		}
+		w.Tenants = append(w.Tenants, t)
+	}
+	return w
+}
--- /dev/null
+++ b/decide/fleet_tenants.go
@@ -0,0 +1,256 @@
+package decide
+
+// Tenants under the fleet: which generation serves a request, whether its quota has room, where it may go.
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"path"
+	"slices"
+	"time"
+)
+
+const (
+	// FloorPart is the part of every quota that is divided evenly among all slots for good; the rest is
+	// leased. It is the control plane's, which divides by the same.
+	FloorPart  = 0.2
+	routeLeast = 4 // servers of a route that a subset is to have: fewer leave no choice
+)
+
+// tenantTold takes what is intended for a tenant. Older news changes nothing, nor does what no sound control
+// plane commits. A name used again, which has another UID, has nothing of the tenant before.
+func (m *Module) tenantTold(e TenantTold) {
+	b := m.fleet.brands[e.Name]
+	if e.Name == "" || b != nil && b.revision > 0 && e.Revision <= b.revision ||
+		e.Committed != nil && flaw(e.Committed) != "" {
+		return
+	}
+	if b == nil || b.uid != e.UID {
+		was := b
+		void := was != nil && was.uid != 0
+		b = &brand{name: e.Name, uid: e.UID, tokens: m.random(), at: m.now, classTokens: map[string]float64{},
+			void: void}
+		b.imported = was != nil && was.imported && was.committed == nil
+		m.fleet.keep(b)
+	}
+	m.settle(b) // what came by so far was under the old rate
+	b.revision, b.committed, b.staged = e.Revision, e.Committed, e.Staged
+	b.removing, b.unquoted, b.gone = e.Removing, e.QuotaGone, e.Gone && !b.imported
+	if e.Gone {
+		b.committed, b.staged = nil, nil
+	}
+	if e.Gone && b.imported {
+		b.uid = 0 // its first rollout was taken back: the settings' word goes on
+	}
+	if b.committed != nil {
+		b.imported = false
+		delete(m.tenants, b.name) // the settings' share of it ends
+	}
+	m.choose()
+}
+
+// shareTold takes the leased shares; those of an older division change nothing.
+func (m *Module) shareTold(e ShareTold) {
+	f := m.fleet
+	if e.Epoch < f.share.Epoch || e.Slots < 0 {
+		return
+	}
+	for _, b := range f.names {
+		if m.settle(b); e.Epoch > f.share.Epoch {
+			b.void, b.divided = false, 0
+			if b.committed != nil {
+				b.divided = b.committed.Rate
+			}
+		}
+	}
+	if e.Rates = maps.Clone(e.Rates); e.Rates == nil {
+		e.Rates = map[string]float64{}
+	}
+	f.share, f.until = e, m.now+min(max(0, e.Valid), time.Hour)
+}
+
+// refusal tells why a generation can't be served here; empty if it can.
+func (m *Module) refusal(g *TenantRules) string {
+	known := func(class string) bool {
+		return slices.ContainsFunc(m.set.Classes, func(c Class) bool { return c.Name == class })
+	}
+	for _, c := range g.Classes {
+		if !known(c) {
+			return fmt.Sprintf("namespace.classes: class %q is not known here", c)
+		}
+	}
+	for _, c := range slices.Sorted(maps.Keys(g.ClassRates)) {
+		if !known(c) {
+			return fmt.Sprintf("quota.classes: class %q is not known here", c)
+		}
+	}
+	for i := range g.Routes {
+		if len(m.list) > 0 && !slices.ContainsFunc(m.list, g.Routes[i].matches) {
+			return fmt.Sprintf("routes[%d]: no listed server matches", i)
+		}
+	}
+	return flaw(g)
+}
+
+// flaw tells what is wrong with a generation wherever it is served; empty if nothing is.
+func flaw(g *TenantRules) string {
+	if !(g.Rate >= 0 && g.Rate <= mostRate && g.Burst >= 0 && g.Burst <= mostRate) {
+		return fmt.Sprintf("quota: rate %v, burst %v", g.Rate, g.Burst)
+	}
+	for _, c := range slices.Sorted(maps.Keys(g.ClassRates)) {
+		if rate := g.ClassRates[c]; !(rate >= 0 && rate <= g.Rate) {
+			return fmt.Sprintf("quota.classes: class %q with rate %v", c, rate)
+		}
+	}
+	for i, r := range g.Routes {
+		if _, err := path.Match(r.ID, ""); err != nil || !(r.Weight > 0 && r.Weight <= mostRate) {
+			return fmt.Sprintf("routes[%d]: id %q, weight %v", i, r.ID, r.Weight)
+		}
+	}
+	return ""
+}
+
+// quota is a tenant's share here, requests/s: the floor part, which it always has, and what is leased. A
+// lease of a larger rate than is committed by now counts for as much less.
+func (m *Module) quota(b *brand) (floor, leased float64) {
+	if b.committed == nil || b.unquoted {
+		return 0, 0
+	}
+	rate := b.committed.Rate
+	if leased = m.fleet.share.Rates[b.name]; b.void || !(leased >= 0) {
+		leased = 0
+	}
+	if b.divided > rate {
+		leased *= rate / b.divided
+	}
+	return FloorPart * rate / m.slots(), math.Min(leased, (1-FloorPart)*rate)
+}
+
+// settle lets what a tenant's share allows grow up to now, the leased part for as long as the lease held.
+func (m *Module) settle(b *brand) {
+	g, since := b.committed, b.at
+	if b.at = m.now; g == nil || g.Rate == 0 {
+		return
+	}
+	floor, leased := m.quota(b)
+	gain := floor*(m.now-since).Seconds() + leased*max(0, min(m.now, m.fleet.until)-since).Seconds()
+	most := math.Max(1, g.Burst/m.slots())
+	b.tokens = math.Min(most, b.tokens+gain)
+	for c, rate := range g.ClassRates {
+		have, ok := b.classTokens[c]
+		if !ok {
+			have = b.tokens
+		}
+		b.classTokens[c] = math.Min(math.Max(1, most*rate/g.Rate), have+gain*rate/g.Rate)
+	}
+}
+
+// admit takes a request under its tenant's committed generation, by which it is served to its end. Over the
+// quota, which all nodes share, or outside the namespace it is refused without an attempt, as it is where no
+// generation is committed. A request that names no tenant is nobody's, and served as ever.
+func (m *Module) admit(r *request, name string) bool {
+	if m.fleet == nil || name == "" {
+		return true
+	}
+	b := m.fleet.brands[name]
+	if b == nil || b.gone {
+		return false
+	}
+	b.arrived++
+	if b.removing || b.committed == nil && !b.imported {
+		return false
+	}
+	if g := b.committed; g != nil {
+		if len(g.Classes) > 0 && !slices.Contains(g.Classes, r.class.Name) ||
+			!m.routed(r, b) || !m.within(r, b) {
+			return false
+		}
+		b.admitted++
+	}
+	r.brand = b
+	b.open++
+	return true
+}
+
+// leave ends a request's place among its tenant's open ones.
+func (m *Module) leave(r *request) {
+	if r.brand != nil {
+		r.brand.open--
+		r.brand = nil
+	}
+}
+
+// within takes a request's token from its tenant's share, and from that of its class.
+func (m *Module) within(r *request, b *brand) bool {
+	m.settle(b)
+	_, limited := b.committed.ClassRates[r.class.Name]
+	if b.tokens < 1 || limited && b.classTokens[r.class.Name] < 1 {
+		return false
+	}
+	b.tokens--
+	if limited {
+		b.classTokens[r.class.Name]--
+	}
+	return true
+}
+
+// routed draws a request's route by weight among those that match a server in use. Where none does, the
+// written fallback holds.
+func (m *Module) routed(r *request, b *brand) bool {
+	sum := 0.0
+	for _, route := range b.live {
+		sum += route.Weight
+	}
+	if sum == 0 {
+		return len(b.committed.Routes) == 0 || !b.committed.RefuseElse
+	}
+	at := m.random() * sum
+	for _, route := range b.live {
+		if r.route = route; at < route.Weight {
+			break
+		}
+		at -= route.Weight
+	}
+	return true
+}
+
+// matches tells whether a route names a server.
+func (t *TenantRoute) matches(s *server) bool {
+	ok := t.ID == ""
+	if !ok {
+		ok, _ = path.Match(t.ID, s.Name)
+	}
+	return ok && (t.Zone == "" || t.Zone == s.Zone) && (t.Kind == "" || t.Kind == s.Kind)
+}
+
+// chooseRouted adds to the subset what the tenants' routes need, from the node's place on the ring on, and
+// notes which routes match a server in use.
+func (m *Module) chooseRouted(start int) {
+	if m.fleet == nil {
+		return
+	}
+	for _, b := range m.fleet.names {
+		if b.live = b.live[:0]; b.committed == nil || b.gone {
+			continue
+		}
+		for i := range b.committed.Routes {
+			route, count, missing := &b.committed.Routes[i], 0, routeLeast
+			for _, s := range m.near {
+				if route.matches(s) {
+					count, missing = count+1, missing-1
+				}
+			}
+			for i := 0; i < len(m.ring) && missing > 0; i++ {
+				s := m.ring[(start+i)%len(m.ring)]
+				if w, ok := m.weight(s); ok && w > 0 && s.chosen < m.choices && route.matches(s) {
+					s.chosen, count, missing = m.choices, count+1, missing-1
+					m.near = append(m.near, s)
+				}
+			}
+			if count > 0 && route.Weight > 0 {
+				b.live = append(b.live, route)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/decide/fleet_zones.go
@@ -0,0 +1,160 @@
+package decide
+
+// The fleet's directives on zones: what is left, what is tried, at which rate. docs/fleet.md has the design;
+// what is kept is in fleet_state.go. Without a directive nothing here changes a decision or draws a number.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	tokenLife    = 250 * time.Millisecond // s; what a rate allows lapses: no burst is saved up over the fleet
+	silentFactor = 8.0                    // multiple of the expected latency: one attempt alone is to tell
+	mostRate     = 1e6                    // requests/s; a larger rate is no news from a sound fleet
+)
+
+// told takes the fleet's facts.
+func (m *Module) told(e Event) {
+	if m.fleet == nil {
+		return
+	}
+	switch e := e.(type) {
+	case ZoneTold:
+		m.zoneTold(e)
+	case TenantTold:
+		m.tenantTold(e)
+	case ShareTold:
+		m.shareTold(e)
+	} // FleetSynced changes no decision: a tenant not told yet is refused as an unknown one
+}
+
+// sane tells whether a directive makes sense; one that does not changes nothing.
+func (e *ZoneTold) sane() bool {
+	return e.Share >= 0 && e.Share <= 1 && e.Floor >= 0 && e.Floor <= 1 && e.Rate >= 0 && e.Rate <= mostRate &&
+		e.Age >= 0 && e.Valid >= 0
+}
+
+// zoneTold takes a directive. Older news than what is held changes nothing; the same again confirms it.
+func (m *Module) zoneTold(e ZoneTold) {
+	f, d := m.fleet, m.fleet.zones[e.Zone]
+	if e.Intent = max(e.Intent, e.Revision); !e.sane() || d != nil && e.Intent < d.Intent {
+		return
+	}
+	if d == nil {
+		d = &directive{ZoneTold: ZoneTold{Zone: e.Zone, Serving: true}}
+		f.zones[e.Zone], f.order = d, append(f.order, d)
+		slices.SortFunc(f.order, func(a, b *directive) int { return cmp.Compare(a.Zone, b.Zone) })
+	}
+	part, tried, born := m.part(d), m.tried(d), m.now-e.Age
+	if e.Revision == d.Revision && e.Serving == d.Serving {
+		born = max(born, d.born)
+	}
+	for _, s := range m.known {
+		if s.Zone == e.Zone && (d.Serving || d.Rate == 0) {
+			s.paceAt = 0 // what it was sent without a rate counts for none
+		}
+	}
+	e.Floor = math.Min(e.Floor, e.Share)
+	d.ZoneTold, d.born = e, born
+	m.moved(d, part, tried)
+}
+
+// moved follows a zone's step: what is open in a zone just left goes elsewhere, and each of its servers is
+// a suspect, so that it is met by a trial with a short wait; such trials begin at once as the zone returns.
+func (m *Module) moved(d *directive, part float64, tried bool) {
+	left, was := m.part(d) == 0 && !m.tried(d), part == 0 && !tried
+	if left == was && m.part(d) == part {
+		return
+	}
+	m.choose()
+	for _, s := range m.list {
+		if s.Zone == d.Zone && left {
+			s.suspect = true
+		}
+		if s.Zone == d.Zone && s.suspect {
+			s.trialWait, s.trialAt = trialFirst, m.now+m.jitter(trialFirst/2)
+		}
+	}
+	if left && !was {
+		m.handOver(d.Zone)
+	}
+}
+
+// handOver calls off safe requests that are out in a zone just left, the oldest first, as many as further
+// attempts are allowed: each end makes one elsewhere.
+func (m *Module) handOver(zone string) {
+	allowed := int(m.budget)
+	for _, r := range m.open {
+		last := len(r.attempts) - 1
+		if allowed < 1 || last < 0 || r.done || r.started || r.sealed || r.out != 1 || r.class.Effect != Safe ||
+			!r.rules.MayCancel || last+1 >= r.rules.MaxAttempts {
+			continue
+		}
+		if a := &r.attempts[last]; !a.ended && a.server.Zone == zone {
+			allowed--
+			m.do(CancelAttempt{ID: r.id, Attempt: last})
+		}
+	}
+}
+
+// fresh tells whether a directive is not older than it is valid.
+func (m *Module) fresh(d *directive) bool { return m.now-d.born <= d.Valid }
+
+// part is the part of the ordinary attempts that may go to a zone's servers: 1 without a directive, the
+// floor under one that has outlived its validity.
+func (m *Module) part(d *directive) float64 {
+	switch {
+	case d == nil || d.Serving:
+		return 1
+	case m.fresh(d):
+		return d.Share
+	}
+	return d.Floor
+}
+
+// tried tells whether this node tries the zone.
+func (m *Module) tried(d *directive) bool { return d != nil && d.Trial && !d.Serving && m.fresh(d) }
+
+// draw closes each zone to the part of the requests that it is not to get: for the decision at hand.
+func (m *Module) draw() {
+	if m.fleet == nil {
+		return
+	}
+	for _, d := range m.fleet.order {
+		part := m.part(d)
+		d.closed = part == 0 || part < 1 && m.random() >= part
+	}
+}
+
+// allows is the fleet's part of the rules on sending: the request's route, zones that are left, their rates.
+// A trial is a safe request's first attempt.
+func (m *Module) allows(r *request, s *server) bool {
+	if m.fleet == nil {
+		return true
+	}
+	if r.route != nil && !r.route.matches(s) {
+		return false
+	}
+	d := m.directive(s.Zone)
+	if d == nil || d.Serving {
+		return true
+	}
+	if d.closed && !(m.tried(d) && r.class.Effect == Safe && len(r.attempts) == 0) {
+		return false
+	}
+	if d.Rate > 0 {
+		m.refill(s, d.Rate)
+	}
+	return d.Rate == 0 || s.pace >= 1
+}
+
+// weight is how far a server counts in a subset: by its zone's part, so that others make up for what the node
+// lacks there, and for no more. ok is false for those not to be in it.
+func (m *Module) weight(s *server) (w float64, ok bool) {
+	d := m.directive(s.Zone)
+	w = m.part(d)
+	return w, w > 0 || m.tried(d)
+}
--- a/decide/send.go
+++ b/decide/send.go
@@ -14,7 +14,8 @@
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
 	if r.done || r.started || r.sealed || m.now >= r.deadline || s.State != Ready || s.out ||
-		len(r.attempts) >= max(1, r.rules.MaxAttempts) || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap {
+		len(r.attempts) >= max(1, r.rules.MaxAttempts) || r.out >= 2 || r.out > 0 && !r.rules.MayOverlap ||
+		!m.allows(r, s) {
 		return false
 	}
 	for i := range r.attempts {
@@ -37,6 +38,8 @@
 	r.out++
 	s.n++
 	s.tokens--
+	s.pace--
+	s.seen.begun++
 	if s.unanswered++; s.unanswered == 1 {
 		s.muteSince = m.now
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -37,8 +37,11 @@
 	trialWait, backoff  time.Duration // backoff: added to a block after full answers in a row
 	tokens              float64       // sends that its budget allows while cold
 	tokensAt            Time
-	quietUntil          Time   // no log line about it until then
-	place               uint64 // in the order of servers that all nodes share
+	quietUntil          Time    // no log line about it until then
+	place               uint64  // in the order of servers that all nodes share
+	pace                float64 // sends that its zone's rate allows
+	paceAt              Time
+	seen                evidence
 }
 
 type class struct {
@@ -54,6 +57,7 @@
 	ended, mayRun bool // mayRun: out, or ended without proof that it never ran
 	relieved      bool // no longer counted as the server's load
 	stuck         bool // out for so long that load alone does not explain it
+	silent        bool // counted as lost although it is still out
 }
 
 type request struct {
@@ -63,8 +67,10 @@
 	arrived, deadline              Time
 	attempts                       []attempt
 	out                            int
-	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
-	sealed                         bool // its body can't be sent again
+	priority, done, started, trial bool         // done: it has its final answer; started: a stream has begun
+	sealed                         bool         // its body can't be sent again
+	brand                          *brand       // its tenant, where the fleet's facts are told
+	route                          *TenantRoute // the only servers that it may go to; nil: all
 }
 
 type tenant struct {
@@ -108,6 +114,7 @@
 	subscribed, asking bool
 	askAt, askedAt     Time
 	askWait            time.Duration
+	fleet              *fleet
 }
 
 // New makes the module of a node that has just started.
@@ -135,7 +142,18 @@
 		}
 		k.Class, m.top = c, math.Max(m.top, c.Worth)
 	}
+	if m.fleet == nil && s.Fleet {
+		m.fleet = newFleet(m.now)
+	} else if !s.Fleet {
+		m.fleet = nil
+	}
+	if m.fleet != nil {
+		m.fleet.adopt(s.Tenants)
+	}
 	for _, t := range s.Tenants {
+		if m.fleet.governs(t.Name) {
+			continue
+		}
 		k := &tenant{}
 		if was := tenants[t.Name]; was != nil {
 			*k = *was
