--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,7 +137,7 @@
 		}
 		i := int(m.random() * float64(len(pool)))
 		best, other := pool[i], pool[(i+1+int(m.random()*float64(len(pool)-1)))%len(pool)]
-		if (other.n+1)*m.latencyOf(other) < (best.n+1)*m.latencyOf(best) {
+		if (other.n+1)*m.latencyOf(other) < (best.n+1)*m.latencyOf(best) && m.alike(other, best) {
 			best = other
 		}
 		return best, Mode(mode)
--- a/decide/fleet_state.go
+++ b/decide/fleet_state.go
@@ -37,8 +37,7 @@
 	tokens                             float64            // requests that its share allows now
 	classTokens                        map[string]float64 // the same by class, where a class has a rate
 	at                                 Time               // of tokens
-	divided                            float64            // its rate when its leased share was divided; 0: not known
-	void                               bool               // that division was of another tenant of its name
+	void                               bool               // its leased share was divided for another tenant of its name
 	live                               []*TenantRoute     // the routes that match a server in use, at the last choice of a subset
 	open, arrived, admitted            int
 }
--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -57,12 +57,8 @@
 		return
 	}
 	for _, b := range f.names {
-		if m.settle(b); e.Epoch > f.share.Epoch {
-			b.void, b.divided = false, 0
-			if b.committed != nil {
-				b.divided = b.committed.Rate
-			}
-		}
+		m.settle(b)
+		b.void = b.void && e.Epoch == f.share.Epoch
 	}
 	if e.Rates = maps.Clone(e.Rates); e.Rates == nil {
 		e.Rates = map[string]float64{}
@@ -112,7 +108,7 @@
 }
 
 // quota is a tenant's share here, requests/s: the floor part, which it always has, and what is leased. A
-// lease of a larger rate than is committed by now counts for as much less.
+// lease that was of another tenant of its name is none: the control plane sees to it that others sum up.
 func (m *Module) quota(b *brand) (floor, leased float64) {
 	if b.committed == nil || b.unquoted {
 		return 0, 0
@@ -121,9 +117,6 @@
 	if leased = m.fleet.share.Rates[b.name]; b.void || !(leased >= 0) {
 		leased = 0
 	}
-	if b.divided > rate {
-		leased *= rate / b.divided
-	}
 	return FloorPart * rate / m.slots(), math.Min(leased, (1-FloorPart)*rate)
 }
 
--- a/decide/fleet_zones.go
+++ b/decide/fleet_zones.go
@@ -13,7 +13,7 @@
 const (
 	tokenLife    = 250 * time.Millisecond // s; what a rate allows lapses: no burst is saved up over the fleet
 	silentFactor = 8.0                    // multiple of the expected latency: one attempt alone is to tell
-	mostRate     = 1e6                    // requests/s; a larger rate is no news from a sound fleet
+	mostRate     = 1e7                    // requests/s; a larger rate is no news from a sound fleet
 )
 
 // told takes the fleet's facts.
@@ -129,6 +129,12 @@
 	}
 }
 
+// alike tells whether two servers may be chosen between by their load: one that gets only a part of its
+// requests has fewer in flight, and would draw all of the part that others lack.
+func (m *Module) alike(a, b *server) bool {
+	return a.Zone == b.Zone || m.part(m.directive(a.Zone)) == m.part(m.directive(b.Zone))
+}
+
 // allows is the fleet's part of the rules on sending: the request's route, zones that are left, their rates.
 // A trial is a safe request's first attempt.
 func (m *Module) allows(r *request, s *server) bool {
@@ -145,10 +151,15 @@
 	if d.closed && !(m.tried(d) && r.class.Effect == Safe && len(r.attempts) == 0) {
 		return false
 	}
-	if d.Rate > 0 {
-		m.refill(s, d.Rate)
+	if d.Rate == 0 {
+		return true
+	}
+	rate := d.Rate
+	if !m.fresh(d) {
+		rate *= d.Floor / d.Share // what the floor's own budget was is not known: as much less as its share
 	}
-	return d.Rate == 0 || s.pace >= 1
+	m.refill(s, rate)
+	return s.pace >= 1
 }
 
 // weight is how far a server counts in a subset: by its zone's part, so that others make up for what the node
