Hold tenants' generations, shares, routes and reports of one module by tests

Tenants, leases, routes, Window and Holds were built without tests. Rows of facts now say who is served after them (T1, T6, the settings' tenants), what a share admits as leases lapse, are late or of another tenant, what ten nodes admit together (T3: under quota and burst), where routes lead and that a request keeps its own (T7), and what is refused while staged. docs/fleet.md says what a node does with a share, a rate and a lease.

--- /dev/null
+++ b/decide/fleet_tenants_test.go
@@ -0,0 +1,299 @@
+package decide_test
+
+// Tenants under the fleet, at one module: T1, T3, T6 and T7 of docs/fleet.md, quotas, routes, validation; and what
+// the module tells of itself.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+func rules(generation uint64, change func(*decide.TenantRules)) *decide.TenantRules {
+	g := &decide.TenantRules{Generation: generation, Digest: fmt.Sprint("d", generation), Rate: 1000, Burst: 3000}
+	if change != nil {
+		change(g)
+	}
+	return g
+}
+
+// ask has one request come and tells where it was sent; 0: it was refused at once, without an attempt.
+func (r *rig) ask(tenant, class string) decide.ServerID {
+	r.next++
+	id := decide.RequestID(fmt.Sprint(class, r.next))
+	r.came[id] = r.now
+	sent := len(r.legs)
+	r.feed(decide.RequestArrived{ID: id, Class: class, Tenant: tenant, Patience: 2 * time.Second})
+	if len(r.legs) == sent {
+		if _, ok := r.last[id].(decide.Refuse); !ok {
+			r.t.Errorf("%s: neither sent nor refused: %v", id, r.last[id])
+		}
+		return 0
+	}
+	return r.due[len(r.due)-1].e.(decide.AttemptEnded).Server
+}
+
+// TestTenantFollowsIntent: T1, T6 and the settings' tenants, as rows of facts and who is served after them.
+func TestTenantFollowsIntent(t *testing.T) {
+	told := func(uid, rev uint64, committed, staged *decide.TenantRules) decide.TenantTold {
+		return decide.TenantTold{Name: "x", UID: uid, Revision: rev, Committed: committed, Staged: staged}
+	}
+	dearOnly := func(g *decide.TenantRules) { g.Classes = []string{"dear"} }
+	none := func(g *decide.TenantRules) { g.Rate, g.Burst = 0, 0 }
+	removing, gone, unquoted := told(1, 7, rules(1, nil), nil), told(1, 8, nil, nil), told(1, 8, rules(1, nil), nil)
+	removing.Removing, gone.Gone, unquoted.Removing, unquoted.QuotaGone = true, true, true, true
+	ofSettings := func(e decide.TenantTold) decide.TenantTold { e.Name = "set"; return e }
+	for name, c := range map[string]struct {
+		facts  []decide.Event
+		tenant string
+		class  string
+		served bool
+	}{
+		"not known":                         {tenant: "x", class: "dear"},
+		"not known, all told":               {facts: []decide.Event{decide.FleetSynced{Revision: 4}}, tenant: "x", class: "dear"},
+		"no tenant named":                   {tenant: "", class: "dear", served: true},
+		"of the settings":                   {tenant: "set", class: "dear", served: true},
+		"T1 staged only":                    {facts: []decide.Event{told(1, 5, nil, rules(1, nil))}, tenant: "x", class: "dear"},
+		"committed":                         {facts: []decide.Event{told(1, 5, rules(1, nil), nil)}, tenant: "x", class: "dear", served: true},
+		"T1 the committed namespace":        {facts: []decide.Event{told(1, 5, rules(1, dearOnly), rules(2, nil))}, tenant: "x", class: "cheap"},
+		"T1 not the staged namespace":       {facts: []decide.Event{told(1, 5, rules(1, nil), rules(2, dearOnly))}, tenant: "x", class: "cheap", served: true},
+		"T1 the whole of the next":          {facts: []decide.Event{told(1, 5, rules(1, dearOnly), nil), told(1, 6, rules(2, none), nil)}, tenant: "x", class: "dear"},
+		"older news":                        {facts: []decide.Event{told(1, 6, rules(2, nil), nil), told(1, 5, rules(1, dearOnly), nil)}, tenant: "x", class: "cheap", served: true},
+		"the same again":                    {facts: []decide.Event{told(1, 6, rules(1, nil), nil), told(1, 6, nil, nil)}, tenant: "x", class: "cheap", served: true},
+		"T6 removing":                       {facts: []decide.Event{told(1, 6, rules(1, nil), nil), removing}, tenant: "x", class: "dear"},
+		"T6 quota gone":                     {facts: []decide.Event{told(1, 6, rules(1, nil), nil), removing, unquoted}, tenant: "x", class: "dear"},
+		"T6 gone":                           {facts: []decide.Event{told(1, 6, rules(1, nil), nil), removing, gone}, tenant: "x", class: "dear"},
+		"T6 late news of one gone":          {facts: []decide.Event{told(1, 6, rules(1, nil), nil), gone, told(1, 6, rules(1, nil), nil)}, tenant: "x", class: "dear"},
+		"T6 its name again":                 {facts: []decide.Event{gone, told(9, 9, rules(1, dearOnly), nil)}, tenant: "x", class: "dear", served: true},
+		"T6 its name again, not as before":  {facts: []decide.Event{told(1, 6, rules(1, nil), nil), gone, told(9, 9, rules(1, dearOnly), nil)}, tenant: "x", class: "cheap"},
+		"of the settings, staged":           {facts: []decide.Event{ofSettings(told(1, 5, nil, rules(1, dearOnly)))}, tenant: "set", class: "cheap", served: true},
+		"of the settings, rolled back":      {facts: []decide.Event{ofSettings(told(1, 5, nil, rules(1, nil))), ofSettings(gone)}, tenant: "set", class: "cheap", served: true},
+		"of the settings, committed":        {facts: []decide.Event{ofSettings(told(1, 5, rules(1, dearOnly), nil))}, tenant: "set", class: "cheap"},
+		"of the settings, removed":          {facts: []decide.Event{ofSettings(told(1, 5, rules(1, nil), nil)), ofSettings(gone)}, tenant: "set", class: "cheap"},
+		"malformed":                         {facts: []decide.Event{told(1, 5, rules(1, nil), nil), told(1, 6, rules(2, func(g *decide.TenantRules) { g.Rate = math.NaN() }), nil)}, tenant: "x", class: "dear", served: true},
+		"TestTenantWithoutControl: an hour": {facts: []decide.Event{told(1, 5, rules(1, nil), nil), nil}, tenant: "x", class: "dear", served: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := rigSettings()
+			s.Fleet, s.Tenants = true, []decide.Tenant{{Name: "set", Quota: 100}}
+			r := newRig(t, s, 4)
+			for _, e := range c.facts {
+				if e == nil {
+					r.due = nil
+					r.now += time.Hour
+				} else {
+					r.feed(e)
+				}
+			}
+			r.run(time.Second, 20, "dear") // the bucket has begun anywhere below one request
+			if served := r.ask(c.tenant, c.class) != 0; served != c.served {
+				t.Errorf("served: %v, want %v", served, c.served)
+			}
+		})
+	}
+}
+
+// TestShareLapses: a node's share is floor and lease while the lease holds, then the floor; T3: with every node's
+// lapsed, late or old, the sum stays under the quota and its burst.
+func TestShareLapses(t *testing.T) {
+	const slots, rate, burst = 10, 50.0, 20.0
+	share := func(epoch uint64, rate float64, valid time.Duration) decide.ShareTold {
+		return decide.ShareTold{Epoch: epoch, Slots: slots, Rates: map[string]float64{"x": rate}, Valid: valid}
+	}
+	other := decide.TenantTold{Name: "x", UID: 2, Revision: 2, Committed: rules(1, func(g *decide.TenantRules) { g.Rate = rate })}
+	for name, c := range map[string]struct {
+		facts []decide.Event
+		want  float64 // requests/s admitted over 20 s
+	}{
+		"none":                           {want: 1},
+		"held":                           {facts: []decide.Event{share(1, 4, time.Minute)}, want: 5},
+		"lapses in the half":             {facts: []decide.Event{share(1, 4, 10*time.Second)}, want: 3},
+		"ended by its agent":             {facts: []decide.Event{share(1, 4, time.Minute), share(1, 4, 0)}, want: 1},
+		"older division":                 {facts: []decide.Event{share(2, 1, time.Minute), share(1, 4, time.Minute)}, want: 2},
+		"over the quota":                 {facts: []decide.Event{share(1, 1e9, time.Minute)}, want: 41},
+		"no number":                      {facts: []decide.Event{share(1, math.NaN(), time.Minute)}, want: 1},
+		"T6 of the name's tenant before": {facts: []decide.Event{share(1, 4, time.Minute), other}, want: 1},
+		"T6 divided since":               {facts: []decide.Event{other, share(1, 4, time.Minute)}, want: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := rigSettings()
+			s.Fleet, s.Nodes = true, slots
+			r := newRig(t, s, 12)
+			r.feed(decide.TenantTold{Name: "x", UID: 1, Revision: 1, Committed: rules(1, func(g *decide.TenantRules) {
+				g.Rate, g.Burst, g.ClassRates = rate, burst, map[string]float64{"cheap": rate / 5}
+			})})
+			for _, e := range c.facts {
+				r.feed(e)
+			}
+			r.m.Window(r.now)
+			for range 20 * 100 {
+				r.run(10*time.Millisecond, 0, "")
+				r.ask("x", "dear")
+			}
+			w := r.m.Window(r.now).Tenants[0]
+			if got := float64(w.Admitted); w.Arrived != 2000 || math.Abs(got-20*c.want) > 2+burst/slots {
+				t.Errorf("%v of %d requests admitted in 20 s, want %v", got, w.Arrived, 20*c.want)
+			}
+		})
+	}
+	var all []*rig
+	for i := range slots {
+		s := rigSettings()
+		s.Fleet, s.Nodes, s.Self = true, slots, i
+		r := newRig(t, s, 12)
+		r.feed(decide.TenantTold{Name: "x", UID: 1, Revision: 1, Committed: rules(1, func(g *decide.TenantRules) {
+			g.Rate, g.Burst, g.ClassRates = rate, burst, map[string]float64{"cheap": rate / 5}
+		})})
+		all = append(all, r)
+	}
+	admitted := map[string]int{}
+	for step := range 2000 {
+		for i, r := range all {
+			if step%400 == 0 && i%3 > 0 { // a third has lost its agent; the rest is divided anew, two of them by all of it
+				part := 0.8 * rate / slots
+				if step >= 800 {
+					part = []float64{0, 0.4 * rate, 0}[min(2, i)]
+				}
+				r.feed(share(uint64(1+step/400), part, 5*time.Second))
+			}
+			r.run(10*time.Millisecond, 0, "")
+			for _, class := range []string{"dear", "cheap"} {
+				if n := len(r.legs); r.ask("x", class) != 0 || len(r.legs) > n {
+					admitted[class]++
+				}
+			}
+		}
+	}
+	sum := admitted["dear"] + admitted["cheap"]
+	if float64(sum) > 20*rate+burst || float64(admitted["cheap"]) > 20*rate/5+slots || sum < 300 {
+		t.Errorf("all nodes admitted %v in 20 s, %v at most", admitted, 20*rate+burst)
+	}
+}
+
+// Routes are weighed among those that match a server in use; the fallback is the written one; T7: a request keeps its
+// generation, and so its route, to its end.
+func TestRoutes(t *testing.T) {
+	r := zonesRig(t)
+	route := func(generation uint64, refuse bool, routes ...decide.TenantRoute) {
+		r.feed(decide.TenantTold{Name: "x", UID: 1, Revision: generation, Committed: rules(generation,
+			func(g *decide.TenantRules) { g.Rate, g.Routes, g.RefuseElse = 1e4, routes, refuse })})
+	}
+	asked := func() map[string]int {
+		got := map[string]int{}
+		for range 400 {
+			r.run(20*time.Millisecond, 0, "")
+			id := r.ask("x", "dear")
+			got[map[bool]string{id == 0: "refused", id != 0: fmt.Sprint("s", id)}[true]]++
+		}
+		return got
+	}
+	route(1, true, decide.TenantRoute{ID: "s3", Weight: 3}, decide.TenantRoute{Zone: "b", ID: "s1?", Weight: 1},
+		decide.TenantRoute{Zone: "nowhere", Weight: 50})
+	if got := asked(); got["s3"] < 250 || got["s3"]+got["s10"]+got["s12"] < 395 || got["s10"] < 25 || got["s12"] < 25 {
+		t.Errorf("routes 3 to 1: %v", got)
+	}
+	route(2, true, decide.TenantRoute{Zone: "nowhere", Weight: 1})
+	if got := asked(); got["refused"] != 400 {
+		t.Errorf("nothing matches, to be refused: %v", got)
+	}
+	route(3, false, decide.TenantRoute{Zone: "nowhere", Weight: 1})
+	if got := asked(); got["refused"] > 4 || len(got) < 8 {
+		t.Errorf("nothing matches, to go anywhere: %v", got)
+	}
+	route(4, true, decide.TenantRoute{ID: "s3", Weight: 1}, decide.TenantRoute{ID: "s5", Weight: 1})
+	r.run(3*time.Second, 0, "")
+	r.delay = func(decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		return 50 * time.Millisecond, decide.ConnectFailed
+	}
+	r.reset()
+	if first := r.ask("x", "dear"); first != 3 && first != 5 {
+		t.Fatalf("sent to %d", first)
+	}
+	route(5, false, decide.TenantRoute{Zone: "b", Weight: 1})
+	r.run(time.Second, 0, "")
+	if a, b := r.sentTo(); a != 1 || b != 0 || r.refused != 1 {
+		t.Errorf("T7: %d attempts by its own generation, %d by the next, %d refused", a, b, r.refused)
+	}
+}
+
+// A staged generation is held against what the node has; what is held is told in the fleet's words.
+func TestWindowAndHolds(t *testing.T) {
+	r := zonesRig(t)
+	r.feed(decide.ZoneTold{Zone: "b", Revision: 4, Share: 0.5, Floor: 0.1, Rate: 2, Valid: 5 * time.Second})
+	r.feed(decide.ServerExcluded{Server: 3})
+	for i, c := range []struct {
+		change  func(*decide.TenantRules)
+		refused string
+	}{
+		{func(g *decide.TenantRules) { g.Classes = []string{"dear", "odd"} }, `namespace.classes: class "odd" is not known here`},
+		{func(g *decide.TenantRules) { g.ClassRates = map[string]float64{"odd": 1} }, `quota.classes: class "odd"`},
+		{func(g *decide.TenantRules) { g.Rate = math.Inf(1) }, "quota: rate"},
+		{func(g *decide.TenantRules) {
+			g.Routes = []decide.TenantRoute{{Zone: "a", Weight: 1}, {Kind: "k", Weight: 1}}
+		},
+			"routes[1]: no listed server matches"},
+		{func(g *decide.TenantRules) { g.Routes = []decide.TenantRoute{{ID: "s[", Weight: 1}} }, "routes[0]"},
+		{func(g *decide.TenantRules) { g.Routes = []decide.TenantRoute{{ID: "s1*", Weight: 1}} }, ""},
+	} {
+		r.feed(decide.TenantTold{Name: "x", UID: 1, Revision: uint64(i + 1), Committed: rules(7, nil), Staged: rules(8, c.change)})
+		w := r.m.Window(r.now).Tenants[0]
+		if w.Committed != 7 || !strings.HasPrefix(w.Refused, c.refused) || (w.Refused == "") != (c.refused == "") ||
+			(w.Staged == 8 && w.Digest == "d8") != (c.refused == "") {
+			t.Errorf("want refusal %q, got %+v", c.refused, w)
+		}
+	}
+	r.delay = func(id decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if id%2 == 1 {
+			return time.Hour, decide.TimedOut // silent; the client's two seconds are not over yet
+		}
+		return 50 * time.Millisecond, []decide.OutcomeCode{decide.OK, decide.Full, decide.ServerError}[id%3]
+	}
+	r.reset()
+	r.run(600*time.Millisecond, 100, "dear")
+	r.ask("x", "dear")
+	r.run(500*time.Millisecond, 0, "")
+	a, b := r.sentTo()
+	w := r.m.Window(r.now)
+	if i := slices.IndexFunc(w.Zones, func(z decide.ZoneWindow) bool { return z.Zone == "a" }); i != 0 || len(w.Zones) != 2 {
+		t.Fatalf("zones: %+v", w.Zones)
+	}
+	if z := w.Zones[0]; z.Begun != a || z.Attempts != z.Lost || z.Lost < 5 || z.Servers != z.LostServers || z.Listed != 5 {
+		t.Errorf("the silent zone, sent %d: %+v", a, z)
+	}
+	if z := w.Zones[1]; z.Begun != b || z.Attempts < b/2 || z.Lost != 0 || z.OK == 0 || z.OK == z.Attempts || z.Rate <= 0 {
+		t.Errorf("the other zone, sent %d: %+v", b, z)
+	}
+	if z := r.m.Window(r.now).Zones[0]; z.Attempts+z.Begun > 0 {
+		t.Errorf("counted twice: %+v", z)
+	}
+	var keys []string
+	text := map[string]string{}
+	for _, f := range r.m.Holds() {
+		raw, err := json.Marshal(f.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys = append(keys, f.Key)
+		text[f.Key] = string(raw)
+	}
+	if !slices.IsSorted(keys) || len(keys) != 12+1+3 {
+		t.Errorf("keys: %v", keys)
+	}
+	for key, want := range map[string]string{
+		"ban/s3":    `{"out":true}`,
+		"server/s4": `{"zone":"b","kind":"","cell":0,"state":"ready","size":0}`,
+		"zone/b":    `{"rev":4,"share":0.5,"floor":0.1,"rate":2,"trial":false,"valid_ms":5000}`,
+		"tenant/x": `{"uid":1,"rev":6,"committed":{"generation":7,"digest":"d7","classes":null,"rate":1000,"burst":3000,` +
+			`"class_rates":null,"routes":null,"refuse_else":false},"removing":false,"quota_gone":false}`,
+	} {
+		if text[key] != want {
+			t.Errorf("%s: %s, want %s", key, text[key], want)
+		}
+	}
+}
