Make up for a left zone's servers without opening connections to all of a returning one

A subset counted servers by their zone's part, so a zone that returned with a tenth made every node take ten times its servers, and trial nodes all of them. The subset is now the ordinary one less what is left, and as many others as it lacks.

--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -220,9 +220,6 @@
 // chooseRouted adds to the subset what the tenants' routes need, from the node's place on the ring on, and
 // notes which routes match a server in use.
 func (m *Module) chooseRouted(start int) {
-	if m.fleet == nil {
-		return
-	}
 	for _, b := range m.fleet.names {
 		if b.live = b.live[:0]; b.committed == nil || b.gone {
 			continue
@@ -236,7 +233,7 @@
 			}
 			for i := 0; i < len(m.ring) && missing > 0; i++ {
 				s := m.ring[(start+i)%len(m.ring)]
-				if w, ok := m.weight(s); ok && w > 0 && s.chosen < m.choices && route.matches(s) {
+				if m.part(m.directive(s.Zone)) > 0 && s.chosen < m.choices && route.matches(s) {
 					s.chosen, count, missing = m.choices, count+1, missing-1
 					m.near = append(m.near, s)
 				}
--- a/decide/fleet_zones.go
+++ b/decide/fleet_zones.go
@@ -162,10 +162,24 @@
 	return s.pace >= 1
 }
 
-// weight is how far a server counts in a subset: by its zone's part, so that others make up for what the node
-// lacks there, and for no more. ok is false for those not to be in it.
-func (m *Module) weight(s *server) (w float64, ok bool) {
-	d := m.directive(s.Zone)
-	w = m.part(d)
-	return w, w > 0 || m.tried(d)
+// makeUp takes a left zone's servers out of the subset, and makes up for what the node lacks there, and in
+// zones that give only a part, by as many servers of others: from the node's place on the ring on, as ever.
+func (m *Module) makeUp(start int) {
+	if m.fleet == nil {
+		return
+	}
+	lack := 0.0
+	m.near = slices.DeleteFunc(m.near, func(s *server) bool {
+		d := m.directive(s.Zone)
+		lack += 1 - m.part(d)
+		return m.part(d) == 0 && !m.tried(d)
+	})
+	for i := 0; i < len(m.ring) && lack >= 0.5; i++ {
+		s := m.ring[(start+i)%len(m.ring)]
+		if s.chosen < m.choices && m.part(m.directive(s.Zone)) == 1 {
+			s.chosen, lack = m.choices, lack-1
+			m.near = append(m.near, s)
+		}
+	}
+	m.chooseRouted(start)
 }
--- a/decide/servers.go
+++ b/decide/servers.go
@@ -91,14 +91,12 @@
 	if want > m.size || want < m.size/2 {
 		m.size = math.Max(want, subsetLeast) // else unchanged: a new server costs a connection
 	}
-	room := 0.0 // taken so far
 	start := int(math.Mod((float64(m.set.Self)+0.5)*math.Phi, 1) * float64(len(m.ring)))
 	m.near, m.choices = m.near[:0], m.choices+1
 	take := func(count int, zone string) {
-		for i := 0; i < len(m.ring) && room < float64(count); i++ {
-			s := m.ring[(start+i)%len(m.ring)]
-			if w, ok := m.weight(s); ok && s.chosen < m.choices && (zone == "" || s.Zone == zone) {
-				s.chosen, room = m.choices, room+w
+		for i := 0; i < len(m.ring) && len(m.near) < count; i++ {
+			if s := m.ring[(start+i)%len(m.ring)]; s.chosen < m.choices && (zone == "" || s.Zone == zone) {
+				s.chosen = m.choices
 				m.near = append(m.near, s)
 			}
 		}
@@ -106,7 +104,7 @@
 	size := math.Max(m.size, leastShare*float64(len(m.ring))/float64(m.set.Nodes))
 	take(int(nearPart*size*math.Min(1, float64(len(m.set.Zones))*m.own)), m.set.Zone)
 	take(int(size), "")
-	m.chooseRouted(start)
+	m.makeUp(start)
 }
 
 // askFirst is the time in which all nodes together ask once, and what a node waits after its first failure.
