--- a/decide/fleet_events.go
+++ b/decide/fleet_events.go
@@ -34,7 +34,7 @@
 	ShareTold struct {
 		Epoch uint64
 		Slots int                // nodes that the floor part is divided by
-		Rates map[string]float64 // requests/s by tenant
+		Rates map[string]float64 // requests/s by tenant; nil: the share was taken back
 		Age   time.Duration
 		Valid time.Duration
 	}
--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -60,9 +60,7 @@
 		m.settle(b)
 		b.void = b.void && e.Epoch == f.share.Epoch
 	}
-	if e.Rates = maps.Clone(e.Rates); e.Rates == nil {
-		e.Rates = map[string]float64{}
-	}
+	e.Rates = maps.Clone(e.Rates)
 	f.share, f.until = e, m.now+min(max(0, e.Valid), time.Hour)
 }
 
