Renew a tenant's routes alone when it is told, and a subset only on news

Each fact told had the whole subset chosen anew, with every tenant's routes matched: 200 tenants told in one go were 200 such rounds of up to 5 ms, and so was every confirmation of a directive.

--- a/decide/fleet_state.go
+++ b/decide/fleet_state.go
@@ -20,6 +20,7 @@
 	until  Time // when the leased shares lapse
 	since  Time // when the window began
 	usual  int  // servers of the subset as it is without directives
+	start  int  // where on the ring it began
 }
 
 // directive is the fleet's word on a zone.
--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -47,7 +47,7 @@
 		b.imported = false
 		delete(m.tenants, b.name) // the settings' share of it ends
 	}
-	m.choose()
+	m.chooseRouted(b)
 }
 
 // shareTold takes the leased shares; those of an older division change nothing.
@@ -215,30 +215,28 @@
 	return ok && (t.Zone == "" || t.Zone == s.Zone) && (t.Kind == "" || t.Kind == s.Kind)
 }
 
-// chooseRouted adds to the subset what the tenants' routes need, from the node's place on the ring on, and
+// chooseRouted adds to the subset what a tenant's routes need, from the node's place on the ring on, and
 // notes which routes match a server in use.
-func (m *Module) chooseRouted(start int) {
-	for _, b := range m.fleet.names {
-		if b.live = b.live[:0]; b.committed == nil || b.gone {
-			continue
-		}
-		for i := range b.committed.Routes {
-			route, count, missing := &b.committed.Routes[i], 0, routeLeast
-			for _, s := range m.near {
-				if route.matches(s) {
-					count, missing = count+1, missing-1
-				}
-			}
-			for i := 0; i < len(m.ring) && missing > 0; i++ {
-				s := m.ring[(start+i)%len(m.ring)]
-				if m.part(m.directive(s.Zone)) > 0 && s.chosen < m.choices && route.matches(s) {
-					s.chosen, count, missing = m.choices, count+1, missing-1
-					m.near = append(m.near, s)
-				}
+func (m *Module) chooseRouted(b *brand) {
+	if b.live = b.live[:0]; b.committed == nil || b.gone {
+		return
+	}
+	for i := range b.committed.Routes {
+		route, count, missing := &b.committed.Routes[i], 0, routeLeast
+		for _, s := range m.near {
+			if route.matches(s) {
+				count, missing = count+1, missing-1
 			}
-			if count > 0 && route.Weight > 0 {
-				b.live = append(b.live, route)
+		}
+		for i := 0; i < len(m.ring) && missing > 0; i++ {
+			s := m.ring[(m.fleet.start+i)%len(m.ring)]
+			if m.part(m.directive(s.Zone)) > 0 && s.chosen < m.choices && route.matches(s) {
+				s.chosen, count, missing = m.choices, count+1, missing-1
+				m.near = append(m.near, s)
 			}
 		}
+		if count > 0 && route.Weight > 0 {
+			b.live = append(b.live, route)
+		}
 	}
 }
--- a/decide/fleet_zones.go
+++ b/decide/fleet_zones.go
@@ -50,7 +50,7 @@
 		f.zones[e.Zone], f.order = d, append(f.order, d)
 		slices.SortFunc(f.order, func(a, b *directive) int { return cmp.Compare(a.Zone, b.Zone) })
 	}
-	part, tried, born := m.part(d), m.tried(d), m.now-e.Age
+	part, tried, born, news := m.part(d), m.tried(d), m.now-e.Age, e.Revision != d.Revision
 	if e.Revision == d.Revision && e.Serving == d.Serving {
 		born = max(born, d.born)
 	}
@@ -61,7 +61,9 @@
 	}
 	e.Floor = math.Min(e.Floor, e.Share)
 	d.ZoneTold, d.born = e, born
-	m.moved(d, part, tried)
+	if news || m.part(d) != part || m.tried(d) != tried {
+		m.moved(d, part, tried)
+	}
 }
 
 // moved follows a zone's step: what is open in a zone just left goes elsewhere, and each of its servers is
@@ -217,5 +219,8 @@
 			m.near = append(m.near, s)
 		}
 	}
-	m.chooseRouted(start)
+	m.fleet.start = start
+	for _, b := range m.fleet.names {
+		m.chooseRouted(b)
+	}
 }
