--- a/internal/fleet/zones/judge.go
+++ b/internal/fleet/zones/judge.go
@@ -245,7 +245,7 @@
 func (j *Judge) left(e *Entry, share float64, reason string) {
 	d := fleet.Directive{Phase: fleet.Left, Share: share, Floor: share, ValidMS: j.set.Valid.Milliseconds(), Reason: reason,
 		HoldMS: max(e.HoldMS, j.set.hold(e.Relapse).Milliseconds()), Relapse: e.Relapse}
-	if share > 0 && reason != Gray { // its servers may come back cold
+	if share > 0 && (reason == Lost || reason == Region) { // its servers may come back cold
 		d.Budget, d.Slots = j.budget(e.Proved, j.set.ColdFrom, true), j.slots
 	}
 	e.Directive, e.Base = d, share
--- a/internal/fleet/zones/judge_test.go
+++ b/internal/fleet/zones/judge_test.go
@@ -1,24 +1,165 @@
 package zones
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"starlingvalve/internal/fleet"
 )
 
-// TestLossAndReturn: a zone is lost and comes back, in order and with its figures.
-func TestLossAndReturn(t *testing.T) {
-	w := newWorld(t, 1, 10, "a", "b", "c")
-	if w.run(10*time.Second, func() bool { return len(w.steps) > 0 }) {
-		t.Fatalf("left with no fault: %v", w.steps)
+// TestHardCases plays the cases that docs/fleet.md names; each is judged by what is left and for whom.
+func TestHardCases(t *testing.T) {
+	for name, play := range map[string]func(*testing.T){
+		"two zones lost within a second, room for one": func(t *testing.T) {
+			w := started(t)
+			w.kill("a")
+			w.run(600*time.Millisecond, nil)
+			w.kill("a", "b")
+			w.run(8*sec, nil)
+			p := plan(w.s.Directives)
+			if moved := 2 - p.share("a", "") - p.share("b", ""); moved < 0.5 || moved > 1.3 || p.share("c", "") != 1 {
+				t.Errorf("%g zones moved: %v", moved, w.steps)
+			}
+		},
+		"a zone that flaps every 3 s": func(t *testing.T) {
+			w := started(t)
+			w.lose = func(_ *wnode, y string) float64 {
+				if y == "a" && w.now/(3*sec)%2 == 0 {
+					return 1
+				}
+				return 0
+			}
+			w.run(2*time.Minute, nil)
+			n := 0
+			for _, s := range w.steps {
+				if s.to == fleet.Left {
+					n++
+				}
+			}
+			if n < 2 || n > 10 || w.s.Directives["zone/a"].HoldMS < 16000 {
+				t.Errorf("left %d times in 40 losses, hold-off now %d ms", n, w.s.Directives["zone/a"].HoldMS)
+			}
+		},
+		"lost while a third of the nodes restart": func(t *testing.T) {
+			w := started(t)
+			for i, n := range w.nodes {
+				n.down = i%3 == 0
+			}
+			w.kill("a")
+			w.until("left", 2*sec, func() bool { return w.phase("zone/a") == fleet.Left })
+			for _, n := range w.nodes {
+				if n.down {
+					n.down, n.seq, n.holds = false, 0, map[string]held{}
+					n.Incarnation++
+				}
+			}
+			w.run(sec, nil)
+			if w.phase("zone/a") != fleet.Left {
+				t.Errorf("%v", w.steps)
+			}
+		},
+		"cut off from half of the others": func(t *testing.T) {
+			w := started(t, "a", "b", "c", "d", "e")
+			w.lose = func(n *wnode, y string) float64 {
+				if y == "a" && (n.Zone == "b" || n.Zone == "c") {
+					return 1
+				}
+				return 0
+			}
+			w.run(4*sec, nil)
+			if len(w.s.Directives) != 2 || w.phase("zone/a@b") == fleet.Serving || w.phase("zone/a@c") == fleet.Serving {
+				t.Errorf("%v", w.steps)
+			}
+		},
+		"back with fewer servers": func(t *testing.T) {
+			w := gone(t)
+			w.listed["a"] = 1
+			w.run(4*sec, nil)
+			w.heal()
+			w.untilPhase(fleet.Serving)
+			for _, s := range w.steps {
+				if s.after.Budget > s.after.Proved {
+					t.Errorf("%v: a server gets %g, it gave %g", s, s.after.Budget, s.after.Proved)
+				}
+			}
+		},
+		"a node whose zone nobody else has": func(t *testing.T) {
+			w := started(t)
+			odd := w.add("odd", "nowhere")
+			w.lose = func(n *wnode, y string) float64 {
+				if n == odd && y != "c" {
+					return 1
+				}
+				return 0
+			}
+			w.run(10*sec, nil)
+			for key := range w.s.Directives {
+				if !strings.HasSuffix(key, "@nowhere") {
+					t.Errorf("%s left by its word", key)
+				}
+			}
+		},
+		"a new leader in the middle of a return": func(t *testing.T) {
+			w := back(t, 2)
+			w.j.Office(w.now)
+			n := len(w.steps)
+			w.untilPhase(fleet.Serving)
+			if got := w.steps[n]; got.at-w.steps[n-1].at < w.set.ColdTime {
+				t.Errorf("it went on before the cold time, which it does not know, was over: %v", w.steps)
+			}
+		},
+		"a command twice and after its successor": func(t *testing.T) {
+			w := started(t)
+			var old []Command
+			w.apply = func(c Command) Command {
+				if old = append(old, c); len(old) > 0 {
+					w.s.Apply(old[w.rng.IntN(len(old))], func() uint64 { w.rev++; return w.rev })
+				}
+				return c
+			}
+			w.kill("a")
+			w.run(6*sec, nil)
+			w.heal()
+			w.untilPhase(fleet.Serving)
+			if w.run(5*sec, nil); len(w.s.Directives) > 0 {
+				t.Errorf("an old command was taken: %v", w.s.Directives)
+			}
+		},
+	} {
+		t.Run(name, play)
+	}
+}
+
+// TestPart: portions add up to no more than the budget, and trials to no more than theirs.
+func TestPart(t *testing.T) {
+	for slots := 1; slots < 40; slots++ {
+		for trials := 1; trials <= min(3, slots); trials++ {
+			nodes := []string{"x", "y", "z"}[:trials]
+			step1 := fleet.Directive{Phase: fleet.Returning, Share: 0.1, Budget: 10, Slots: slots}
+			probation := fleet.Directive{Phase: fleet.Probation, Budget: 5, Slots: slots, Trial: nodes}
+			trial := 0.0
+			for _, n := range nodes {
+				trial += Part(probation, n, false).Rate
+			}
+			mixed := trial + float64(slots-trials)*Part(step1, "other", false).Rate
+			if trial > 5+1e-9 || mixed > 10+1e-9 {
+				t.Errorf("%d slots, %d trials: %g of 5, mixed %g of 10", slots, trials, trial, mixed)
+			}
+			if p := Part(probation, "other", false); p.Trial || p.Share > 0 || Part(probation, "x", true).Trial {
+				t.Errorf("%+v", p)
+			}
+		}
+	}
+	d := fleet.Directive{Phase: fleet.Returning, Share: 0.5, Floor: 0.1, Budget: 50, Slots: 10, Step: 3}
+	if p := Part(d, "x", true); p.Share != 0.1 || p.Rate != 1 {
+		t.Errorf("past its validity: %+v", p)
+	}
+	if got := Merge(Portion{Share: 0, Rate: 2, Trial: true}, Portion{Share: 1}); got != (Portion{0, 2, true}) {
+		t.Errorf("merged: %+v", got)
+	}
+	if !slices.Equal(Table(), table) {
+		t.Error("Table gives another")
 	}
-	lostAt := w.now
-	w.kill("a")
-	w.until("leave", 2*time.Second, func() bool { return w.phase("zone/a") == fleet.Left })
-	t.Logf("loss to directive %v, share %g", w.now-lostAt, w.s.Directives["zone/a"].Share)
-	w.run(12*time.Second, nil)
-	w.heal()
-	w.until("return", time.Minute, func() bool { return w.phase("zone/a") == fleet.Serving })
-	t.Log(w.steps)
 }
--- a/internal/fleet/zones/page_test.go
+++ b/internal/fleet/zones/page_test.go
@@ -254,6 +254,23 @@
 			}
 			return w, "zone/a", n + 1
 		},
+		"left cut-off more room for what is still served": func(t *testing.T) (*world, string, int) {
+			w := newWorld(t, 7, 6, "a", "b", "c")
+			w.rate = 24
+			w.full["b"], w.full["c"] = true, true
+			w.run(5*sec, nil)
+			w.rate *= 0.9
+			w.run(4*sec, nil)
+			w.lose = loses("a", 1, "b")
+			w.until("left", 5*sec, func() bool { return w.phase("zone/a@b") == fleet.Left })
+			n := len(w.steps)
+			w.rate /= 4 // the others carry less
+			w.until("less", 20*sec, func() bool { return len(w.steps) > n })
+			if got := w.steps[n]; got.before.Share <= 0 || got.after.Share >= got.before.Share {
+				t.Errorf("%v", w.steps)
+			}
+			return w, "zone/a@b", n
+		},
 		"left gray p changed by 0.2 or more": func(t *testing.T) (*world, string, int) {
 			w, _, n := scenes["serving gray share p lost"](t)
 			w.lose = loses("a", 0.5, "")
--- a/internal/fleet/zones/room.go
+++ b/internal/fleet/zones/room.go
@@ -138,6 +138,14 @@
 	return s
 }
 
+// least is what is left of zone y by one directive, whatever becomes of a return that is on.
+func (p plan) least(y, x string) float64 {
+	if e, ok := p[Key(y, x)]; ok {
+		return e.Base
+	}
+	return 1
+}
+
 // listed is how many servers zone y has: as it was when it was left, or of late.
 func (j *Judge) listed(p plan, y string, now fleet.Time) (n int) {
 	if z := j.zones[y]; z != nil {
@@ -162,11 +170,11 @@
 		for _, z := range j.known() {
 			n := float64(j.listed(p, z, v.now))
 			total += n
+			s := math.Min(p.least(z, ""), p.least(z, o))
 			if z == y {
-				stay += n * math.Min(share, p.share(z, o))
-			} else {
-				stay += n * p.share(z, o)
+				s = math.Min(s, share)
 			}
+			stay += n * s
 		}
 		if total == 0 || stay < j.set.Panic*total {
 			return false
--- a/internal/fleet/zones/state.go
+++ b/internal/fleet/zones/state.go
@@ -200,7 +200,7 @@
 		return "what was known of the zone has changed"
 	case old.Phase == fleet.Left && e.Phase == fleet.Left && e.Share == old.Share:
 		return "nothing changes"
-	case old.Phase == fleet.Left && e.Phase == fleet.Left && ch.Event == Lost && e.Share > old.Share:
+	case old.Phase == fleet.Left && e.Phase == fleet.Left && ch.Event != Gray && e.Share > old.Share:
 		return "a lost zone gets more"
 	case old.Phase == fleet.Left && e.Phase == fleet.Probation && old.Share != 0:
 		return "a part is served: it needs no probation"
--- a/internal/fleet/zones/table.go
+++ b/internal/fleet/zones/table.go
@@ -35,6 +35,7 @@
 	{fleet.Serving, Quiet, "60 s without a relapse", fleet.Serving, false},
 	{fleet.Left, Lost, "no more room", fleet.Left, false},
 	{fleet.Left, Lost, "more room for what is still served", fleet.Left, false},
+	{fleet.Left, CutOff, "more room for what is still served", fleet.Left, false},
 	{fleet.Left, Gray, "p changed by 0.2 or more", fleet.Left, false},
 	{fleet.Left, Quiet, "the hold-off is not over", fleet.Left, false},
 	{fleet.Left, Quiet, "the hold-off is over", fleet.Probation, false},
--- a/internal/fleet/zones/world_test.go
+++ b/internal/fleet/zones/world_test.go
@@ -63,6 +63,7 @@
 	servers map[string]map[int][2]int // attempts, lost
 	last    fleet.Time
 	pick    int
+	answers map[string]int // by zone, ever
 }
 
 type held struct {
@@ -84,7 +85,7 @@
 }
 
 func (w *world) add(name, zone string) *wnode {
-	n := &wnode{Member: fleet.Member{Node: name, Zone: zone, Incarnation: 1}, holds: map[string]held{}, carry: map[string]float64{},
+	n := &wnode{Member: fleet.Member{Node: name, Zone: zone, Incarnation: 1}, holds: map[string]held{}, carry: map[string]float64{}, answers: map[string]int{},
 		next: w.now + fleet.Time(w.rng.IntN(250))*time.Millisecond, last: w.now}
 	n.clear()
 	w.nodes = append(w.nodes, n)
@@ -198,6 +199,10 @@
 }
 
 func (w *world) send(n *wnode) {
+	all, open := 0.0, 0.0 // what is left goes to the others
+	for _, y := range w.zones {
+		all, open = all+float64(w.listed[y]), open+float64(w.listed[y])*w.portion(n, y).Share
+	}
 	for _, y := range w.zones {
 		p := w.portion(n, y)
 		c := n.zones[y]
@@ -207,7 +212,7 @@
 			n.servers[y] = map[int][2]int{}
 		}
 		c.Listed = w.listed[y]
-		rate := w.rate * p.Share
+		rate := w.rate * p.Share * all / math.Max(open, all/4)
 		if p.Trial {
 			rate = math.Min(w.rate, p.Rate)
 		} else if p.Rate > 0 {
@@ -231,6 +236,7 @@
 			case w.full[y] && w.rng.IntN(2) == 0: // refused: neither lost nor an answer
 			default:
 				c.OK++
+				n.answers[y]++
 			}
 			n.servers[y][id] = sv
 		}
