--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -97,6 +97,7 @@
 	whyAbove    = "revision above the leader's, past 1 s"
 	whyItem     = "item above the committed one"
 	whyQuiet    = "2 s without a report"
+	whyUnheard  = "not heard yet by this leader"
 )
 
 // finding is what is thought of a node at one look.
@@ -224,12 +225,12 @@
 	}
 	f := finding{overrides: slices.Clone(n.local)}
 	was := n.shown.state
-	asking := n.findContent(now, bd, &f)
+	asking := n.findContent(bd, &f)
 	if len(n.behaviour) > 0 {
 		f.items = append(f.items, n.behaviour...)
 		f.worse(Diverged, whyCounts)
 	}
-	lagging := n.findBehind(now, bd, &f)
+	lagging := n.findBehind(bd, &f)
 	if over := len(f.items) - itemsMost; over > 0 {
 		f.items, f.more = f.items[:itemsMost], f.more+over
 	}
@@ -271,7 +272,7 @@
 }
 
 // findContent says whether content that is other is being named.
-func (n *node) findContent(now fleet.Time, bd *Bounds, f *finding) (asking bool) {
+func (n *node) findContent(bd *Bounds, f *finding) (asking bool) {
 	for i := range n.trees {
 		switch c := &n.trees[i]; {
 		case !c.judged || c.same:
@@ -282,7 +283,7 @@
 			} else {
 				f.worse(Diverged, whyOther)
 			}
-		case now-max(c.since, n.back) >= bd.CatchUp:
+		case n.at-max(c.since, n.back) >= bd.CatchUp:
 			f.items = append(f.items, Difference{Key: "*", Field: [2]string{"root", "list_root"}[i], Intended: "another", Applied: [2]string{n.report.Root, n.report.ListRoot}[i]})
 			f.worse(Diverged, whyUnnamed)
 		default:
@@ -293,15 +294,15 @@
 }
 
 // findBehind says whether an item is outstanding, and names those that have been for too long.
-func (n *node) findBehind(now fleet.Time, bd *Bounds, f *finding) (lagging bool) {
+func (n *node) findBehind(bd *Bounds, f *finding) (lagging bool) {
 	for i, at := range []uint64{n.report.Revision, n.report.List} {
 		l := &n.behind[i]
 		if l.rev == 0 {
 			continue
 		}
 		lagging = true
-		if now-max(l.at, n.back) < bd.CatchUp {
-			continue
+		if n.at-max(l.at, n.back) < bd.CatchUp {
+			continue // as far as its last report tells: it may have been stopped since
 		}
 		for _, k := range l.keys {
 			f.items = append(f.items, Difference{Key: k, Field: "rev", Intended: "above " + strconv.FormatUint(at, 10), Applied: "older"})
--- a/internal/fleet/drift/view.go
+++ b/internal/fleet/drift/view.go
@@ -28,7 +28,7 @@
 		switch {
 		case n == nil || old != nil && (n.shown.state == "" || (!n.heard || n.at < j.office) && n.shown.state == old.State):
 			if v.State == InStep {
-				v.State, v.Evidence = CatchingUp, "no report to this leader yet"
+				v.State, v.Evidence = CatchingUp, whyUnheard
 			}
 		case n.shown.state == "":
 			continue
