Split the node's front end, back end, loop and their test by concern

Declarations are only moved: clients.go has the clients' connections, incoming.go how a request is read, exchange.go one request to an app server, attempts.go the loop's requests, listing.go what it does with the list; the test's stand-ins are in rig_test.go, its tests in files named by what they are about.

--- /dev/null
+++ b/internal/node/actions_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// Every action works, also those that the module does not use today.
+func TestActions(t *testing.T) {
+	t.Parallel()
+	seen := make(chan string, 100)
+	stopped := make(chan struct{})
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				seen <- "closed"
+				return
+			}
+			seen <- req.URL.Path
+			if req.URL.Path == "/order" {
+				r.ReadByte() // until it is called off
+				close(stopped)
+				return
+			}
+			io.WriteString(c, ok("inflight=7,queue=2"))
+		}
+	})
+	other, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	c := &Config{Settings: settings(), Known: known(addr), PeerListen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Peers: []netip.AddrPort{{}, other.LocalAddr().(*net.UDPAddr).AddrPort()}}
+	c.Settings.MayMessage = true
+	c.Discovery = registry(t, func(_ int, q url.Values) string {
+		seen <- "list since " + q.Get("since")
+		if q.Get("timeout_ms") != "1" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return jsonList(1, !q.Has("since"), "ready", addr)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	b := newBackends(c, 10, quiet)
+	p, err := listenPeers(c, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ownAddr := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	l := newLoop(ctx, c, b, newDiscovery(c, quiet), p, quiet)
+	l.rules.Load().AskForList = true // the loop asks only when told
+	var running sync.WaitGroup
+	running.Go(func() { l.run(c.Known) })
+	running.Go(func() { b.run(ctx) })
+	running.Go(func() { p.write(ctx) })
+	heard := make(chan string, 9)
+	running.Go(func() { p.read(func(from int, data []byte) { heard <- fmt.Sprint(from, string(data)) }) })
+	defer running.Wait()
+	defer cancel()
+
+	act := func(a decide.Action) { l.post(func() { l.do(a) }) }
+	expect := func(want string) {
+		t.Helper()
+		end := time.After(patient)
+		for {
+			select {
+			case s := <-seen:
+				if s == want {
+					return
+				}
+			case <-end:
+				t.Fatalf("%q does not come", want)
+			}
+		}
+	}
+	act(decide.Probe{Server: 1})
+	expect("/stats")
+	for idle := false; !idle; time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		idle = len(b.hosts[1].idle) > 0
+		b.mu.Unlock()
+	}
+	act(decide.CloseIdle{Server: 1})
+	expect("closed")
+	act(decide.FetchList{})
+	expect("list since ")
+	act(decide.Subscribe{On: true})
+	expect("list since 1")
+	expect("list since 1")
+	act(decide.Subscribe{On: false})
+	act(decide.SendMessage{To: 1, Data: []byte("one")})
+	act(decide.SendMessage{ToAll: true, Data: []byte("all")})
+	act(decide.SendMessage{To: 1, Data: make([]byte, datagramLimit+1)})
+	act(decide.SendMessage{To: 9})
+	act(decide.Log{Line: "line"})
+	buf := make([]byte, 999)
+	other.SetReadDeadline(time.Now().Add(patient))
+	for _, want := range []string{"one", "all"} {
+		if n, _, err := other.ReadFromUDP(buf); err != nil || string(buf[:n]) != want {
+			t.Errorf("datagram %q, %v; want %q", buf[:n], err, want)
+		}
+	}
+	other.WriteToUDPAddrPort(make([]byte, datagramLimit+1), ownAddr)
+	other.WriteToUDPAddrPort([]byte("hi"), ownAddr)
+	if got := <-heard; got != "1hi" {
+		t.Errorf("heard %q", got)
+	}
+	r := &request{arrived: decide.RequestArrived{ID: "q", Class: "order"}, deadline: time.Now().Add(patient), method: "POST",
+		class: decide.Class{Name: "order"}, rules: l.rules.Load(), url: &url.URL{Path: "/order", Host: "h"}, answer: make(chan answer, 1)}
+	l.post(func() { l.arrive(r) })
+	expect("/order")
+	act(decide.CancelAttempt{ID: "q", Attempt: 0})
+	act(decide.CancelAttempt{ID: "q", Attempt: 7})
+	<-stopped
+	if a := <-r.answer; a.status != http.StatusBadGateway {
+		t.Errorf("status %d: a cancelled attempt may have run", a.status)
+	}
+	act(decide.Send{ID: "q", Server: 1}) // over: answered with Moot, and nothing is sent
+	act(decide.Refuse{ID: "q"})
+	act(decide.Fail{ID: "nobody"})
+	fired := make(chan struct{})
+	l.post(func() { l.do(decide.SetTimer{After: time.Millisecond, Token: 9}); close(fired) })
+	<-fired
+	for empty := false; !empty; time.Sleep(time.Millisecond) {
+		done := make(chan bool)
+		l.post(func() {
+			left := false
+			for _, timer := range l.timers {
+				left = left || timer.token == 9
+			}
+			done <- !left
+		})
+		empty = <-done
+	}
+}
--- /dev/null
+++ b/internal/node/attempts.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// request is a client's request as the front end has read it.
+type request struct {
+	arrived  decide.RequestArrived // but for Patience
+	class    decide.Class          // as the rules had it when the request came
+	rules    *rules
+	deadline time.Time // the client has its answer by then
+	method   string
+	url      *url.URL
+	header   http.Header
+	body     []byte
+	upload   *upload     // what follows on a long body's beginning, or nil
+	answer   chan answer // holds one: the final answer
+
+	// The rest belongs to the loop.
+	over     bool
+	out      int
+	attempts []*attempt
+}
+
+// answer is a request's final answer.
+type answer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	holdOff time.Duration
+	rest    *io.PipeReader // what follows on a long answer's beginning, or nil
+	length  int64          // of a long answer; -1 if it is not known
+}
+
+type attempt struct {
+	sent     time.Time
+	cancel   context.CancelFunc
+	neverRan bool // and has ended
+}
+
+// arrive takes a request from the front end. An id that is still open is not taken twice: the module would not
+// answer it, and its effect could happen twice.
+func (l *loop) arrive(r *request) {
+	if l.requests[r.arrived.ID] != nil {
+		r.answer <- answer{status: http.StatusConflict}
+		return
+	}
+	if now := l.rules.Load(); r.rules != now && now.classes[r.class.Name] != r.class {
+		// It was read under rules that have just changed; the module would take it for one of the new class.
+		r.answer <- answer{status: http.StatusServiceUnavailable}
+		return
+	}
+	l.requests[r.arrived.ID] = r
+	r.arrived.Patience = time.Until(r.deadline)
+	l.handle(r.arrived)
+}
+
+// abandon ends a request whose client is gone.
+func (l *loop) abandon(r *request) {
+	if l.requests[r.arrived.ID] == r && !r.over {
+		l.close(r)
+		l.handle(decide.RequestAbandoned{ID: r.arrived.ID})
+	}
+	select {
+	case a := <-r.answer: // which nobody takes any more
+		if a.rest != nil {
+			a.rest.CloseWithError(errClient)
+		}
+	default:
+	}
+}
+
+func (l *loop) finish(id decide.RequestID, a answer) {
+	if r := l.requests[id]; r != nil && !r.over {
+		r.answer <- a
+		l.close(r)
+	}
+}
+
+// close marks a request as over and forgets it once its attempts are in.
+func (l *loop) close(r *request) {
+	r.over = true
+	if r.out == 0 {
+		delete(l.requests, r.arrived.ID)
+	}
+}
+
+func (l *loop) send(a decide.Send) {
+	r := l.requests[a.ID]
+	if r == nil {
+		l.handle(decide.AttemptEnded{ID: a.ID, Server: a.Server, Over: true, Code: decide.Moot})
+		return
+	}
+	now := time.Now()
+	ctx, cancel := context.WithCancel(l.ctx)
+	t := &attempt{sent: now, cancel: cancel}
+	n := len(r.attempts)
+	r.attempts = append(r.attempts, t)
+	r.out++
+	if r.over || n >= max(1, r.rules.MaxAttempts) || !now.Before(r.deadline) {
+		l.ended(a, n, result{code: decide.Moot})
+		return
+	}
+	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
+	x.sealed = func() { l.post(func() { l.handle(decide.BodyStarted{ID: a.ID, Attempt: n}) }) }
+	x.begin = func(resp *http.Response, held []byte, rest *io.PipeReader) {
+		l.post(func() {
+			l.begin(a, n, answer{status: resp.StatusCode, header: resp.Header, body: held, rest: rest, length: resp.ContentLength})
+		})
+	}
+	if a.Timeout != 0 && now.Add(a.Timeout).Before(r.deadline) {
+		x.deadline = now.Add(a.Timeout)
+	}
+	for _, earlier := range r.attempts[:n] {
+		if r.class.Effect == decide.Keyed && !earlier.neverRan {
+			x.writeBy = earlier.sent.Add(r.class.DedupWindow - windowMargin)
+			break
+		}
+	}
+	h := l.backends.find(a.Server)
+	l.work.Go(func() {
+		defer cancel()
+		res := l.backends.do(ctx, h, x)
+		l.post(func() { l.ended(a, n, res) })
+	})
+}
+
+// begin passes a long answer on to the client: it is the final one.
+func (l *loop) begin(a decide.Send, n int, long answer) {
+	r := l.requests[a.ID]
+	if r == nil || r.over {
+		long.rest.CloseWithError(errClient)
+		return
+	}
+	r.over = true
+	r.answer <- long
+	l.handle(decide.StreamStarted{ID: a.ID, Attempt: n, Server: a.Server, Elapsed: time.Since(r.attempts[n].sent)})
+}
+
+// ended tells the module of an attempt's end; the first answer goes to the client.
+func (l *loop) ended(a decide.Send, n int, res result) {
+	r := l.requests[a.ID]
+	t := r.attempts[n]
+	t.cancel()
+	t.neverRan = res.code == decide.Full || res.code == decide.ConnectFailed || res.code == decide.Moot
+	r.out--
+	if res.code == decide.OK && !r.over {
+		r.answer <- answer{status: http.StatusOK, header: res.header, body: res.body}
+		r.over = true
+	}
+	if client, ok := res.err.(uploadError); ok && !r.over {
+		status, _ := bodyStatus(client.error)
+		r.answer <- answer{status: status}
+		r.over = true
+		l.handle(decide.RequestAbandoned{ID: a.ID})
+	}
+	if res.err != nil {
+		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.code, "err", res.err)
+	}
+	if r.over && r.out == 0 {
+		delete(l.requests, a.ID)
+	}
+	l.handle(decide.AttemptEnded{ID: a.ID, Attempt: n, Server: a.Server, Over: r.over, Elapsed: time.Since(t.sent),
+		Code: res.code, Report: res.report})
+}
+
+func (l *loop) probe(id decide.ServerID) {
+	h := l.backends.find(id)
+	path := "/stats"
+	if l.rules.Load().ReportVia == decide.ReportNone {
+		path = "/health/live"
+	}
+	began := time.Now()
+	l.work.Go(func() {
+		res := l.backends.probe(l.ctx, h, path)
+		l.post(func() {
+			l.handle(decide.ProbeEnded{Server: id, Code: res.code, Elapsed: time.Since(began), Report: res.report})
+		})
+	})
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -2,24 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
-	"math"
 	"net"
-	"net/http"
-	"net/url"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"starlingvalve/decide"
-	"starlingvalve/internal/wire"
 )
 
 const (
@@ -294,164 +286,3 @@
 	defer b.mu.Unlock()
 	return h.closed
 }
-
-// exchange is one request to a backend.
-type exchange struct {
-	method   string
-	url      *url.URL
-	header   http.Header
-	body     []byte
-	deadline time.Time // the node waits no longer
-	writeBy  time.Time // if set, nothing is written from then on
-
-	upload *upload                                                     // what follows on body, or nil
-	sealed func()                                                      // called when some of that is about to be sent
-	begin  func(resp *http.Response, held []byte, rest *io.PipeReader) // takes a long answer; nil: none is taken
-}
-
-// result is how an exchange ended.
-type result struct {
-	code   decide.OutcomeCode
-	report *decide.Report
-	header http.Header
-	body   []byte
-	err    error
-}
-
-// do makes an exchange and blocks until it is over. An end of ctx calls it off.
-func (b *backends) do(ctx context.Context, h *host, x *exchange) result {
-	if h == nil {
-		return result{code: decide.ConnectFailed, err: errClosed}
-	}
-	began := time.Now()
-	c, err := b.connect(ctx, h, x.deadline)
-	if err != nil {
-		if ctx.Err() != nil {
-			return result{code: decide.Cancelled, err: ctx.Err()}
-		}
-		return result{code: decide.ConnectFailed, err: err}
-	}
-	// Connecting takes time: what made this attempt right may no longer hold, and until the last byte is
-	// written it has not run.
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil:
-		b.release(h, c, true)
-		return result{code: decide.Cancelled, err: ctx.Err()}
-	case b.closing(h):
-		b.release(h, c, false)
-		return result{code: decide.ConnectFailed, err: errClosed}
-	case !x.writeBy.IsZero() && !now.Before(x.writeBy):
-		b.release(h, c, true)
-		return result{code: decide.Moot, err: errors.New("the keyed window is over")}
-	case !now.Before(x.deadline):
-		b.release(h, c, true)
-		return result{code: decide.ConnectFailed, err: os.ErrDeadlineExceeded}
-	}
-	c.SetDeadline(x.deadline)
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	r, keep := roundTrip(ctx, c, x)
-	stopped := stop()
-	switch {
-	case r.err == nil:
-		b.mu.Lock()
-		h.heard = time.Now()
-		b.mu.Unlock()
-	case r.code == decide.ConnectFailed:
-	case ctx.Err() != nil:
-		r.code = decide.Cancelled
-	case errors.Is(r.err, os.ErrDeadlineExceeded):
-		r.code = decide.TimedOut
-	}
-	b.release(h, c, keep && stopped && r.err == nil)
-	if r.code == decide.TimedOut {
-		b.silent(h, began)
-	}
-	return r
-}
-
-// roundTrip writes a request and reads its answer. keep tells whether the connection can take another.
-func roundTrip(ctx context.Context, c *conn, x *exchange) (r result, keep bool) {
-	left := max(0, time.Until(x.deadline))
-	header := x.header.Clone()
-	if header == nil {
-		header = http.Header{}
-	}
-	header["X-Time-Left"] = []string{strconv.FormatFloat(left.Seconds(), 'f', 3, 64)}
-	req := &http.Request{Method: x.method, URL: x.url, Host: x.url.Host, Header: header, ProtoMajor: 1, ProtoMinor: 1}
-	if len(x.body) > 0 || x.method == http.MethodPost {
-		req.ContentLength, req.Body = int64(len(x.body)), io.NopCloser(bytes.NewReader(x.body))
-		if len(x.body) == 0 {
-			req.Body = http.NoBody
-		}
-	}
-	if x.upload != nil {
-		return uploadTrip(ctx, c, x, req)
-	}
-	var text bytes.Buffer
-	text.Grow(1<<10 + len(x.body))
-	if err := req.Write(&text); err != nil {
-		return result{code: decide.ConnectFailed, err: err}, false
-	}
-	if _, err := c.Write(text.Bytes()); err != nil {
-		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
-	}
-	return answerOf(ctx, c, x, req)
-}
-
-// answerOf reads the answer to a request.
-func answerOf(ctx context.Context, c *conn, x *exchange, req *http.Request) (r result, keep bool) {
-	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size, and any number of interim answers
-	resp, err := http.ReadResponse(c.r, req)
-	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(c.r, req)
-	}
-	if err != nil {
-		return result{code: decide.Reset, err: err}, false
-	}
-	defer resp.Body.Close()
-	body, whole, err := readAnswer(ctx, c, x, resp)
-	if err != nil {
-		code := decide.Reset
-		if errors.Is(err, errClient) {
-			code = decide.Cancelled
-		}
-		return result{code: code, err: err}, false
-	}
-	if !whole { // it has gone to the client
-		return result{code: decide.OK, report: parseReport(resp.Header.Get("X-Backend-Load"))}, !resp.Close
-	}
-	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
-	switch status := resp.StatusCode; {
-	case status == http.StatusOK:
-		r.code = decide.OK
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) && resp.Header.Get("X-Unprocessed") == "1":
-		r.code = decide.Full
-	}
-	return r, !resp.Close
-}
-
-// parseReport reads a load report. One with no field that is known and a number is none.
-func parseReport(text string) *decide.Report {
-	var r decide.Report
-	known := false
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(v) && !math.IsInf(v, 0) {
-			known = wire.SetReport(&r, name, v) || known
-		}
-	}
-	if !known {
-		return nil
-	}
-	return &r
-}
-
-// probe asks a backend how it is.
-func (b *backends) probe(ctx context.Context, h *host, path string) result {
-	r := b.do(ctx, h, &exchange{method: http.MethodGet, url: &url.URL{Path: path, Host: "api.internal"}, deadline: time.Now().Add(probeWait)})
-	if r.report == nil && r.code == decide.OK {
-		r.report = parseReport(string(r.body))
-	}
-	return r
-}
--- /dev/null
+++ b/internal/node/backend_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// What comes back from a backend, and what the module may make of it: an unsafe request is refused only if it
+// has never run.
+func TestOutcomes(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		reply  string
+		status int
+		code   decide.OutcomeCode
+	}{
+		"served":           {ok("x"), 200, decide.OK},
+		"chunked":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", 200, decide.OK},
+		"interim":          {"HTTP/1.1 103 Early Hints\r\n\r\n" + ok("x"), 200, decide.OK},
+		"error":            {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 502, decide.ServerError},
+		"503 without mark": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 502, decide.ServerError},
+		"turned away":      {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
+		"too late":         {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 503, decide.Full},
+		"500 with mark":    {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", 502, decide.ServerError},
+		"silent close":     {"", 502, decide.Reset},
+		"garbage":          {"\x00\x01 what\r\n\r\n", 502, decide.Reset},
+		"truncated":        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nx", 502, decide.Reset},
+		"truncated chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx", 502, decide.Reset},
+		"ended by a close": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nx", 200, decide.OK},
+		"huge header":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\nContent-Length: 1\r\n\r\nx", 502, decide.Reset},
+		"long":             {ok(strings.Repeat("x", bodyLimit+1)), 200, decide.OK},
+		"too large":        {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longLimit+1), 502, decide.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := backend(t, func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					io.WriteString(conn, c.reply)
+				}
+			})
+			b := newBackends(&Config{Settings: settings()}, 10, quiet)
+			b.update(known(addr))
+			x := get(patient)
+			x.begin = func(_ *http.Response, _ []byte, rest *io.PipeReader) { go io.Copy(io.Discard, rest) }
+			if r := b.do(t.Context(), b.find(1), x); r.code != c.code {
+				t.Errorf("outcome %v (%v), want %v", r.code, r.err, c.code)
+			}
+			n := start(t, &Config{Settings: settings(), Known: known(addr)})
+			if resp, _ := n.ask(t, message("order", "9.5", "")); resp.StatusCode != c.status {
+				t.Errorf("status %d, want %d", resp.StatusCode, c.status)
+			}
+		})
+	}
+}
+
+func get(wait time.Duration) *exchange {
+	return &exchange{method: "GET", url: &url.URL{Path: "/read", Host: "h"}, deadline: time.Now().Add(wait)}
+}
+
+// A request on a connection that breaks goes out once: a library's own second try would be an attempt that the
+// module knows nothing of.
+func TestNoHiddenResend(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			got.Add(1)
+			if n == 1 {
+				return
+			}
+			io.WriteString(c, ok("x"))
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	for i, want := range []int{200, 503} {
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != want {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+	}
+	if got.Load() != 2 {
+		t.Errorf("the backend got %d requests, want 2", got.Load())
+	}
+}
+
+// A connection that the backend has closed while it was idle is not written to.
+func TestIdleClosedByBackend(t *testing.T) {
+	t.Parallel()
+	closed := make(chan struct{}, 9)
+	addr := backend(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.WriteString(c, ok("x"))
+		}
+		c.Close()
+		closed <- struct{}{}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	for range 5 {
+		if resp, _ := n.ask(t, message("order", "9.5", "")); resp.StatusCode != 200 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+		<-closed
+	}
+}
+
+// A machine that says nothing holds up nobody: the answer comes by the client's patience.
+func TestSilentBackend(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	for class, want := range map[string]int{"read": 503, "tag": 502, "order": 502} {
+		if resp, _ := n.ask(t, message(class, "0.4", "")); resp.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", class, resp.StatusCode, want)
+		}
+	}
+}
+
+// After connecting, what has changed in the meantime counts: nothing is written.
+func TestLookAgainBeforeWriting(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	addr := backend(t, answering(func(*http.Request, []byte) string { got.Add(1); return ok("x") }))
+	fresh := func() (*backends, *host) {
+		b := newBackends(&Config{Settings: settings()}, 10, quiet)
+		b.update(known(addr))
+		return b, b.find(1)
+	}
+	for name, c := range map[string]struct {
+		change func(*backends, *exchange, context.CancelFunc)
+		want   decide.OutcomeCode
+	}{
+		"draining": {func(b *backends, _ *exchange, _ context.CancelFunc) {
+			l := known(addr)
+			l.full, l.entries[0].State = false, decide.Draining
+			b.update(l)
+		}, decide.ConnectFailed},
+		"gone from the list": {func(b *backends, _ *exchange, _ context.CancelFunc) { b.update(list{full: true}) }, decide.ConnectFailed},
+		"restarted": {func(b *backends, _ *exchange, _ context.CancelFunc) {
+			l := known(addr)
+			l.entries[0].StartedAt = 1
+			b.update(l)
+		}, decide.ConnectFailed},
+		"window over": {func(_ *backends, x *exchange, _ context.CancelFunc) { x.writeBy = time.Now() }, decide.Moot},
+		"too late":    {func(_ *backends, x *exchange, _ context.CancelFunc) { x.deadline = time.Now() }, decide.ConnectFailed},
+		"called off":  {func(_ *backends, _ *exchange, cancel context.CancelFunc) { cancel() }, decide.Cancelled},
+	} {
+		b, h := fresh()
+		// An idle connection, so that connecting succeeds whatever the time.
+		c1, err := b.connect(t.Context(), h, time.Now().Add(patient))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		x := get(patient)
+		b.release(h, c1, true)
+		c.change(b, x, cancel)
+		if r := b.do(ctx, h, x); r.code != c.want {
+			t.Errorf("%s: outcome %v (%v), want %v", name, r.code, r.err, c.want)
+		}
+		cancel()
+		b.update(list{full: true})
+		if b.open != 0 {
+			t.Errorf("%s: %d connections left", name, b.open)
+		}
+	}
+	if got.Load() > 0 {
+		t.Errorf("the backend got %d requests", got.Load())
+	}
+}
+
+// A refused connection never ran, and the bound on connections is kept, by closing idle ones first.
+func TestConnecting(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	other := backend(t, answering(func(*http.Request, []byte) string { return ok("x") }))
+	refused, err := net.Dial("tcp", addr) // nobody listens at its own end, and nobody else can
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer refused.Close()
+	b := newBackends(&Config{Settings: settings()}, 1, quiet)
+	b.update(known(addr, other, refused.LocalAddr().String()))
+	for i, want := range map[decide.ServerID]decide.OutcomeCode{1: decide.OK, 2: decide.OK, 3: decide.ConnectFailed, 4: decide.ConnectFailed} {
+		if r := b.do(t.Context(), b.find(i), get(patient)); r.code != want {
+			t.Errorf("backend %d: %v (%v)", i, r.code, r.err)
+		}
+	}
+	held, err := b.connect(t.Context(), b.find(1), time.Now().Add(patient))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := b.do(t.Context(), b.find(2), get(patient)); r.code != decide.ConnectFailed {
+		t.Errorf("beyond the bound: %v", r.code)
+	}
+	b.release(b.find(1), held, true)
+	b.closeIdle(1)
+	if b.open != 0 {
+		t.Errorf("%d connections left", b.open)
+	}
+}
+
+// A backend that let an attempt time out in silence may have been cut off: its idle connections are not used
+// again. One that has answered in the meantime keeps them.
+func TestSilenceClosesIdle(t *testing.T) {
+	t.Parallel()
+	addr := backend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	for heard, want := range map[bool]int{false: 0, true: 1} {
+		b := newBackends(&Config{Settings: settings()}, 10, quiet)
+		b.update(known(addr))
+		h := b.find(1)
+		var conns [2]*conn
+		for i := range conns {
+			var err error
+			if conns[i], err = b.connect(t.Context(), h, time.Now().Add(patient)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, c := range conns {
+			b.release(h, c, true)
+		}
+		if heard {
+			h.heard = time.Now().Add(patient)
+		}
+		if r := b.do(t.Context(), h, get(time.Second)); r.code != decide.TimedOut {
+			t.Errorf("outcome %v (%v)", r.code, r.err)
+		}
+		if len(h.idle) != want {
+			t.Errorf("heard of it: %v; %d idle connections kept, want %d", heard, len(h.idle), want)
+		}
+		b.update(list{full: true})
+	}
+}
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// SIGTERM loses nothing: what is held is answered, what comes for a moment more is served, each answer closes
+// its connection, and then the node ends.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 9), make(chan struct{})
+	addr := backend(t, answering(func(*http.Request, []byte) string { came <- struct{}{}; <-let; return ok("x") }))
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	held := make(chan *http.Response)
+	go func() { resp, _ := n.ask(t, message("order", "9.5", "b")); held <- resp }()
+	<-came
+	idle, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	n.stop()
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		if resp, _ := n.ask(t, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode == 503 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("still ready")
+		}
+	}
+	late := make(chan *http.Response)
+	go func() { resp, _ := n.ask(t, message("read", "9.5", "")); late <- resp }()
+	<-came
+	close(let)
+	for _, c := range []chan *http.Response{held, late} {
+		if resp := <-c; resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("status %d, closes: %v", resp.StatusCode, resp.Close)
+		}
+	}
+	select {
+	case err := <-n.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patient):
+		t.Error("the node does not end")
+	}
+}
+
+// What is being read when the listener closes is refused and not dropped: it may have come whole too late to be served.
+func TestDrainAnswersWhatIsBeingRead(t *testing.T) {
+	t.Parallel()
+	var whole atomic.Int64
+	began := make(chan struct{})
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		if req, err := http.ReadRequest(r); err == nil {
+			close(began)
+			if _, err := io.Copy(io.Discard, req.Body); err == nil {
+				whole.Add(1)
+			}
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	n.waitReady(t, 200)
+	text, long := message("order", "9.5", "body"), orderHead("Content-Length: 1000000")+strings.Repeat("b", 200000)
+	var conns [2]net.Conn
+	var readers [2]*bufio.Reader
+	conns[1], readers[1] = n.dial(t)
+	io.WriteString(conns[1], long)
+	<-began
+	n.stop()
+	conns[0], readers[0] = n.dial(t) // the listener stays for a while
+	io.WriteString(conns[0], text[:20])
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		probe, err := net.Dial("tcp", n.addr)
+		if err != nil { // the listener is closed
+			break
+		}
+		probe.Close()
+		if time.Now().After(end) {
+			t.Fatal("the listener stays open")
+		}
+	}
+	io.WriteString(conns[0], text[20:])
+	for i, r := range readers {
+		if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 503 || !resp.Close {
+			t.Errorf("request %d: %+v, %v", i, resp, err)
+		}
+	}
+	if err := <-n.ended; err != nil || whole.Load() > 0 {
+		t.Errorf("ended with %v, %d bodies passed on whole", err, whole.Load())
+	}
+}
+
+// At its bounds a node refuses at once, and each connection that it has accepted gets an answer.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	let := make(chan struct{})
+	addr := backend(t, answering(func(*http.Request, []byte) string { <-let; return ok("x") }))
+	c := &Config{Settings: settings(), Known: known(addr), Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: leastSockets}}
+	c.Settings.MaxOpen = 1
+	n := start(t, c)
+	statuses := make(chan int, 60)
+	for range cap(statuses) {
+		go func() {
+			resp, _ := n.ask(t, message("read", "9.5", ""))
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+			statuses <- resp.StatusCode
+		}()
+	}
+	count := map[int]int{}
+	for range cap(statuses) - 1 {
+		count[<-statuses]++
+	}
+	close(let)
+	count[<-statuses]++
+	if count[503] != cap(statuses)-1 || count[200] != 1 {
+		t.Errorf("statuses %v", count)
+	}
+}
+
+// Above the bound the connection that has been idle longest makes room, but none that a client may still count on.
+func TestCrowdClosesLongestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &connections{limit: 2, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+		var conns, peers [4]net.Conn
+		closed := func(i int) bool {
+			conns[i].SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := conns[i].Read(make([]byte, 1))
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+		come := func(i int) { conns[i], peers[i] = net.Pipe(); c.track(conns[i], http.StateNew) }
+		for i := range 2 {
+			come(i)
+			c.track(conns[i], http.StateIdle)
+			time.Sleep(idleLeast / 2)
+		}
+		c.track(conns[0], http.StateActive)
+		c.track(conns[0], http.StateIdle) // now idle for the shorter time
+		come(2)
+		if closed(0) || closed(1) || !c.crowded() {
+			t.Error("a connection is closed that was idle for less than it may")
+		}
+		time.Sleep(idleLeast)
+		come(3)
+		if closed(0) || !closed(1) {
+			t.Error("want the connection closed that was idle longest")
+		}
+		for _, conn := range conns {
+			c.track(conn, http.StateClosed)
+		}
+		if c.count != 0 || len(c.shed) != 0 {
+			t.Errorf("with all closed %d are counted, %d shed", c.count, len(c.shed))
+		}
+	})
+}
+
+// A request that crosses the close of its connection is not taken: its client sends it again, and it must not run
+// twice.
+func TestRequestThatCrossesTheClose(t *testing.T) {
+	t.Parallel()
+	c := &Config{Settings: settings()}
+	f := newFrontend(newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet), 10, quiet)
+	conn, _ := net.Pipe()
+	f.conns.shed[conn] = true
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(message("order", "0.1", ""))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if e := recover(); e != http.ErrAbortHandler || len(f.loop.happened) != 0 {
+			t.Errorf("ended with %v, %d events for the module", e, len(f.loop.happened))
+		}
+	}()
+	f.ServeHTTP(httptest.NewRecorder(), r.WithContext(f.server().ConnContext(t.Context(), conn)))
+}
--- /dev/null
+++ b/internal/node/listing.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// subscribe begins a watch, or begins it anew so that there is an answer, unless the answer is still to come.
+func (l *loop) subscribe(on bool) {
+	if on && l.endWatch != nil && !l.watchOpen {
+		return
+	}
+	if l.endWatch != nil {
+		l.endWatch()
+		l.endWatch = nil
+	}
+	if !on {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	l.endWatch, l.watchOpen = cancel, false
+	since := l.version
+	current := func(f func()) { // nothing of a watch that has been ended since
+		l.post(func() {
+			if ctx.Err() == nil {
+				f()
+			}
+		})
+	}
+	l.work.Go(func() {
+		err := l.disco.watch(ctx, since, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
+		current(func() {
+			cancel()
+			l.endWatch = nil
+			l.told(list{}, err)
+		})
+	})
+}
+
+// told takes the answer to a call that the module made.
+func (l *loop) told(n list, err error) {
+	if err != nil {
+		l.log.Info("discovery", "err", err)
+		l.handle(decide.ListUpdate{Kind: decide.ListFailed, Version: l.version})
+		return
+	}
+	l.news(n)
+}
+
+func (l *loop) news(n list) {
+	kind := decide.ListChanges
+	if n.full {
+		kind = decide.ListFull
+	}
+	l.follow(n, kind)
+}
+
+// follow takes a list: connections first, so that nothing goes where the list says no.
+func (l *loop) follow(n list, kind decide.ListKind) {
+	l.version = n.version
+	l.backends.update(n)
+	if n.full {
+		clear(l.ready)
+		clear(l.names)
+	}
+	e := decide.ListUpdate{Kind: kind, Version: n.version}
+	for _, s := range n.entries {
+		delete(l.ready, s.ID)
+		delete(l.names, s.ID)
+		if s.State == decide.Ready {
+			l.ready[s.ID] = true
+		}
+		if s.State != decide.Gone {
+			l.names[s.ID] = s.name
+		}
+		e.Entries = append(e.Entries, s.Server)
+	}
+	l.able.Store(len(l.ready) > 0)
+	if len(l.ready) > 0 {
+		l.firstReady.Do(func() { close(l.canServe) })
+	}
+	l.bans.list(l.names)
+	l.handle(e)
+}
+
+// tellBans tells the module what the operators have changed.
+func (l *loop) tellBans() {
+	out, back := l.bans.now()
+	for name := range out {
+		if !l.out[name] {
+			l.handle(decide.ServerExcluded{Server: serverID(name)})
+		}
+	}
+	for name := range l.out {
+		if _, told := back[name]; !out[name] && !told { // a file that people have edited
+			back[name] = time.Now()
+		}
+	}
+	for name, at := range back {
+		if !out[name] && !at.Equal(l.back[name]) {
+			l.handle(decide.ServerIncluded{Server: serverID(name), At: time.Duration(at.UnixNano())})
+		}
+	}
+	l.out, l.back = out, back
+}
--- /dev/null
+++ b/internal/node/rig_test.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// patient is how long a test waits for what must come, on a machine of any speed.
+const patient = 20 * time.Second
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func settings() decide.Settings {
+	class := func(name string, e decide.Effect) decide.Class {
+		return decide.Class{Name: name, Worth: 1, Aim: 5 * time.Second, Deadline: 10 * time.Second, Effect: e,
+			KeyScope: decide.ScopeCell, DedupWindow: 8 * time.Second}
+	}
+	return decide.Settings{Nodes: 1, Zone: "z", Zones: []string{"z"}, MaxAttempts: 4, MayOverlap: true, MayCancel: true,
+		MayProbe: true, HoldOffs: true, MaxHoldOff: 2 * time.Second, ConnectTimeout: 2 * time.Second,
+		ConnIdle: time.Minute, MaxOpen: 100, DrainGrace: 500 * time.Millisecond, ColdFrom: 0.3, ColdTime: time.Second,
+		OverloadFactor: 2.5, OverloadTime: time.Second, ReportVia: decide.ReportProbe, MinTick: 5 * time.Millisecond,
+		AskWithin: 10 * time.Second,
+		Classes:   []decide.Class{class("read", decide.Safe), class("tag", decide.Keyed), class("order", decide.Unsafe)}}
+}
+
+// backend is a listener on a port that the kernel chose. Each connection is handed to serve.
+func backend(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	open.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			open.Go(func() { defer c.Close(); serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		open.Wait()
+	})
+	return l.Addr().String()
+}
+
+// answering reads requests and writes what reply says, until it says nothing.
+func answering(reply func(*http.Request, []byte) string) func(net.Conn) {
+	return func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			text := reply(req, body)
+			if text == "" {
+				return
+			}
+			io.WriteString(c, text)
+		}
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func known(addrs ...string) list {
+	l := list{version: 1, full: true}
+	for i, a := range addrs {
+		l.entries = append(l.entries, entry{addr: a, Server: decide.Server{ID: decide.ServerID(i + 1), Zone: "z", State: decide.Ready, Size: 1}})
+	}
+	return l
+}
+
+// node is a running node.
+type testNode struct {
+	reloads chan *Config
+	addr    string
+	door    string
+	disco   netip.AddrPort
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+func start(t *testing.T, c *Config) *testNode {
+	t.Helper()
+	// The listener is handed over: a port that is chosen, freed and taken again may be another's in between.
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits = Limits{Cores: 1, MemoryMB: 192, Sockets: 256}
+	}
+	if c.TempDir == "" {
+		c.TempDir = t.TempDir()
+	}
+	if !c.Discovery.IsValid() {
+		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+	}
+	var admin *net.TCPListener
+	door := ""
+	if c.Admin.IsValid() {
+		if admin, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Admin)); err != nil {
+			t.Fatal(err)
+		}
+		door = admin.Addr().String()
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &testNode{door: door, disco: c.Discovery, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), reloads: make(chan *Config)}
+	go func() {
+		n.ended <- serve(ctx, c, func() (*net.TCPListener, error) { return tcp, nil }, admin, n.reloads, quiet)
+		close(n.ended)
+	}()
+	t.Cleanup(func() { stop(); <-n.ended })
+	return n // connections wait in the listener's queue until it serves
+}
+
+var ids atomic.Int64
+
+func message(class, left, body string) string {
+	method, key := "GET", ""
+	if class != "read" {
+		method = "POST"
+	}
+	if class == "tag" {
+		key = "Idempotency-Key: k\r\n"
+	}
+	return fmt.Sprintf("%s /%s?obj=a%%2fb HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: id%d\r\n%sX-Time-Left: %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, class, ids.Add(1), key, left, len(body), body)
+}
+
+// ask sends text on a connection of its own and reads one answer.
+func (n *testNode) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patient))
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the answer is cut short: %v", err)
+	}
+	return resp, string(body)
+}
