Run the fleet's control plane in the lab, with its records and figures

The lab watches intent and verdicts, and reports zone loss to stop, tries, onboarding, planted drift found, bytes by kind of link.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -155,6 +155,16 @@
 	}
 	fmt.Fprintf(w, "cpu: lab %.2f s, nodes %.2f s, agents %.2f s, replicas %.2f s, lab's share %.3f; links %d; descriptors %d of %d; skipped %d\n",
 		rep.CPU.LabS, rep.CPU.NodesS, rep.CPU.AgentsS, rep.CPU.ReplicasS, rep.LabShare, rep.Links, rep.NoFile[0], rep.NoFile[1], rep.Skipped)
+	for _, z := range rep.Zones {
+		fmt.Fprintf(w, "zone %s at %.1f s: left after %.0f ms, served again %.0f ms; nodes stopped p50 %.0f, p95 %.0f, spread %.0f ms (%d nodes); tries %d, further %d of %d requests\n",
+			z.Zone, z.AtS, z.LeftMS, z.ServedMS, z.StopP50MS, z.StopP95MS, z.SpreadMS, z.Nodes, z.Tries, z.Further, z.Requests)
+	}
+	for _, o := range rep.Onboarded {
+		fmt.Fprintf(w, "tenant %s generation %d: on %d nodes, p50 %.0f, p99 %.0f, all %.0f ms\n", o.Tenant, o.Generation, o.Nodes, o.P50MS, o.P99MS, o.AllMS)
+	}
+	for _, d := range rep.Drifts {
+		fmt.Fprintf(w, "drift at %s: %s after %.0f ms %.200s\n", d.Node, d.State, d.MS, d.What)
+	}
 	if len(rep.NeverUp) > 0 {
 		fmt.Fprintf(w, "never came up: %s\n", strings.Join(rep.NeverUp, " "))
 	}
--- a/internal/lab/agent.go
+++ b/internal/lab/agent.go
@@ -19,7 +19,7 @@
 	l.mu.Unlock()
 	raw, _ := json.Marshal(rewrite)
 	dir := filepath.Join(l.f.opt.Dir, "nodes", n.info.Name)
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	if err := os.MkdirAll(filepath.Join(dir, "agent"), 0o755); err != nil {
 		return "", err
 	}
 	path := filepath.Join(dir, "addr-map.json")
@@ -34,8 +34,15 @@
 		if err != nil {
 			return "", err
 		}
+		if l.f.s.Fleet.Control { // it has to know replicas by the names they give each other
+			a.args = append(a.args, "--replica", target, "--route", target+"="+link.Addr)
+			continue
+		}
 		a.args = append(a.args, "--replica", link.Addr)
 	}
+	if l.f.s.Fleet.Control {
+		a.args = append(a.args, "--node", n.info.Name, "--zone", n.info.Zone, "--dir", filepath.Join(dir, "agent"))
+	}
 	if err := a.openLog(filepath.Join(dir, "agent.log")); err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/internal/lab/control_test.go
@@ -0,0 +1,66 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/invariants"
+	"starlingvalve/internal/lab/listdlab"
+	"starlingvalve/internal/lab/standin"
+)
+
+// The watch of intent against a stand-in replica: each change once, with what the checker reads of it; what a whole
+// answer leaves out has gone; a replica behind, or broken, changes nothing.
+func TestIntentIsRecorded(t *testing.T) {
+	answers := []string{
+		`{"revision":3,"full":true,"items":[{"key":"zone/b","rev":2,"body":{"phase":"probation","share":0,"budget":4,"trial":["n1"],"valid_ms":5000}},
+		  {"key":"tenant/t","rev":3,"body":{"uid":3,"staged":{"number":1}}},{"key":"share/n0","rev":1,"body":{"rates":{}}}]}`,
+		`{"revision":2,"full":true,"items":[]}`,
+		`nonsense`,
+		`{"revision":5,"full":false,"items":[{"key":"tenant/t","rev":5,"body":{"uid":3,"committed":{"number":1,"spec":{"quota":{"rate":30,"burst":5}}}}}]}`,
+		`{"revision":6,"full":true,"items":[{"key":"tenant/t","rev":5,"body":{"uid":3,"committed":{"number":1,"spec":{"quota":{"rate":30,"burst":5}}}}}]}`,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	k := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if k == len(answers) {
+			cancel()
+			return
+		}
+		fmt.Fprint(w, answers[k])
+		k++
+	}))
+	defer srv.Close()
+	f := labelled(t)
+	f.cluster = &listdlab.Cluster{HTTP: []string{strings.TrimPrefix(srv.URL, "http://")}}
+	f.rec, f.opt.Log = standin.NewRecorder(), slog.New(slog.NewTextHandler(io.Discard, nil))
+	f.recs.Fleet = &invariants.Fleet{}
+	done := make(chan struct{})
+	go func() { f.watchIntent(ctx); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the watch did not end")
+	}
+	got := f.recs.Fleet.Told
+	for i := range got {
+		got[i].At = 0
+	}
+	want := []invariants.Told{{Key: "zone/b", Rev: 2, Phase: "probation", Budget: 4, Trial: []int{1}}, {Key: "tenant/t", Rev: 3},
+		{Key: "tenant/t", Rev: 5, Committed: true, Rate: 30, Burst: 5}, {Key: "zone/b", Rev: 6, Gone: true}, {Key: "share/n0", Rev: 6, Gone: true}}
+	if len(got) > 3 && got[3].Key != "zone/b" {
+		got[3], got[4] = got[4], got[3]
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v\nwant %+v", got, want)
+	}
+}
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -33,11 +33,13 @@
 		if err != nil {
 			return "", err
 		}
+		f.touched(servers)
 		for _, j := range servers {
 			f.servers[j].SetMode(m)
 		}
 		return fmt.Sprintf("%d servers %s", len(servers), e.Mode), nil
 	case "restart-servers":
+		f.touched(servers)
 		for _, j := range servers {
 			srv := f.servers[j]
 			f.wg.Go(func() {
@@ -58,6 +60,12 @@
 		}
 		return fmt.Sprintf("%d servers %s, %d committed", len(servers), e.State, told), nil
 	}
+	switch e.Do {
+	case "tenant", "tenant-delete":
+		return f.tenant(e)
+	case "drift":
+		return f.plant(e)
+	}
 	return "", fmt.Errorf("no action %q", e.Do)
 }
 
@@ -72,6 +80,17 @@
 	return true
 }
 
+// touched notes that a fault is on servers of a zone, or the ways to them.
+func (f *fleet) touched(servers []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, j := range servers {
+		if z := f.servers[j].Spec.Zone; f.recs.Fleet.Faulted[z] == 0 {
+			f.recs.Fleet.Faulted[z] = max(f.rec.Since(), 1)
+		}
+	}
+}
+
 // signalAll sends an event's signal to the nodes, agents and replicas that it names.
 func (f *fleet) signalAll(e Event) string {
 	var names []string
--- a/internal/lab/faults/faults_test.go
+++ b/internal/lab/faults/faults_test.go
@@ -160,6 +160,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
+	told := make(chan bool, 100)
+	l.OnLost(func() { told <- true })
 	var c net.Conn
 	for range 50 { // the reset may come before Dial has returned
 		if c, err = net.Dial("tcp", l.Addr); err == nil {
@@ -173,6 +175,11 @@
 	if !l.Refused(c.LocalAddr().String()) || l.Refused("127.0.0.1:1") {
 		t.Error("the refused connection is not told apart")
 	}
+	select {
+	case <-told:
+	case <-time.After(10 * time.Second):
+		t.Error("the lost connection is not told of")
+	}
 }
 
 // What a fault does to 400 datagrams of 20 bytes from one caller through a door, echoed back.
--- a/internal/lab/faults/link.go
+++ b/internal/lab/faults/link.go
@@ -23,7 +23,9 @@
 	conns    map[net.Conn]bool
 	refused  map[string]bool // callers whose connection found nobody at the target
 	closed   chan struct{}
+	lost     atomic.Pointer[func()]
 	Dials    atomic.Int64
+	Bytes    atomic.Int64 // of streams, both ways
 }
 
 // mostRefused bounds the callers remembered as refused.
@@ -67,6 +69,16 @@
 	return l.refused[caller]
 }
 
+// OnLost has f called for each new connection that reaches nobody, by the fault or for want of a listener, and for each
+// piece from the calling side that a blackhole swallows.
+func (l *Link) OnLost(f func()) { l.lost.Store(&f) }
+
+func (l *Link) tellLost() {
+	if f := l.lost.Load(); f != nil {
+		(*f)()
+	}
+}
+
 // ResetAll breaks every connection on the link, as a process that dies.
 func (l *Link) ResetAll() {
 	l.mu.Lock()
@@ -160,6 +172,9 @@
 // comesUp holds a new connection as the fault has it, and says whether it is to go on.
 func (l *Link) comesUp(in net.Conn) bool {
 	f := l.Fault()
+	if f.Refuse || f.Blackhole {
+		l.tellLost()
+	}
 	if f.Refuse {
 		return false
 	}
@@ -186,6 +201,7 @@
 	}
 	out, err := l.dial()
 	if err != nil {
+		l.tellLost()
 		l.mu.Lock()
 		if len(l.refused) < mostRefused {
 			l.refused[in.RemoteAddr().String()] = true
@@ -202,8 +218,8 @@
 	defer l.drop(out)
 	dup := l.Fault().Duplicate
 	done := make(chan struct{}, 2)
-	go func() { l.pipe(out, in, dup); done <- struct{}{} }()
-	go func() { l.pipe(in, out, false); done <- struct{}{} }()
+	go func() { l.pipe(out, in, dup, true); done <- struct{}{} }()
+	go func() { l.pipe(in, out, false, false); done <- struct{}{} }()
 	<-done
 	<-done
 	in.Close()
@@ -212,13 +228,16 @@
 
 // pipe copies src to dst under the link's fault of the moment. With dup, the first piece also goes to a second
 // connection of its own, whose answer is thrown away. An end of src is handed on as one; a break resets both.
-func (l *Link) pipe(dst, src net.Conn, dup bool) {
+func (l *Link) pipe(dst, src net.Conn, dup, calling bool) {
 	buf := make([]byte, 32<<10)
 	passed := 0
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
 			f := l.Fault()
+			if f.Blackhole && calling {
+				l.tellLost()
+			}
 			for f.Blackhole {
 				if !l.wait(20 * time.Millisecond) {
 					return
@@ -237,6 +256,7 @@
 				n = max(f.Truncate-passed, 0)
 			}
 			passed += n
+			l.Bytes.Add(int64(n))
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				reset(src)
 				return
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/standin"
 )
 
 // index is which of the fleet's nodes a group's name ("n3", "agent:n3") belongs to, or -1.
@@ -91,13 +92,18 @@
 		Refuse: e.Refuse, Blackhole: e.Blackhole || e.Do == "partition", Duplicate: e.Duplicate,
 		Loss: e.Loss, Reorder: e.Reorder, Truncate: e.Truncate}
 	cuts := fault.Blackhole || fault.Refuse || fault.Truncate > 0 || fault.Loss > 0
+	var servers []int
 	count := f.net.Each(func(l *faults.Link) bool {
 		hit := f.in(a, l.From) && f.in(b, l.To) || f.in(b, l.From) && f.in(a, l.To)
 		if hit && cuts {
 			f.excuseLink(l)
+			if id, ok := strings.CutPrefix(l.To, "server:"); ok {
+				servers = append(servers, slices.IndexFunc(f.servers, func(s *standin.AppServer) bool { return s.Spec.ID == id }))
+			}
 		}
 		return hit
 	}, fault)
+	f.touched(servers)
 	return fmt.Sprintf("%d links between %s and %s", count, a, b)
 }
 
@@ -115,3 +121,26 @@
 		f.excuse(-1, "after-grace", "deaf replicas")
 	}
 }
+
+// bytes is what went through the relays, both ways, by kind of link.
+func (f *fleet) bytes() map[string]int64 {
+	kind := func(name string) string {
+		switch {
+		case strings.HasPrefix(name, "agent:"):
+			return "agent"
+		case strings.HasPrefix(name, "server:"):
+			return "server"
+		case name[0] == 'n':
+			return "node"
+		case name[0] == 'r':
+			return "replica"
+		}
+		return name
+	}
+	out := map[string]int64{}
+	f.net.Each(func(l *faults.Link) bool {
+		out[kind(l.From)+"-"+kind(l.To)] += l.Bytes.Load()
+		return false
+	}, faults.Fault{})
+	return out
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -47,6 +47,10 @@
 	CPU       lab.CPU             `json:"cpu"`
 	LabShare  float64             `json:"lab_cpu_share"` // of all CPU: the lab's, the nodes', the agents' and the replicas'
 	Skipped   int                 `json:"skipped"`
+	Zones     []ZoneLoss          `json:"zones"`
+	Onboarded []Onboarding        `json:"onboarded"`
+	Drifts    []Detection         `json:"drifts"`
+	BytesPS   map[string]float64  `json:"bytes_per_s"` // through the relays, both ways, by kind of link, over the run
 	NoFile    [2]uint64           `json:"nofile"`
 	Links     int                 `json:"links"`
 	Plots     []string            `json:"plots"`
@@ -62,6 +66,10 @@
 	if total := r.CPU.LabS + r.CPU.NodesS + r.CPU.AgentsS + r.CPU.ReplicasS; total > 0 {
 		out.LabShare = r.CPU.LabS / total
 	}
+	out.Zones, out.Onboarded, out.Drifts, out.BytesPS = zoneLosses(r), onboardings(r), detections(r), map[string]float64{}
+	for kind, n := range r.Bytes {
+		out.BytesPS[kind] = float64(n) / r.Scenario.DurationS
+	}
 	cuts := []float64{0}
 	names := []string{"start"}
 	for _, d := range r.Timeline {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -20,20 +20,23 @@
 
 // Records is all that a run keeps: what went in, what happened, and what the checker found.
 type Records struct {
-	Scenario *Scenario            `json:"scenario"`
-	Sent     []invariants.Sent    `json:"sent"`
-	Attempts []invariants.Attempt `json:"attempts"`
-	Changes  []invariants.Change  `json:"changes"`
-	Excuses  []invariants.Excuse  `json:"excuses"`
-	Falls    []invariants.Fall    `json:"falls"` // cold app servers pushed over
-	Timeline []Done               `json:"timeline"`
-	Nodes    []NodeInfo           `json:"nodes"`
-	Servers  []ServerInfo         `json:"servers"`
-	Skipped  int                  `json:"skipped"`
-	Breaches []invariants.Breach  `json:"breaches"`
-	CPU      CPU                  `json:"cpu"`
-	NoFile   [2]uint64            `json:"nofile"` // soft and hard limit on descriptors the lab ran with
-	Links    int                  `json:"links"`
+	Scenario  *Scenario            `json:"scenario"`
+	Sent      []invariants.Sent    `json:"sent"`
+	Attempts  []invariants.Attempt `json:"attempts"`
+	Changes   []invariants.Change  `json:"changes"`
+	Excuses   []invariants.Excuse  `json:"excuses"`
+	Falls     []invariants.Fall    `json:"falls"` // cold app servers pushed over
+	Timeline  []Done               `json:"timeline"`
+	Nodes     []NodeInfo           `json:"nodes"`
+	Servers   []ServerInfo         `json:"servers"`
+	Skipped   int                  `json:"skipped"`
+	Fleet     *invariants.Fleet    `json:"fleet"` // what is known of zones, and of the control plane where there is one
+	Onboarded []Onboarding         `json:"onboarded"`
+	Bytes     map[string]int64     `json:"bytes"` // through the relays, both ways, by kind of link
+	Breaches  []invariants.Breach  `json:"breaches"`
+	CPU       CPU                  `json:"cpu"`
+	NoFile    [2]uint64            `json:"nofile"` // soft and hard limit on descriptors the lab ran with
+	Links     int                  `json:"links"`
 }
 
 // Done is one event as it was carried out.
@@ -68,6 +71,15 @@
 	ReplicasS float64 `json:"replicas_s"`
 }
 
+// Onboarding is how a tenant's generation came to the nodes, from its PUT's answer on.
+type Onboarding struct {
+	Tenant     string                   `json:"tenant"`
+	Generation uint64                   `json:"generation"`
+	At         time.Duration            `json:"at"`
+	Applied    map[string]time.Duration `json:"applied"` // by node
+	All        time.Duration            `json:"all"`     // every present node; 0 if it never was
+}
+
 // Options are how a run is placed.
 type Options struct {
 	Dir string // the run's directory: node logs, records, report
@@ -91,6 +103,7 @@
 	cpu      atomic.Int64             // node CPU in ns, of processes waited for
 	cpuListd atomic.Int64             // the same of agents
 	wg       sync.WaitGroup
+	over     atomic.Bool // the run is: nothing more is watched
 }
 
 // Run carries out a scenario and gives its records, checked. The fleet is ended by the time it returns, and
@@ -104,6 +117,7 @@
 	}
 	f := &fleet{s: s, opt: opt, rec: standin.NewRecorder(), open: map[string]time.Duration{}}
 	f.recs.Scenario = s
+	f.recs.Fleet = &invariants.Fleet{ServerZone: map[string]string{}, Faulted: map[string]time.Duration{}, Settings: map[string]bool{}}
 	f.recs.NoFile = raiseNoFile()
 	var err error
 	if f.place, err = takePlace(); err != nil {
@@ -114,6 +128,11 @@
 		return nil, err
 	}
 	opt.Log.Info("fleet up", "nodes", len(f.nodes), "servers", len(f.servers), "links", f.recs.Links)
+	watched, stop := context.WithCancel(ctx)
+	defer stop()
+	if s.Fleet.Control {
+		f.watching(watched)
+	}
 	var result load.Result
 	loadDone := make(chan struct{})
 	go func() {
@@ -142,9 +161,12 @@
 	}
 	standin.Sleep(ctx, seconds(s.DurationS)-f.rec.Since())
 	end := f.rec.Since()
+	stop()
+	f.over.Store(true)
 	f.end()
-	f.closeExcuses(end)
 	r := &f.recs
+	r.Bytes = f.bytes()
+	f.closeExcuses(end)
 	r.Sent, r.Skipped, r.Attempts, r.Falls = result.Sent, result.Skipped, f.rec.Attempts(), f.rec.Falls()
 	for _, n := range f.nodes {
 		n.info.Pids = n.pids
@@ -163,7 +185,11 @@
 	for _, c := range f.classes() {
 		fragile[c.name] = c.fragile
 	}
-	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses, Falls: r.Falls,
+	judged := f.fleetRun()
+	if !s.Fleet.Control {
+		judged = nil
+	}
+	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses, Falls: r.Falls, Fleet: judged,
 		Fragile: fragile, Grace: time.Duration(f.setting("invariants", "drain_grace_ns")), Slack: time.Second,
 		End: seconds(s.Load.FromS + s.Load.ForS)})
 	return r, nil
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -35,6 +35,8 @@
 	Discovery  string              `toml:"discovery"` // "standin" (the lab's own) or "listd" (replicas and an agent per node)
 	Replicas   int                 `toml:"replicas"`  // of listd
 	ListdBin   string              `toml:"listd_binary"`
+	Control    bool                `toml:"control"` // the control plane of docs/fleet.md, on listd
+	TTLMS      int                 `toml:"ttl_ms"`  // of its sessions
 }
 
 // Servers is the make of every stand-in app server.
@@ -49,10 +51,11 @@
 
 // Load is the open-loop load.
 type Load struct {
-	Rate        float64 `toml:"rate"`
-	MaxRequests int     `toml:"max_requests"`
-	FromS       float64 `toml:"from_s"`
-	ForS        float64 `toml:"for_s"`
+	Rate        float64  `toml:"rate"`
+	MaxRequests int      `toml:"max_requests"`
+	Accounts    []string `toml:"accounts"` // tenants, in equal parts; the settings' where left out
+	FromS       float64  `toml:"from_s"`
+	ForS        float64  `toml:"for_s"`
 }
 
 // Event is one step of the timeline. Which fields count depends on Do:
@@ -65,6 +68,9 @@
 //	degrade                                servers or zone, mode (healthy, slow, failing, reset, silent)
 //	restart-servers                        servers or zone, down_s
 //	list                                   servers or zone, state (ready, draining, gone)
+//	tenant                                 tenant, quota_per_s, burst: its next generation (fleet.control)
+//	tenant-delete                          tenant
+//	drift                                  nodes: settings of their own, by SIGHUP
 type Event struct {
 	AtS       float64   `toml:"at_s"`
 	Do        string    `toml:"do"`
@@ -77,6 +83,9 @@
 	Mode      string    `toml:"mode"`
 	State     string    `toml:"state"`
 	DownS     float64   `toml:"down_s"`
+	Tenant    string    `toml:"tenant"` // its name
+	Quota     float64   `toml:"quota_per_s"`
+	Burst     float64   `toml:"burst"`
 	DelayMS   float64   `toml:"delay_ms"`
 	JitterMS  float64   `toml:"jitter_ms"`
 	BytesPerS int       `toml:"bytes_per_s"`
@@ -92,13 +101,14 @@
 const coldMost = 8.7e9
 
 var actions = map[string]bool{"kill": true, "term": true, "hup": true, "restart": true, "stop": true, "cont": true,
-	"partition": true, "heal": true, "link": true, "degrade": true, "restart-servers": true, "list": true}
+	"partition": true, "heal": true, "link": true, "degrade": true, "restart-servers": true, "list": true,
+	"tenant": true, "tenant-delete": true, "drift": true}
 
 // ParseScenario reads a scenario and fills in what it leaves out. A key it does not know, or a value it can't
 // use, is one plain error that names it.
 func ParseScenario(name string, text []byte) (*Scenario, error) {
 	s := Scenario{Seed: 1, DurationS: 20, Fleet: Fleet{Nodes: 4, Servers: 6, Zones: []string{"a", "b"}, ReadyS: 20, NoticeS: 2,
-		NodeBinary: "bin/starlingvalve", Discovery: "standin", Replicas: 3, ListdBin: "bin/listd"},
+		NodeBinary: "bin/starlingvalve", Discovery: "standin", Replicas: 3, ListdBin: "bin/listd", TTLMS: 6000},
 		Servers: Servers{Capacity: 8, LatencyMS: 20, Spread: 0.3, MaxConns: 256, IdleS: 15, ColdS: 5},
 		Load:    Load{Rate: 100, MaxRequests: 100000, FromS: 1}}
 	md, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&s)
@@ -123,6 +133,8 @@
 		return nil, fmt.Errorf("scenario %s: fleet.discovery %q is neither standin nor listd", name, s.Fleet.Discovery)
 	case s.Fleet.Replicas < 1 || s.Fleet.Replicas > 7:
 		return nil, fmt.Errorf("scenario %s: fleet.replicas %d is not within 1 to 7", name, s.Fleet.Replicas)
+	case s.Fleet.Control && s.Fleet.Discovery != "listd":
+		return nil, fmt.Errorf("scenario %s: fleet.control needs fleet.discovery \"listd\"", name)
 	case len(s.Fleet.Zones) == 0:
 		return nil, fmt.Errorf("scenario %s: fleet.zones is empty", name)
 	case s.checkRegions() != nil:
--- a/internal/lab/selectors.go
+++ b/internal/lab/selectors.go
@@ -70,6 +70,9 @@
 	if e.Do == "list" && e.State != "ready" && e.State != "draining" && e.State != "gone" {
 		return fmt.Errorf("state %q is none of ready, draining, gone", e.State)
 	}
+	if strings.HasPrefix(e.Do, "tenant") && (!s.Fleet.Control || e.Tenant == "") || e.Do == "drift" && !s.Fleet.Control {
+		return fmt.Errorf("%s needs fleet.control, and a tenant its name", e.Do)
+	}
 	if e.Loss < 0 || e.Loss > 1 || e.Reorder < 0 || e.Reorder > 1 || e.Truncate < 0 {
 		return errors.New("loss and reorder are shares within 0 and 1, truncate is not below 0")
 	}
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"starlingvalve/internal/invariants"
 	"starlingvalve/internal/lab/faults"
 	"starlingvalve/internal/lab/standin"
 )
@@ -52,7 +53,15 @@
 		entries = append(entries, standin.Entry{ID: spec.ID, Addr: srv.Addr, Zone: zone, Kind: "std-2c", State: "ready", Weight: 1})
 	}
 	if s.Fleet.Discovery == "listd" {
-		l, err := f.startListd(entries)
+		var extra []string
+		if s.Fleet.Control {
+			path, err := f.fleetFile()
+			if err != nil {
+				return err
+			}
+			extra = []string{"--fleet", path}
+		}
+		l, err := f.startListd(entries, extra...)
 		if err != nil {
 			return err
 		}
@@ -69,6 +78,11 @@
 				return err
 			}
 			addrs[srv.Spec.ID] = l.Addr
+			l.OnLost(func() {
+				f.mu.Lock()
+				f.recs.Fleet.Tries = append(f.recs.Fleet.Tries, invariants.Try{Node: i, Server: srv.Spec.ID, At: f.rec.Since()})
+				f.mu.Unlock()
+			})
 		}
 		view, err := f.disc.View(n, func(id string) string { return addrs[id] })
 		if err != nil {
--- a/internal/lab/workload.go
+++ b/internal/lab/workload.go
@@ -67,12 +67,21 @@
 	for _, c := range f.classes() {
 		spec.Classes = append(spec.Classes, load.Class{Name: c.name, Share: c.fraction, Post: c.fragile, TimeLeft: c.giveUp})
 	}
-	for _, a := range f.template()["accounts"].([]any) {
-		spec.Accounts = append(spec.Accounts, a.(map[string]any)["name"].(string))
+	if spec.Accounts = f.s.Load.Accounts; len(spec.Accounts) == 0 {
+		spec.Accounts = f.accounts()
 	}
 	return spec
 }
 
+// accounts are the tenants of the nodes' settings.
+func (f *fleet) accounts() []string {
+	var out []string
+	for _, a := range f.template()["accounts"].([]any) {
+		out = append(out, a.(map[string]any)["name"].(string))
+	}
+	return out
+}
+
 // Pick is the clients' front: a node at random among those it deals to.
 func (f *fleet) Pick(r *rand.Rand) (int, string, bool) {
 	var up []*node
