End a zone's trial before its first step, and divide it among the trial's nodes

With 30 slots a trial node's part was so small that 6 answers did not come within the 3 s of a trial, and with 300 they never would; the node's word for a part (fleet.ZoneBody) is budget/slots in every phase. So a probation's slots are its trial nodes, and neither a trial nor step 1 begins before what was before holds nowhere. Part now goes by ZoneBody.

--- a/internal/fleet/zones/back.go
+++ b/internal/fleet/zones/back.go
@@ -108,7 +108,7 @@
 		switch {
 		case bad:
 			b.since, b.tally = v.now, nil
-		case after < e.hold():
+		case after < e.hold() || e.Share == 0 && !b.over(&j.set, v, nil):
 		case e.Share > 0:
 			if b.enough(&j.set, v, j.set.StepNeed, may, listed) {
 				return j.step(c, b, v, Answers, next(j.set.Steps, e.Share)), true
@@ -121,11 +121,15 @@
 		case j.trialLost(b, v, e):
 			return j.back(c), true
 		case len(e.Trial) > 0 && b.enough(&j.set, v, j.set.TrialNeed, len(e.Trial), 0):
-			return j.step(c, b, v, Answers, 1), true
+			c.Event, c.Entry.Trial, c.Entry.Tried = Answers, nil, true
+			return c, true
 		case len(e.Trial) > 0 && after >= j.set.TrialTime:
 			c.Event, c.Entry.Trial = Quiet, nil
 			return c, true
-		case len(e.Trial) == 0 && (b.heard(v) || after >= j.set.Valid*21/20):
+		case len(e.Trial) > 0 || !b.over(&j.set, v, b.former):
+		case e.Tried:
+			return j.step(c, b, v, Quiet, 1), true
+		default:
 			return j.try(c, b, v, y, x)
 		}
 	case fleet.Returning:
@@ -179,6 +183,7 @@
 	if event == Lost {
 		floor = e.Base
 	}
+	e.Tried = false
 	e.Directive = fleet.Directive{Phase: fleet.Returning, Share: share, Floor: math.Min(floor, share), Step: step,
 		ValidMS: j.set.Valid.Milliseconds(), Reason: e.Reason, HoldMS: e.HoldMS, Relapse: e.Relapse}
 	if budgeted {
@@ -226,20 +231,27 @@
 	e := &c.Entry
 	c.Event = Quiet
 	e.Directive = fleet.Directive{Phase: fleet.Probation, Budget: j.budget(e.Proved, j.set.Steps[0], true) / 2,
-		Slots: j.slots, Trial: trial, ValidMS: j.set.Valid.Milliseconds(), Reason: e.Reason,
+		Slots: len(trial), Trial: trial, ValidMS: j.set.Valid.Milliseconds(), Reason: e.Reason,
 		HoldMS: e.HoldMS, Relapse: e.Relapse}
 	return c, true
 }
 
-// heard tells whether every node of the former trial holds its end.
-func (b *comeback) heard(v view) bool {
-	left := len(b.former)
+// over tells whether what held before this directive holds nowhere any more: every one of the nodes (nil: every
+// present one) reports that it holds this one, or it has been outlived, by clocks whose rates differ.
+func (b *comeback) over(set *Settings, v view, nodes []string) bool {
+	if v.now-b.begun >= set.Valid*21/20 {
+		return true
+	}
+	heard := 0
 	for _, s := range v.sights {
-		if s.rev >= b.rev && slices.Contains(b.former, s.Node) {
-			left--
+		if s.rev >= b.rev && (nodes == nil || slices.Contains(nodes, s.Node)) {
+			heard++
 		}
 	}
-	return len(b.former) > 0 && left == 0
+	if nodes == nil {
+		return heard == v.nodes
+	}
+	return heard == len(nodes)
 }
 
 // trialLost tells whether most of the trial's nodes that tried, two at least where two may, lost most of it.
--- a/internal/fleet/zones/judge.go
+++ b/internal/fleet/zones/judge.go
@@ -248,7 +248,7 @@
 	if share > 0 && (reason == Lost || reason == Region) { // its servers may come back cold
 		d.Budget, d.Slots = j.budget(e.Proved, j.set.ColdFrom, true), j.slots
 	}
-	e.Directive, e.Base = d, share
+	e.Directive, e.Base, e.Tried = d, share, false
 }
 
 // regions gives the changes by which the rest of a region is left, most of whose zones are.
--- a/internal/fleet/zones/part.go
+++ b/internal/fleet/zones/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"starlingvalve/internal/fleet"
 )
@@ -14,17 +13,10 @@
 	Trial bool    // it tries the zone, with safe requests only, within Rate
 }
 
-// Part gives a node's portion of a directive: while it is valid, or past its ValidMS.
+// Part gives a node's portion of a directive, by fleet.ZoneBody: while it is valid, or past its ValidMS.
 func Part(d fleet.Directive, node string, past bool) Portion {
-	p := Portion{Share: d.Share}
-	if d.Budget > 0 {
-		p.Rate = d.Budget / float64(max(d.Slots, 1))
-	}
-	if d.Phase == fleet.Probation {
-		if p.Trial = !past && slices.Contains(d.Trial, node); p.Trial {
-			p.Rate = d.Budget * math.Min(2/float64(max(d.Slots, 1)), 1/float64(len(d.Trial)))
-		}
-	}
+	h := fleet.ZoneBody(0, d, node)
+	p := Portion{Share: h.Share, Rate: h.Rate, Trial: h.Trial && !past}
 	if past {
 		if p.Share > 0 {
 			p.Rate *= d.Floor / p.Share // the budget of the floor, as the larger one's is no longer known to hold
--- a/internal/fleet/zones/state.go
+++ b/internal/fleet/zones/state.go
@@ -33,6 +33,7 @@
 	Listed int     `json:"listed"` // its servers
 	Demand float64 `json:"demand"` // answers/s of all of it, for the observers that left it
 	Base   float64 `json:"base"`   // share served all along
+	Tried  bool    `json:"tried"`  // a trial has had its answers: the return begins once it is over
 }
 
 // Past is what is kept of a zone that is served again. Rev is the revision of its last change.
@@ -178,7 +179,7 @@
 		return "share or step before the return"
 	case e.Phase == fleet.Returning && (e.Step < 1 || e.Share <= e.Base):
 		return "a return without a step"
-	case e.Phase != fleet.Probation && len(e.Trial) > 0 || e.Phase == fleet.Probation && (e.Share != 0 || e.Budget <= 0):
+	case e.Phase != fleet.Probation && (len(e.Trial) > 0 || e.Tried) || e.Phase == fleet.Probation && (e.Share != 0 || e.Budget <= 0):
 		return "a trial out of place"
 	}
 	return ""
@@ -208,8 +209,10 @@
 		return "a return without a probation"
 	case old.Phase == fleet.Probation && e.Phase == fleet.Probation && len(old.Trial) > 0 && len(e.Trial) > 0:
 		return "a trial before the former one is over"
-	case old.Phase == fleet.Probation && e.Phase == fleet.Returning && e.Step != 1:
-		return "the first step is 1"
+	case old.Phase == fleet.Probation && e.Phase == fleet.Returning && (e.Step != 1 || !old.Tried || len(old.Trial) > 0):
+		return "the first step is 1, once a trial with its answers is over"
+	case old.Phase == fleet.Probation && e.Phase == fleet.Probation && (old.Tried || e.Tried != (ch.Event == Answers) || e.Tried && len(old.Trial) == 0):
+		return "a trial that had its answers, or none that has"
 	case old.Phase == fleet.Returning && e.Phase == fleet.Returning && ch.Event == Answers && (e.Step != old.Step+1 || e.Share <= old.Share):
 		return "not the next step"
 	case old.Phase == fleet.Returning && e.Phase == fleet.Returning && ch.Event == Lost && (e.Step != old.Step-1 || e.Share >= old.Share):
