Let members gossip through the lab's doors: splits, loss, deaths judged and timed

Nothing in the project showed gossip under a split or loss: memberlist's UDP was not relayed, and its TCP calls came from 127.0.0.1 whoever called.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -69,7 +69,7 @@
 }
 
 func runCmd() *cobra.Command {
-	var out, binary, listdBinary string
+	var out, binary, listdBinary, membersBinary string
 	var seed uint64
 	var nodes int
 	cmd := &cobra.Command{Use: "run NAME|FILE.toml", Short: "Run a scenario and write its report", Args: cobra.ExactArgs(1),
@@ -84,6 +84,9 @@
 			if listdBinary != "" {
 				s.Fleet.ListdBin = listdBinary
 			}
+			if membersBinary != "" {
+				s.Fleet.MembersBin = membersBinary
+			}
 			if seed != 0 {
 				s.Seed = seed
 			}
@@ -120,6 +123,7 @@
 	cmd.Flags().StringVar(&out, "out", "logs/lab", "where run directories are made")
 	cmd.Flags().StringVar(&binary, "node-binary", "", "the node program (default: the scenario's, bin/starlingvalve)")
 	cmd.Flags().StringVar(&listdBinary, "listd-binary", "", "the listd program (default: the scenario's, bin/listd)")
+	cmd.Flags().StringVar(&membersBinary, "members-binary", "", "the members program (default: the scenario's, bin/members)")
 	cmd.Flags().Uint64Var(&seed, "seed", 0, "a seed other than the scenario's")
 	cmd.Flags().IntVar(&nodes, "nodes", 0, "a number of nodes other than the scenario's")
 	return cmd
@@ -165,6 +169,11 @@
 	for _, d := range rep.Drifts {
 		fmt.Fprintf(w, "drift at %s: %s after %.0f ms %.200s\n", d.Node, d.State, d.MS, d.What)
 	}
+	if len(recs.Sightings) > 0 {
+		d := rep.Deaths
+		fmt.Fprintf(w, "members: %d silenced, seen dead after p50 %.0f, p99 %.0f ms (%d pairs, %d missed); false deaths %d\n",
+			d.Silenced, d.P50MS, d.P99MS, d.Pairs, d.Missed, d.False)
+	}
 	if len(rep.NeverUp) > 0 {
 		fmt.Fprintf(w, "never came up: %s\n", strings.Join(rep.NeverUp, " "))
 	}
--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -18,7 +18,7 @@
 func build(t *testing.T) (lab, node string) {
 	t.Helper()
 	dir := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/fleetlab", "starlingvalve/cmd/starlingvalve", "starlingvalve/cmd/listd")
+	cmd := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/fleetlab", "starlingvalve/cmd/starlingvalve", "starlingvalve/cmd/listd", "starlingvalve/cmd/members")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
@@ -37,7 +37,10 @@
 	PerServer map[string]int64 `json:"per_server"`
 	Breaches  []struct{ Rule, ID string }
 	NeverUp   []string `json:"never_up"`
-	CPU       struct {
+	Deaths    struct {
+		Silenced, Pairs, Missed, False int
+	} `json:"deaths"`
+	CPU struct {
 		AgentsS   float64 `json:"agents_s"`
 		ReplicasS float64 `json:"replicas_s"`
 	} `json:"cpu"`
@@ -47,7 +50,8 @@
 func run(t *testing.T, lab, node, scenario string) (labReport, string) {
 	t.Helper()
 	out := t.TempDir()
-	cmd := exec.Command(lab, "run", scenario, "--out", out, "--node-binary", node, "--listd-binary", filepath.Join(filepath.Dir(node), "listd"))
+	cmd := exec.Command(lab, "run", scenario, "--out", out, "--node-binary", node, "--listd-binary", filepath.Join(filepath.Dir(node), "listd"),
+		"--members-binary", filepath.Join(filepath.Dir(node), "members"))
 	var stdout bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &stdout, &stdout
 	guard := time.AfterFunc(3*time.Minute, func() { cmd.Process.Kill() })
@@ -130,6 +134,46 @@
 	}
 }
 
+// Members gossip through doors that carry UDP and TCP: two of six cut off from the others are taken for dead by them, and alive
+// again after the heal, under 5 % loss and jitter; one killed is seen dead by all; nobody else ever is.
+func TestMembersGossipThroughDoors(t *testing.T) {
+	lab, node := build(t)
+	path := filepath.Join(t.TempDir(), "gossip.toml")
+	os.WriteFile(path, []byte("duration_s = 85\n[fleet]\nnodes = 6\nservers = 2\ngossip = true\n[load]\nrate = 5\n"+
+		"[[events]]\nat_s = 4\ndo = \"partition\"\nbetween = [\"agents:0-3\", \"agents:4-5\"]\n[[events]]\nat_s = 24\ndo = \"heal\"\n"+
+		"[[events]]\nat_s = 25\ndo = \"link\"\nbetween = [\"agents:all\", \"agents:all\"]\nloss = 0.05\njitter_ms = 30\n"+
+		"[[events]]\nat_s = 40\ndo = \"kill\"\nagents = \"0\"\n"), 0o644)
+	r, dir := run(t, lab, node, path)
+	if len(r.Breaches) != 0 || r.Deaths.Silenced != 1 || r.Deaths.Pairs != 5 || r.Deaths.Missed != 0 {
+		t.Errorf("breaches %v, deaths %+v (see %s)", r.Breaches, r.Deaths, dir)
+	}
+	raw, _ := os.ReadFile(filepath.Join(dir, "records.json"))
+	var recs struct {
+		Sightings []struct {
+			By, Of int
+			State  string
+			At     time.Duration
+		} `json:"sightings"`
+	}
+	if err := json.Unmarshal(raw, &recs); err != nil {
+		t.Fatal(err)
+	}
+	across, within, last := 0, 0, map[[2]int]string{}
+	for _, s := range recs.Sightings {
+		if s.State == "dead" && s.At < 40*time.Second {
+			if (s.By >= 4) != (s.Of >= 4) {
+				across++
+			} else {
+				within++
+			}
+		}
+		last[[2]int{s.By, s.Of}] = s.State
+	}
+	if across == 0 || within > 0 || last[[2]int{1, 5}] != "alive" || last[[2]int{4, 1}] != "alive" {
+		t.Errorf("dead across the split %d, within a side %d; at the end %v", across, within, last)
+	}
+}
+
 // A relay that sends a request twice is caught by the checker, with the request's id.
 func TestCheckerCatchesADuplicatedAttempt(t *testing.T) {
 	lab, node := build(t)
--- a/cmd/members/main.go
+++ b/cmd/members/main.go
@@ -59,6 +59,7 @@
 		}}
 	run.Flags().StringVar(&cfg.Name, "name", "", "this member's name, unique in the fleet")
 	run.Flags().StringVar(&cfg.Bind, "bind", "", "loopback host:port for gossip, TCP and UDP")
+	run.Flags().StringVar(&cfg.Advertise, "advertise", "", "the loopback host:port others reach it at, as through a relay; default: --bind")
 	run.Flags().StringVar(&cfg.Zone, "zone", "", "this member's zone")
 	run.Flags().StringArrayVar(&cfg.Seeds, "seed", nil, "a member to join through; once for each")
 	run.Flags().DurationVar(&cfg.Stable, "stable", 2*time.Second, "how long a size holds before it is agreed")
--- a/internal/invariants/fleet_test.go
+++ b/internal/invariants/fleet_test.go
@@ -85,9 +85,12 @@
 				r.put(23*sec+time.Duration(i)*30*ms, 0, "sa", "new", "schedule-view")
 			}
 		}},
-		"ahead":            {"D-ahead", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "ahead", ""}) }},
-		"false alarm":      {"D-false", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "diverged", ""}) }},
-		"drift not found":  {"D-missed", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts[:3], r.Fleet.Verdicts[4:]...) }},
+		"ahead":           {"D-ahead", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "ahead", ""}) }},
+		"false alarm":     {"D-false", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{0, 40 * sec, "diverged", ""}) }},
+		"drift not found": {"D-missed", 1, func(r *Run) { r.Fleet.Verdicts = append(r.Fleet.Verdicts[:3], r.Fleet.Verdicts[4:]...) }},
+		"false death": {"M-dead", 1, func(r *Run) {
+			r.Sightings = []Sighting{{0, 1, "suspect", 40 * sec}, {0, 1, "dead", 41 * sec}, {0, 2, "dead", 41 * sec}}
+		}},
 		"silent not shown": {"D-silent", 1, func(r *Run) { r.Fleet.Verdicts = r.Fleet.Verdicts[:4] }},
 	} {
 		r := cleanFleet()
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -73,21 +73,22 @@
 
 // Run is all that the checker reads.
 type Run struct {
-	Sent     []Sent
-	Attempts []Attempt
-	Changes  []Change
-	Excuses  []Excuse
-	Falls    []Fall
-	Fleet    *Fleet          // of a run with a control plane
-	Fragile  map[string]bool // classes that must never run twice
-	Grace    time.Duration   // after a change is made, how long attempts to the server may still start
-	Slack    time.Duration   // how long a change may take to reach the nodes when no fault holds it up
-	End      time.Duration   // when the load ended
+	Sent      []Sent
+	Attempts  []Attempt
+	Changes   []Change
+	Excuses   []Excuse
+	Falls     []Fall
+	Fleet     *Fleet          // of a run with a control plane
+	Sightings []Sighting      // of a run whose members gossip
+	Fragile   map[string]bool // classes that must never run twice
+	Grace     time.Duration   // after a change is made, how long attempts to the server may still start
+	Slack     time.Duration   // how long a change may take to reach the nodes when no fault holds it up
+	End       time.Duration   // when the load ended
 }
 
 // Breach is one broken rule.
 type Breach struct {
-	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent", "cold-fall"; Z-, T- and D- of the fleet
+	Rule   string // "answer", "twice", "overlap", "after-grace", "unsent", "cold-fall"; Z-, T- and D- of the fleet, M- of members
 	ID     string // the request id; empty where the rule is not about one request
 	At     time.Duration
 	Detail string
@@ -145,6 +146,7 @@
 	out = append(out, r.afterGrace()...)
 	out = append(out, r.coldFalls()...)
 	out = append(out, r.fleet()...)
+	out = append(out, r.falseDeaths()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -116,16 +116,18 @@
 			f.closeExcuse("stopped "+n.info.Name, f.rec.Since())
 		}
 	}
-	for _, i := range f.s.pick(e.Agents, len(f.agents)) {
-		a := f.agents[i]
+	for _, i := range f.s.pick(e.Agents, len(f.nodes)) {
 		if e.Do != "cont" && e.Do != "hup" {
-			f.excuse(i, "after-grace", "agent "+a.name)
+			f.excuse(i, "after-grace", "agent "+agentName(i))
+			f.silenced(i, e.Do)
 		}
-		if a.signal(sig) {
-			names = append(names, a.name)
+		for _, a := range f.beside(i) {
+			if a.signal(sig) {
+				names = append(names, a.name)
+			}
 		}
 		if e.Do == "cont" {
-			f.closeExcuse("agent "+a.name, f.rec.Since())
+			f.closeExcuse("agent "+agentName(i), f.rec.Since())
 		}
 	}
 	for _, r := range f.replicas(e.Replicas) {
@@ -156,14 +158,15 @@
 			f.closeExcuse("down "+n.info.Name, f.rec.Since())
 		})
 	}
-	for _, i := range f.s.pick(e.Agents, len(f.agents)) {
-		a := f.agents[i]
-		if err := a.begin(f.opt.Dir, &f.cpuListd, &f.wg); err != nil {
-			f.opt.Log.Warn("agent not started", "agent", a.name, "err", err)
-			continue
+	for _, i := range f.s.pick(e.Agents, len(f.nodes)) {
+		for _, a := range f.beside(i) {
+			if err := a.begin(f.opt.Dir, &f.cpuListd, &f.wg); err != nil {
+				f.opt.Log.Warn("agent not started", "agent", a.name, "err", err)
+				continue
+			}
+			names = append(names, a.name)
 		}
-		names = append(names, a.name)
-		f.closeExcuse("agent "+a.name, f.rec.Since())
+		f.closeExcuse("agent "+agentName(i), f.rec.Since())
 	}
 	for _, r := range f.replicas(e.Replicas) {
 		if f.cluster.Pid(r) != 0 {
@@ -185,6 +188,7 @@
 	count := f.net.Heal()
 	f.closeExcuse("cut ", f.rec.Since())
 	f.closeExcuse("deaf ", f.rec.Since())
+	f.closeExcuse("gossip ", f.rec.Since())
 	return count
 }
 
--- a/internal/lab/faults/door.go
+++ b/internal/lab/faults/door.go
@@ -168,6 +168,7 @@
 	if f.Blackhole || f.Refuse || l.dice.hit(f.Loss) {
 		return
 	}
+	l.Bytes.Add(int64(len(p)))
 	if f.Truncate > 0 && len(p) > f.Truncate {
 		p = p[:f.Truncate]
 	}
--- a/internal/lab/faults/link.go
+++ b/internal/lab/faults/link.go
@@ -25,7 +25,7 @@
 	closed   chan struct{}
 	lost     atomic.Pointer[func()]
 	Dials    atomic.Int64
-	Bytes    atomic.Int64 // of streams, both ways
+	Bytes    atomic.Int64 // both ways
 }
 
 // mostRefused bounds the callers remembered as refused.
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -96,7 +96,7 @@
 	count := f.net.Each(func(l *faults.Link) bool {
 		hit := f.in(a, l.From) && f.in(b, l.To) || f.in(b, l.From) && f.in(a, l.To)
 		if hit && cuts {
-			f.excuseLink(l)
+			f.excuseLink(l, fault)
 			if id, ok := strings.CutPrefix(l.To, "server:"); ok {
 				servers = append(servers, slices.IndexFunc(f.servers, func(s *standin.AppServer) bool { return s.Spec.ID == id }))
 			}
@@ -109,8 +109,13 @@
 
 // excuseLink excuses what a cut of the link must cost: a node cut off from clients loses requests; one that its
 // agent can't tell, or whose agent or replicas can't be told, does not hear of changes.
-func (f *fleet) excuseLink(l *faults.Link) {
+func (f *fleet) excuseLink(l *faults.Link, fault faults.Fault) {
+	agents := strings.HasPrefix(l.From, "agent:") && strings.HasPrefix(l.To, "agent:")
 	switch {
+	case agents && (f.s.Fleet.Gossip && (fault.Blackhole || fault.Refuse)):
+		f.excuse(f.index(l.From), "M-dead", "gossip "+l.From)
+		f.excuse(f.index(l.To), "M-dead", "gossip "+l.To)
+	case agents:
 	case l.From == "clients":
 		f.excuse(f.index(l.To), "answer", "cut "+l.To)
 	case l.To == "discovery", strings.HasPrefix(l.To, "agent:") && !strings.HasPrefix(l.From, "agent:"):
--- a/internal/lab/report/fleet.go
+++ b/internal/lab/report/fleet.go
@@ -44,6 +44,43 @@
 	What  string  `json:"what"`
 }
 
+// Deaths is how long the members left took to see that one was silenced (killed or stopped), over all pairs.
+type Deaths struct {
+	Silenced int     `json:"silenced"` // members
+	Pairs    int     `json:"pairs"`    // of one silenced and one left
+	Missed   int     `json:"missed"`   // pairs that never came to dead
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	False    int     `json:"false"` // deaths seen of members that were not silenced, faults or not
+}
+
+func deaths(r *lab.Records) Deaths {
+	at := map[int]time.Duration{}
+	for _, s := range r.Silenced {
+		if _, ok := at[s.Node]; !ok {
+			at[s.Node] = s.At
+		}
+	}
+	out := Deaths{Silenced: len(at), Pairs: len(at) * (len(r.Nodes) - len(at))}
+	seen := map[[2]int]bool{}
+	var took []float64
+	for _, s := range r.Sightings {
+		when, ok := at[s.Of]
+		_, gone := at[s.By]
+		switch {
+		case s.State != "dead" || gone:
+		case !ok:
+			out.False++
+		case s.At >= when && !seen[[2]int{s.By, s.Of}]:
+			seen[[2]int{s.By, s.Of}] = true
+			took = append(took, ms(s.At-when))
+		}
+	}
+	sort.Float64s(took)
+	out.Missed, out.P50MS, out.P99MS = out.Pairs-len(took), rank(took, 0.5), rank(took, 0.99)
+	return out
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // rank gives the q-th of sorted values, 0 where there are none.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -50,6 +50,7 @@
 	Zones     []ZoneLoss          `json:"zones"`
 	Onboarded []Onboarding        `json:"onboarded"`
 	Drifts    []Detection         `json:"drifts"`
+	Deaths    Deaths              `json:"deaths"`      // of members that gossip
 	BytesPS   map[string]float64  `json:"bytes_per_s"` // through the relays, both ways, by kind of link, over the run
 	NoFile    [2]uint64           `json:"nofile"`
 	Links     int                 `json:"links"`
@@ -67,6 +68,7 @@
 		out.LabShare = r.CPU.LabS / total
 	}
 	out.Zones, out.Onboarded, out.Drifts, out.BytesPS = zoneLosses(r), onboardings(r), detections(r), map[string]float64{}
+	out.Deaths = deaths(r)
 	for kind, n := range r.Bytes {
 		out.BytesPS[kind] = float64(n) / r.Scenario.DurationS
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -20,23 +20,25 @@
 
 // Records is all that a run keeps: what went in, what happened, and what the checker found.
 type Records struct {
-	Scenario  *Scenario            `json:"scenario"`
-	Sent      []invariants.Sent    `json:"sent"`
-	Attempts  []invariants.Attempt `json:"attempts"`
-	Changes   []invariants.Change  `json:"changes"`
-	Excuses   []invariants.Excuse  `json:"excuses"`
-	Falls     []invariants.Fall    `json:"falls"` // cold app servers pushed over
-	Timeline  []Done               `json:"timeline"`
-	Nodes     []NodeInfo           `json:"nodes"`
-	Servers   []ServerInfo         `json:"servers"`
-	Skipped   int                  `json:"skipped"`
-	Fleet     *invariants.Fleet    `json:"fleet"` // what is known of zones, and of the control plane where there is one
-	Onboarded []Onboarding         `json:"onboarded"`
-	Bytes     map[string]int64     `json:"bytes"` // through the relays, both ways, by kind of link
-	Breaches  []invariants.Breach  `json:"breaches"`
-	CPU       CPU                  `json:"cpu"`
-	NoFile    [2]uint64            `json:"nofile"` // soft and hard limit on descriptors the lab ran with
-	Links     int                  `json:"links"`
+	Scenario  *Scenario             `json:"scenario"`
+	Sent      []invariants.Sent     `json:"sent"`
+	Attempts  []invariants.Attempt  `json:"attempts"`
+	Changes   []invariants.Change   `json:"changes"`
+	Excuses   []invariants.Excuse   `json:"excuses"`
+	Falls     []invariants.Fall     `json:"falls"` // cold app servers pushed over
+	Timeline  []Done                `json:"timeline"`
+	Nodes     []NodeInfo            `json:"nodes"`
+	Servers   []ServerInfo          `json:"servers"`
+	Skipped   int                   `json:"skipped"`
+	Fleet     *invariants.Fleet     `json:"fleet"` // what is known of zones, and of the control plane where there is one
+	Onboarded []Onboarding          `json:"onboarded"`
+	Sightings []invariants.Sighting `json:"sightings"` // what members thought of each other
+	Silenced  []Silenced            `json:"silenced"`
+	Bytes     map[string]int64      `json:"bytes"` // through the relays, both ways, by kind of link
+	Breaches  []invariants.Breach   `json:"breaches"`
+	CPU       CPU                   `json:"cpu"`
+	NoFile    [2]uint64             `json:"nofile"` // soft and hard limit on descriptors the lab ran with
+	Links     int                   `json:"links"`
 }
 
 // Done is one event as it was carried out.
@@ -97,6 +99,7 @@
 	servers  []*standin.AppServer
 	nodes    []*node
 	agents   []*process
+	members  []*process
 	mu       sync.Mutex
 	recs     Records
 	open     map[string]time.Duration // excuses not yet closed, by what opened them
@@ -133,6 +136,7 @@
 	if s.Fleet.Control {
 		f.watching(watched)
 	}
+	f.watchViews(watched)
 	var result load.Result
 	loadDone := make(chan struct{})
 	go func() {
@@ -189,7 +193,7 @@
 	if !s.Fleet.Control {
 		judged = nil
 	}
-	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses, Falls: r.Falls, Fleet: judged,
+	r.Breaches = invariants.Check(invariants.Run{Sent: r.Sent, Attempts: r.Attempts, Changes: r.Changes, Excuses: r.Excuses, Falls: r.Falls, Fleet: judged, Sightings: r.Sightings,
 		Fragile: fragile, Grace: time.Duration(f.setting("invariants", "drain_grace_ns")), Slack: time.Second,
 		End: seconds(s.Load.FromS + s.Load.ForS)})
 	return r, nil
--- a/internal/lab/selectors.go
+++ b/internal/lab/selectors.go
@@ -49,7 +49,10 @@
 	listd := s.Fleet.Discovery == "listd"
 	agents, replicas := 0, 0
 	if listd {
-		agents, replicas = s.Fleet.Nodes, s.Fleet.Replicas
+		replicas = s.Fleet.Replicas
+	}
+	if listd || s.Fleet.Gossip {
+		agents = s.Fleet.Nodes
 	}
 	for _, sel := range []struct {
 		text string
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -107,6 +107,11 @@
 		}
 		f.nodes = append(f.nodes, n)
 	}
+	if s.Fleet.Gossip {
+		if err := f.startGossip(); err != nil {
+			return err
+		}
+	}
 	var ready sync.WaitGroup
 	for _, n := range f.nodes {
 		ready.Go(func() { f.launch(n) })
@@ -124,7 +129,8 @@
 		nodes = append(nodes, &n.process)
 	}
 	stopAll(nodes, 10*time.Second)
-	stopAll(f.agents, 10*time.Second)
+	beside := append(append([]*process(nil), f.agents...), f.members...)
+	stopAll(beside, 10*time.Second)
 	f.wg.Wait()
 	f.net.Close()
 	if f.disc != nil {
@@ -133,7 +139,7 @@
 	for _, s := range f.servers {
 		s.Stop()
 	}
-	for _, p := range append(nodes, f.agents...) {
+	for _, p := range append(nodes, beside...) {
 		if p.log != nil {
 			p.log.Close()
 			p.log = nil
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -14,9 +14,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Config places a member. Bind must be a loopback host:port.
+// Config places a member. Bind must be a loopback host:port; so must Advertise, where others are to reach the member
+// at another address than that, as through a relay.
 type Config struct {
 	Name, Bind, Zone string
+	Advertise        string
 	Seeds            []string
 	Stable, Hold     time.Duration // of the Sizer
 	Registry         prometheus.Registerer
@@ -97,16 +99,34 @@
 	}
 }
 
+// loopback reads a loopback host:port.
+func loopback(what, addr string) (string, int, error) {
+	host, portText, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", 0, fmt.Errorf("membership %s: %w", what, err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return "", 0, fmt.Errorf("membership %s %s is not a loopback address", what, addr)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return "", 0, fmt.Errorf("membership %s %s: %w", what, addr, err)
+	}
+	return host, port, nil
+}
+
 // Start joins the fleet through the seeds (none: a fleet of one until others join).
 func Start(cfg Config) (*Gossip, error) {
-	host, portText, err := net.SplitHostPort(cfg.Bind)
+	host, port, err := loopback("bind", cfg.Bind)
 	if err != nil {
-		return nil, fmt.Errorf("membership bind: %w", err)
+		return nil, err
 	}
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		return nil, fmt.Errorf("membership bind %s is not a loopback address", cfg.Bind)
+	known, knownPort := host, port
+	if cfg.Advertise != "" {
+		if known, knownPort, err = loopback("advertise", cfg.Advertise); err != nil {
+			return nil, err
+		}
 	}
-	port, _ := strconv.Atoi(portText)
 	g := &Gossip{cfg: cfg, incarnation: time.Now().UnixMilli(), states: map[string]State{}, done: make(chan struct{}),
 		news:  make(chan struct{}, 1),
 		sizer: Sizer{Stable: cfg.Stable, Hold: cfg.Hold}}
@@ -123,9 +143,20 @@
 		}
 	}
 	mc := memberlist.DefaultLANConfig()
-	mc.Name, mc.BindAddr, mc.BindPort, mc.AdvertiseAddr, mc.AdvertisePort = cfg.Name, host, port, host, port
+	mc.Name, mc.BindAddr, mc.BindPort, mc.AdvertiseAddr, mc.AdvertisePort = cfg.Name, host, port, known, knownPort
 	mc.Delegate, mc.Events, mc.LogOutput = delegate{g}, events{g}, g
+	transport, err := newTransport(host, port, g)
+	if err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	if mc.Transport = transport; port == 0 {
+		mc.BindPort = transport.GetAutoBindPort()
+	}
+	if knownPort == 0 {
+		mc.AdvertisePort = mc.BindPort
+	}
 	if g.ml, err = memberlist.Create(mc); err != nil {
+		transport.Shutdown()
 		return nil, fmt.Errorf("membership: %w", err)
 	}
 	if len(cfg.Seeds) > 0 {
