Add the session core: who is present, the leader's leases, the agent's own count

The replicated state is time-free; leases are the leader's; a proposed lapse holds back renewals until its outcome is known. The page's table runs row by row, each transition of three incarnations found in a row.

--- /dev/null
+++ b/internal/fleet/session/session.go
@@ -0,0 +1,133 @@
+// Package session is the core of the fleet's sessions (docs/fleet.md, "Sessions"): which run of which node is
+// present, and the arithmetic by which a node counts itself out before the control plane can count it out. It does
+// no I/O, reads no clock and starts no goroutine: readings of the caller's own monotonic clock are passed in.
+//
+// State is replicated and time-free. Leases are the leader's, in memory. Holder is the agent's.
+package session
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+
+	"starlingvalve/internal/fleet"
+)
+
+// Errors of a join, beside fleet.ErrFenced. They change nothing.
+var (
+	ErrFull    = errors.New("no slot is free")       // as many nodes are present as the settings' slots
+	ErrPending = errors.New("the session is ending") // its lapse is proposed: ask again
+)
+
+// MaxNames bounds the names that are remembered; a join under a further one is refused.
+const MaxNames = 4096
+
+// NameLimit bounds the length of a node's and a zone's name, in bytes.
+const NameLimit = 128
+
+// Seen is the newest run that was present under a name.
+type Seen struct {
+	Incarnation uint64 `json:"incarnation"`
+	Left        bool   `json:"left,omitempty"` // it said goodbye, or a larger one came: it may not come back
+}
+
+// State is the replicated part: who is present. The zero State is empty and ready.
+type State struct {
+	Epoch   uint64                  `json:"epoch"`             // of the set of present members; rises by one with each change of it
+	Members map[string]fleet.Member `json:"members,omitempty"` // present, by node
+	Highest map[string]Seen         `json:"highest,omitempty"` // by node
+}
+
+// Ops of a command.
+const (
+	Join  = "join"  // a run reports for the first time, or again after its lease lapsed
+	Leave = "leave" // it said goodbye
+	Lapse = "lapse" // its lease is over by the leader's clock
+)
+
+// Command is one change of who is present. Slots is the most nodes that may be, from the leader's settings, so that
+// every replica decides alike; 0 means no bound.
+type Command struct {
+	Op     string       `json:"op"`
+	Member fleet.Member `json:"member"`
+	Slots  int          `json:"slots,omitempty"`
+}
+
+// Check says whether m may be present: nil where it is present or may join, fleet.ErrFenced for an older run,
+// fleet.ErrInvalid for a name that can't be.
+func (s *State) Check(m fleet.Member) error {
+	if m.Node == "" || len(m.Node) > NameLimit || m.Zone == "" || len(m.Zone) > NameLimit {
+		return fmt.Errorf("%w: node and zone: names of 1 to %d bytes", fleet.ErrInvalid, NameLimit)
+	}
+	if m.Incarnation == 0 {
+		return fmt.Errorf("%w: incarnation: above 0", fleet.ErrInvalid)
+	}
+	h, known := s.Highest[m.Node]
+	if known && (m.Incarnation < h.Incarnation || m.Incarnation == h.Incarnation && h.Left) {
+		return fmt.Errorf("%w: %s: %d, seen %d", fleet.ErrFenced, m.Node, m.Incarnation, h.Incarnation)
+	}
+	if p, ok := s.Members[m.Node]; ok && p.Incarnation == m.Incarnation && p.Zone != m.Zone {
+		return fmt.Errorf("%w: zone: %s is present in %s", fleet.ErrInvalid, m.Node, p.Zone)
+	}
+	return nil
+}
+
+// Present says whether this very run is present.
+func (s *State) Present(m fleet.Member) bool {
+	p, ok := s.Members[m.Node]
+	return ok && p.Incarnation == m.Incarnation
+}
+
+// Apply carries out one command and says whether it changed who is present. An error changes nothing.
+func (s *State) Apply(c Command) (bool, error) {
+	m := c.Member
+	switch c.Op {
+	case Join:
+		if err := s.Check(m); err != nil {
+			return false, err
+		}
+		if s.Present(m) {
+			return false, nil
+		}
+		_, again := s.Members[m.Node]
+		_, known := s.Highest[m.Node]
+		if !again && c.Slots > 0 && len(s.Members) >= c.Slots || !known && len(s.Highest) >= MaxNames {
+			return false, fmt.Errorf("%w for %s: %d are present", ErrFull, m.Node, len(s.Members))
+		}
+		if s.Members == nil {
+			s.Members = map[string]fleet.Member{}
+		}
+		if s.Highest == nil {
+			s.Highest = map[string]Seen{}
+		}
+		s.Members[m.Node], s.Highest[m.Node] = m, Seen{Incarnation: m.Incarnation}
+	case Leave:
+		if err := s.Check(m); err != nil {
+			return false, err
+		}
+		if !s.Present(m) {
+			return false, nil
+		}
+		delete(s.Members, m.Node)
+		s.Highest[m.Node] = Seen{Incarnation: m.Incarnation, Left: true}
+	case Lapse:
+		if !s.Present(m) {
+			return false, nil // it has gone, or a new run is there
+		}
+		delete(s.Members, m.Node)
+	default:
+		return false, fmt.Errorf("%w: session op %q", fleet.ErrInvalid, c.Op)
+	}
+	s.Epoch++
+	return true, nil
+}
+
+// List is the present members, by node.
+func (s *State) List() []fleet.Member {
+	out := make([]fleet.Member, 0, len(s.Members))
+	for _, m := range s.Members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
--- /dev/null
+++ b/internal/fleet/session/table_test.go
@@ -0,0 +1,138 @@
+package session
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/page"
+)
+
+// event is what can come to one name: a report of a run, or its lapse.
+type event struct {
+	lapse, leaving, full bool
+	incarnation          uint64
+}
+
+// name gives the event and condition as the page's table has them, from the state before it.
+func (e event) name(s *State) (event, condition string) {
+	_, present := s.Members["n"]
+	h, known := s.Highest["n"]
+	switch older := known && e.incarnation < h.Incarnation; {
+	case e.lapse && older:
+		return "lapse", "of an incarnation that has a successor"
+	case e.lapse:
+		return "lapse", "lease over by the leader's clock"
+	case present && older:
+		return "report", "smaller incarnation"
+	case older:
+		return "report", "incarnation below the highest seen"
+	case h.Left && e.incarnation == h.Incarnation:
+		return "report", "the highest seen, which left"
+	case present && e.incarnation > h.Incarnation && e.leaving:
+		return "report", "larger incarnation, leaving"
+	case e.leaving:
+		return "report", "leaving"
+	case present && e.incarnation == h.Incarnation:
+		return "report", "same incarnation"
+	case present:
+		return "report", "larger incarnation"
+	case e.full:
+		return "report", "every slot is taken"
+	case known && e.incarnation == h.Incarnation:
+		return "report", "the highest seen, which lapsed"
+	}
+	return "report", "incarnation above the highest seen"
+}
+
+// apply runs the event as the control plane does and gives the effect in the page's words.
+func (e event) apply(t *testing.T, s *State) string {
+	m := fleet.Member{Node: "n", Zone: "z", Incarnation: e.incarnation}
+	c := Command{Op: Join, Member: m, Slots: 3}
+	if e.full {
+		c.Slots = 1 // "other" holds it
+	}
+	if e.leaving {
+		c.Op = Leave
+	}
+	if e.lapse {
+		c.Op = Lapse
+	}
+	epoch, was, wasPresent := s.Epoch, s.Members["n"], s.Present(m)
+	changed, err := s.Apply(c)
+	switch {
+	case errors.Is(err, fleet.ErrFenced):
+		return "refused: older incarnation"
+	case errors.Is(err, ErrFull):
+		return "refused: no slot is free"
+	case err != nil:
+		t.Fatal(err)
+	case changed && s.Epoch != epoch+1:
+		t.Fatalf("epoch %d after %d", s.Epoch, epoch)
+	case changed && c.Op == Join && was.Incarnation != 0:
+		return "the old one ends, the new one joins; epoch + 1"
+	case changed && c.Op == Join:
+		return "join; epoch + 1"
+	case changed:
+		return "epoch + 1"
+	case c.Op == Join && wasPresent && Office(0, ttl).Renew(0, m) == nil:
+		return "lease renewed"
+	}
+	return ""
+}
+
+// Every event in every state is a row of the page with that next state and effect, and every row is met.
+func TestSessionsTable(t *testing.T) {
+	rows, err := page.Table("../../../docs/fleet.md", "Sessions")
+	if err != nil {
+		t.Fatal(err)
+	}
+	met := map[int]bool{}
+	other := Command{Op: Join, Member: fleet.Member{Node: "other", Zone: "z", Incarnation: 1}}
+	run := func(inc uint64, op string) Command {
+		return Command{Op: op, Member: fleet.Member{Node: "n", Zone: "z", Incarnation: inc}}
+	}
+	for _, before := range [][]Command{{}, {run(5, Join)}, {run(5, Join), run(5, Lapse)}, {run(5, Join), run(5, Leave)}} {
+		for bits := range 8 {
+			for inc := uint64(4); inc <= 6; inc++ {
+				e := event{lapse: bits&1 != 0, leaving: bits&2 != 0, full: bits&4 != 0, incarnation: inc}
+				var s State
+				for _, c := range append([]Command{other}, before...) {
+					if _, err := s.Apply(c); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if e.lapse && (e.leaving || e.full || s.Members["n"].Incarnation < inc) {
+					continue // no lease of that run is held
+				}
+				state := func() string {
+					if _, ok := s.Members["n"]; ok {
+						return "present"
+					}
+					return "absent"
+				}
+				from := state()
+				ev, cond := e.name(&s)
+				effect := e.apply(t, &s)
+				found := false
+				for _, r := range rows {
+					if r.State == from && r.Event == ev && r.Condition == cond {
+						found, met[r.Line] = true, true
+						if r.Next != state() || strings.ReplaceAll(r.Effect, "`", "") != effect {
+							t.Errorf("%s: the core gives %s, %q; the page has %q", r, state(), effect, r.Effect)
+						}
+					}
+				}
+				if !found {
+					t.Errorf("no row for %s | %s | %s -> %s, %q", from, ev, cond, state(), effect)
+				}
+			}
+		}
+	}
+	for _, r := range rows {
+		if !met[r.Line] {
+			t.Errorf("nothing leads through the row at %s", r)
+		}
+	}
+}
