Compose the fleet's cores into one replicated state and one judge

Zones, tenants, drift and sessions need one state under one revision for raft's log, and one soft judge at the leader. A run joins only with nothing held or all that is committed, and its join names a digest of that; a division of an older epoch is refused. The settings file is read whole, an unknown key named.

--- /dev/null
+++ b/internal/fleet/control/control_test.go
@@ -0,0 +1,389 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/session"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+const fileText = `
+slots = 8
+ttl_ms = 6000
+[regions]
+gulf = ["za", "zb"]
+[cold]
+from = 0.2
+time_ms = 5000
+`
+
+// rig is a fleet in one process: nodes that hold what they last read, one leader, and a clock of its own.
+type rig struct {
+	set   Settings
+	state *State
+	judge *Judge
+	now   fleet.Time
+	rev   uint64
+	nodes []*node
+}
+
+type node struct {
+	fleet.Member
+	seq, revision uint64
+	held          map[string]fleet.Item
+	serves        map[string]uint64 // committed generation by tenant
+}
+
+func newRig(t interface{ Fatal(...any) }, n int) *rig {
+	set, err := ParseSettings(fileText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{set: set, state: New()}
+	r.judge = Office(set, 0, r.state)
+	for i := range n {
+		r.nodes = append(r.nodes, &node{})
+		r.boot(i)
+	}
+	return r
+}
+
+func (r *rig) boot(i int) {
+	r.rev++ // incarnations only have to rise
+	*r.nodes[i] = node{Member: fleet.Member{Node: fmt.Sprint("n", i), Zone: "z" + string(rune('a'+i%3)), Incarnation: r.rev},
+		held: map[string]fleet.Item{}, serves: map[string]uint64{}}
+}
+
+func (r *rig) apply(c Command) error {
+	_, err := r.state.Apply(c, func() uint64 { r.rev++; return r.rev })
+	return err
+}
+
+func (r *rig) put(name string, generation uint64, rate float64) error {
+	return r.apply(Command{Tenants: &tenants.Command{Op: tenants.Put, Name: name, Generation: generation,
+		Spec: &fleet.Spec{Name: name, Quota: fleet.Quota{Rate: rate, Burst: 1}}}})
+}
+
+// read has a node take the newest intent.
+func (n *node) read(s *State) {
+	in := s.Read(n.revision, n.Node)
+	if in.Full {
+		n.held = map[string]fleet.Item{}
+	}
+	for _, it := range in.Items {
+		if it.Gone {
+			delete(n.held, it.Key)
+		} else {
+			n.held[it.Key] = it
+		}
+	}
+	n.revision = in.Revision
+	n.serves = map[string]uint64{}
+	for key, it := range n.held {
+		if t, ok := n.tenant(key, it); ok && t.Committed != nil && !t.Removing {
+			n.serves[strings.TrimPrefix(key, "tenant/")] = t.Committed.Number
+		}
+	}
+}
+
+func (n *node) tenant(key string, it fleet.Item) (t fleet.Tenant, ok bool) {
+	if !strings.HasPrefix(key, "tenant/") {
+		return t, false
+	}
+	return t, json.Unmarshal(it.Body, &t) == nil
+}
+
+func (n *node) report() fleet.Report {
+	n.seq++
+	rep := fleet.Report{Member: n.Member, Seq: n.seq, Revision: n.revision, Ready: true, WindowMS: 100}
+	for key, it := range n.held {
+		if t, ok := n.tenant(key, it); ok {
+			a := fleet.TenantAck{Name: strings.TrimPrefix(key, "tenant/"), UID: t.UID}
+			if t.Committed != nil {
+				a.Committed, a.Digest = t.Committed.Number, t.Committed.Digest
+			}
+			if t.Staged != nil {
+				a.Staged, a.Digest = t.Staged.Number, t.Staged.Digest
+			}
+			rep.Tenants = append(rep.Tenants, a)
+		}
+	}
+	return rep
+}
+
+// hear brings a report to the leader.
+func (r *rig) hear(rep fleet.Report) (fleet.ReportAnswer, error) {
+	c, _, err := r.judge.Admit(r.state, rep)
+	if err != nil {
+		return fleet.ReportAnswer{}, err
+	}
+	if c != nil {
+		if err := r.apply(*c); err != nil && !errors.Is(err, session.ErrFull) {
+			return fleet.ReportAnswer{}, err
+		}
+	}
+	return r.judge.Report(r.now, r.now, r.state, rep)
+}
+
+// step has the leader judge, and its commands applied.
+func (r *rig) step(d time.Duration) {
+	r.now += d
+	for _, c := range r.judge.Step(r.now, r.state, nil) {
+		r.apply(c)
+		r.judge.Settled(c)
+	}
+}
+
+// Random schedules of reads, reports, restarts, silences, operators, failovers and snapshots: whoever reads only changes holds what
+// a whole read gives; a restored snapshot is the same state and goes on the same; present nodes serve at most two
+// adjacent generations of a tenant (T2), and what runs are leased stays within the quota (T3).
+func TestFleetState(t *testing.T) {
+	rollouts, joins := 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(t, 4)
+		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		who := rapid.IntRange(0, len(r.nodes)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				name := names.Draw(t, "name")
+				g := uint64(0)
+				if e := r.state.Tenants.Tenants[name]; e != nil && e.Committed != nil {
+					g = e.Committed.Number
+				}
+				r.put(name, g, float64(rapid.IntRange(1, 100).Draw(t, "rate")))
+			},
+			"delete": func(t *rapid.T) {
+				name := names.Draw(t, "name")
+				if e := r.state.Tenants.Tenants[name]; e != nil && e.Committed != nil {
+					r.apply(Command{Tenants: &tenants.Command{Op: tenants.Delete, Name: name, Generation: e.Committed.Number}})
+				}
+			},
+			"read":    func(t *rapid.T) { r.nodes[who.Draw(t, "node")].read(r.state) },
+			"report":  func(t *rapid.T) { r.hear(r.nodes[who.Draw(t, "node")].report()) },
+			"restart": func(t *rapid.T) { r.boot(who.Draw(t, "node")) },
+			"leave": func(t *rapid.T) {
+				rep := r.nodes[who.Draw(t, "node")].report()
+				rep.Leaving = true
+				r.hear(rep)
+			},
+			"all": func(t *rapid.T) { // a quiet moment: all read and report, the leader judges
+				for range 3 {
+					for _, n := range r.nodes {
+						n.read(r.state)
+						r.hear(n.report())
+					}
+					r.step(100 * time.Millisecond)
+				}
+			},
+			"step":   func(t *rapid.T) { r.step(time.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")) * time.Millisecond) },
+			"office": func(t *rapid.T) { r.judge = Office(r.set, r.now, r.state) },
+			"restore": func(t *rapid.T) {
+				raw, err := r.state.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s, err := Restore(raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				again, _ := s.Snapshot()
+				if d := cmp.Diff(string(raw), string(again)); d != "" {
+					t.Fatal(d)
+				}
+				for since := range r.rev + 2 {
+					if d := cmp.Diff(r.state.Read(since, "n1"), s.Read(since, "n1")); d != "" {
+						t.Fatalf("since %d after a restore: %s", since, d)
+					}
+				}
+				r.state = s
+			},
+			"": func(t *rapid.T) {
+				joins = max(joins, r.state.Session.Epoch)
+				for name, e := range r.state.Tenants.Tenants {
+					lo, hi := uint64(1<<62), uint64(0)
+					for _, n := range r.nodes {
+						if g := n.serves[name]; r.state.Session.Present(n.Member) && g > 0 {
+							lo, hi = min(lo, g), max(hi, g)
+						}
+					}
+					if hi > lo+1 {
+						t.Fatalf("T2: present nodes serve generations %d to %d of %s", lo, hi, name)
+					}
+					if e.Committed != nil {
+						rollouts = max(rollouts, int(e.Committed.Number))
+						sum := 0.0
+						for _, l := range r.state.Tenants.Runs {
+							sum += l.Rates[name]
+						}
+						if q := e.Committed.Spec.Quota.Rate; sum > q*(1-fleet.FloorPart)+1e-6 {
+							t.Fatalf("T3: %g of %s's %g leased", sum, name, q)
+						}
+					}
+				}
+				for _, n := range r.nodes {
+					c := *n
+					c.held = map[string]fleet.Item{}
+					for k, v := range n.held {
+						c.held[k] = v
+					}
+					c.read(r.state)
+					whole := map[string]fleet.Item{}
+					for _, it := range r.state.Read(0, n.Node).Items {
+						whole[it.Key] = it
+					}
+					if d := cmp.Diff(whole, c.held); d != "" {
+						t.Fatalf("%s, reading changes, holds otherwise: %s", n.Node, d)
+					}
+				}
+			},
+		})
+	})
+	if rollouts < 2 || joins < 4 {
+		t.Errorf("generation %d and epoch %d at most: too little to prove anything", rollouts, joins)
+	}
+}
+
+// A run that holds nothing is present, and out until it has caught up; one that was away is present again only with what is
+// committed now, and what is committed between its report and its join refuses the join.
+func TestJoinIsGuarded(t *testing.T) {
+	r := newRig(t, 3)
+	all := func() {
+		for range 4 {
+			for _, n := range r.nodes[:2] {
+				n.read(r.state)
+				if a, err := r.hear(n.report()); err != nil || a.TTLMS == 0 {
+					t.Fatal(a, err)
+				}
+			}
+			r.step(300 * time.Millisecond)
+		}
+	}
+	roll := func(generation uint64) {
+		t.Helper()
+		if err := r.put("a", generation-1, 10*float64(generation)); err != nil {
+			t.Fatal(err)
+		}
+		all()
+		if e := r.state.Tenants.Tenants["a"]; e.Committed == nil || e.Committed.Number != generation || e.Applying {
+			t.Fatalf("generation %d is not on every present node: %+v", generation, e)
+		}
+	}
+	all()
+	roll(1)
+	late := r.nodes[2]
+	if a, err := r.hear(late.report()); err != nil || !a.Out || a.TTLMS == 0 || !r.state.Session.Present(late.Member) {
+		t.Errorf("a run that holds nothing: %+v, %v", a, err)
+	}
+	late.read(r.state)
+	if a, err := r.hear(late.report()); err != nil || a.Out || a.TTLMS == 0 {
+		t.Errorf("a run that has caught up: %+v, %v", a, err)
+	}
+	for range 6 { // longer than its lease
+		all()
+	}
+	if r.state.Session.Present(late.Member) {
+		t.Fatal("a silent run is present")
+	}
+	roll(2)
+	if a, err := r.hear(late.report()); err != nil || !a.Out || a.TTLMS != 0 || r.state.Session.Present(late.Member) {
+		t.Errorf("a run that was away, with generation 1: %+v, %v", a, err)
+	}
+	late.read(r.state)
+	rep := late.report()
+	c, out, err := r.judge.Admit(r.state, rep)
+	if c == nil || out || err != nil {
+		t.Fatalf("a run that was away and has caught up: %v %v %v", c, out, err)
+	}
+	roll(3)
+	if err := r.apply(*c); !errors.Is(err, ErrStale) || r.state.Session.Present(late.Member) {
+		t.Errorf("a join decided before generation 3: %v", err)
+	}
+	divide := Command{Tenants: &tenants.Command{Op: tenants.Divide, IfRev: r.state.Tenants.Divided, Epoch: r.state.Session.Epoch - 1,
+		Division: &tenants.Division{Slots: 8, Over: []tenants.Run{{Node: "n0", Incarnation: r.nodes[0].Incarnation}}}}}
+	if err := r.apply(divide); !errors.Is(err, ErrStale) {
+		t.Errorf("a division of an older epoch, which ends the lease of a run that may be back: %v", err)
+	}
+	rep.Seq = 0
+	rep.Node, rep.Incarnation = "n0", r.nodes[0].Incarnation
+	rep.Zone = "za"
+	if _, err := r.hear(rep); !errors.Is(err, ErrOlder) {
+		t.Errorf("a report replayed: %v", err)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	set, err := ParseSettings(fileText)
+	if err != nil || set.Slots != 8 || set.TTL != 6*time.Second || set.Zones.Region["zb"] != "gulf" || set.Zones.ColdTime != 5*time.Second {
+		t.Fatalf("%+v, %v", set, err)
+	}
+	if set, err := ParseSettings("slots = 1"); err != nil || set.TTL != 6*time.Second {
+		t.Errorf("the least there can be: %+v, %v", set, err)
+	}
+	for _, row := range []struct{ text, want string }{
+		{"", "slots"},
+		{"slots = 0", "slots"},
+		{"slots = 10000000", "slots"},
+		{"slots = 1.5", "slots"},
+		{"slots = 3\ncolour = 1", "colour: unknown key"},
+		{"slots = 3\n[cold]\nform = 1", "cold.form: unknown key"},
+		{"slots = 3\nttl_ms = 10", "ttl_ms"},
+		{"slots = 3\n[regions]\na = [\"x\"]\nb = [\"x\"]", "already"},
+		{"slots = 3\n[regions]\na = [\"x@y\"]", "no zone's name"},
+		{"slots = 3\n[cold]\nfrom = 2", "cold.from"},
+		{"slots = 3\n[cold]\nfrom = nan", "cold.from"},
+		{"slots = 3\n[cold]\ntime_ms = -1", "cold.time_ms"},
+		{"slots = 3\n[cold]\ntime_ms = inf", "cold.time_ms"},
+		{"slots = ", "line 1"},
+	} {
+		_, err := ParseSettings(row.text)
+		if !errors.Is(err, fleet.ErrInvalid) || !strings.Contains(err.Error(), row.want) {
+			t.Errorf("%q: %v, want %q", row.text, err, row.want)
+		}
+	}
+}
+
+// BenchmarkStep is one judgement of the leader, which comes ten times a second, beside the reports of all nodes, which come
+// one to four times a second each.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range [][2]int{{50, 10}, {300, 10}, {300, 200}} {
+		r := newRig(b, size[0])
+		r.judge = Office(r.set, 0, r.state)
+		r.judge.set.Slots, r.judge.set.Zones.Slots = size[0], size[0]
+		all := func() {
+			for _, n := range r.nodes {
+				n.read(r.state)
+				r.hear(n.report())
+			}
+			r.step(100 * time.Millisecond)
+		}
+		all()
+		for i := range size[1] {
+			r.put(fmt.Sprint("t", i), 0, 10)
+		}
+		for range 20 {
+			all()
+		}
+		name := fmt.Sprintf("nodes=%d/tenants=%d", size[0], size[1])
+		b.Run(name+"/step", func(b *testing.B) {
+			for b.Loop() {
+				r.step(time.Microsecond)
+			}
+		})
+		rep := r.nodes[0].report()
+		b.Run(name+"/report", func(b *testing.B) {
+			for b.Loop() {
+				rep.Seq++
+				r.hear(rep)
+			}
+		})
+	}
+}
--- a/internal/fleet/tenants/items.go
+++ b/internal/fleet/tenants/items.go
@@ -63,7 +63,11 @@
 	}
 	if node, ok := strings.CutPrefix(key, keyShare); ok && s.Runs[node] != nil {
 		l := s.Runs[node]
-		return item(key, l.Rev, fleet.Shares{Epoch: l.Division, Incarnation: l.Incarnation, Slots: s.Slots, Rates: l.Rates}), true
+		rates := l.Rates
+		if rates == nil { // as after a restore: the item's bytes are the same on every replica
+			rates = map[string]float64{}
+		}
+		return item(key, l.Rev, fleet.Shares{Epoch: l.Division, Incarnation: l.Incarnation, Slots: s.Slots, Rates: rates}), true
 	}
 	for _, t := range s.Tombs {
 		if t.Key == key {
