Serve the fleet's control plane on the replicas, under one revision with the list

A lost lead is now told as an unknown outcome, on the list's API too. The replica is split by concern.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,6 +34,7 @@
 	Drain      Op = "drain"      // its owner says: finish what you have, nothing new
 	Deregister Op = "deregister" // gone at once
 	Expire     Op = "expire"     // the leader's sweep: every lease lapsed at Now is gone
+	Fleet      Op = "fleet"      // a command on the fleet's state, which this package does not read
 )
 
 // Command is one entry of the replicated log. NowMS is the leader's clock when it proposed it, Unix ms.
@@ -43,6 +44,8 @@
 	ID    string `json:"id,omitempty"`
 	TTLMS int64  `json:"ttl_ms,omitempty"`
 	NowMS int64  `json:"now_ms"`
+	// Fleet is the command of package fleet/control that Op Fleet carries. The list only lends its revision (Bump).
+	Fleet json.RawMessage `json:"fleet,omitempty"`
 }
 
 // Errors a command can meet. They change nothing.
@@ -64,10 +67,13 @@
 	Asked     int64  `json:"asked_ms"`   // started_ms as the registrant gave it, before it was bounded
 }
 
-// State is the whole list. The zero State is not ready: use New.
+// State is the whole list. The zero State is not ready: use New. Rev is the revision of all that is replicated: the list
+// shares it with the fleet's intent (docs/fleet.md). Last is that of the list's own last change, and the version
+// that reads and watches of the list show: without a fleet the two are one.
 type State struct {
 	Rev     uint64             `json:"rev"`
-	Floor   uint64             `json:"floor"` // changes at or below it are compacted: older watches get the whole list
+	Last    uint64             `json:"last,omitempty"` // in a snapshot only where it is not Rev
+	Floor   uint64             `json:"floor"`          // changes at or below it are compacted: older watches get the whole list
 	Records map[string]*record `json:"records"`
 	keep    int
 }
@@ -78,13 +84,23 @@
 // Apply carries out one command and says whether it changed the list (and so made a new revision). Gone entries
 // older than keep revisions are compacted at each sweep and every keep revisions.
 func (s *State) Apply(c Command) (bool, error) {
+	before := s.Last
 	changed, err := s.apply(c)
-	if changed && s.Rev%uint64(s.keep) == 0 {
-		s.compact()
+	if changed {
+		s.Last = s.Rev
+		if keep := uint64(s.keep); s.Rev/keep != before/keep {
+			s.compact()
+		}
 	}
 	return changed, err
 }
 
+// Bump takes the next revision for a change of what is replicated beside the list. The list stays at its version.
+func (s *State) Bump() uint64 {
+	s.Rev++
+	return s.Rev
+}
+
 func (s *State) apply(c Command) (bool, error) {
 	switch c.Op {
 	case Register:
@@ -190,8 +206,8 @@
 // Read answers a whole read (since 0, watch false) or a watch from since: the entries changed after it, or the
 // whole list where since is compacted away or ahead of this list. Gone entries appear only among changes.
 func (s *State) Read(since uint64, watch bool) Answer {
-	full := !watch || since < s.Floor || since > s.Rev
-	a := Answer{Version: s.Rev, Full: full, Servers: []Entry{}}
+	full := !watch || since < s.Floor || since > s.Last
+	a := Answer{Version: s.Last, Full: full, Servers: []Entry{}}
 	for _, r := range s.Records {
 		if full && r.Entry.State != "gone" || !full && r.Rev > since {
 			a.Servers = append(a.Servers, r.Entry)
@@ -201,6 +217,13 @@
 	return a
 }
 
+// Each gives every entry that is known, gone ones too, with the revision of its last change, in no order.
+func (s *State) Each(f func(e Entry, rev uint64)) {
+	for _, r := range s.Records {
+		f(r.Entry, r.Rev)
+	}
+}
+
 // NextExpiry is the soonest time a lease lapses, Unix ms, or 0 where none is held.
 func (s *State) NextExpiry() int64 {
 	var next int64
@@ -212,20 +235,48 @@
 	return next
 }
 
-// Snapshot is the state as bytes, for raft's snapshots.
-func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s) }
+// withFleet is the version of a snapshot that has the fleet's state beside the list. One without has no version in it: builds
+// before the fleet wrote it so.
+const withFleet = 2
 
-// Restore replaces the state with a snapshot's.
-func (s *State) Restore(raw []byte) error {
-	next := State{keep: s.keep}
-	if err := json.Unmarshal(raw, &next); err != nil {
-		return fmt.Errorf("registry snapshot: %w", err)
+type snapshot struct {
+	State
+	Version int             `json:"version,omitempty"`
+	Fleet   json.RawMessage `json:"fleet,omitempty"`
+}
+
+// Snapshot is the state as bytes, for raft's snapshots, with the fleet's state beside it (nil: there is none, and the bytes
+// are as they were before there was a fleet).
+func (s *State) Snapshot(fleet json.RawMessage) ([]byte, error) {
+	out := snapshot{State: *s, Fleet: fleet}
+	if s.Last == s.Rev {
+		out.Last = 0
+	}
+	if fleet != nil {
+		out.Version = withFleet
+	}
+	return json.Marshal(out)
+}
+
+// Restore replaces the state with a snapshot's and gives the fleet's state that was beside it, or nil. A snapshot of a newer
+// version than this build knows is an error; an error changes nothing.
+func (s *State) Restore(raw []byte) (fleet json.RawMessage, err error) {
+	in := snapshot{State: State{keep: s.keep}}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, fmt.Errorf("registry snapshot: %w", err)
+	}
+	if in.Version > withFleet {
+		return nil, fmt.Errorf("registry snapshot: version %d, this build reads up to %d", in.Version, withFleet)
+	}
+	next := in.State
+	if next.Last == 0 {
+		next.Last = next.Rev
 	}
 	if next.Records == nil {
 		next.Records = map[string]*record{}
 	}
 	*s = next
-	return nil
+	return in.Fleet, nil
 }
 
 // TTL is a lease's length as a duration, within the limits.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -59,18 +59,18 @@
 		s.Apply(Command{Op: Register, Entry: entry(id), TTLMS: 1000, NowMS: 10})
 	}
 	s.Apply(Command{Op: Deregister, ID: "b", NowMS: 20})
-	raw, err := s.Snapshot()
+	raw, err := s.Snapshot(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	r := New(8)
-	if err := r.Restore(raw); err != nil {
+	if _, err := r.Restore(raw); err != nil {
 		t.Fatal(err)
 	}
 	if a, b := s.Read(1, true), r.Read(1, true); a.Version != b.Version || len(a.Servers) != len(b.Servers) {
 		t.Errorf("%+v against %+v", a, b)
 	}
-	if err := r.Restore([]byte("{")); err == nil {
+	if _, err := r.Restore([]byte("{")); err == nil {
 		t.Error("a broken snapshot taken")
 	}
 }
--- /dev/null
+++ b/internal/registry/replica/fleetdrift.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"net/http"
+	"time"
+
+	"starlingvalve/internal/fleet/control"
+	"starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/registry"
+)
+
+// logShown is how many of the newest entries of the log of repairs an answer has.
+const logShown = 50
+
+// drift answers GET /fleet/v1/drift: the verdicts, of one node or in one state where asked, and as a watch those changed after
+// since (docs/drift.md).
+func (o *office) drift(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	watch, err := registry.ParseWatch(q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := o.rep.fsm
+	f.mu.Lock()
+	if watch.Watching && watch.Since >= f.fleet.Drift.Rev && watch.Wait > 0 {
+		news := f.drift
+		f.mu.Unlock()
+		registry.Await(r.Context(), news, watch.Wait)
+		f.mu.Lock()
+	}
+	f.mu.Unlock()
+	out := struct {
+		Revision uint64 `json:"revision"`
+		drift.Summary
+		Verdicts []drift.Verdict `json:"verdicts"`
+		Log      []drift.Entry   `json:"log"`
+	}{Verdicts: []drift.Verdict{}, Log: []drift.Entry{}}
+	ok := o.inOffice(w, func(j *control.Judge, s *control.State) {
+		out.Revision, out.Summary = s.Drift.Rev, j.Drift(o.now(), s)
+		for _, v := range j.Verdicts(o.now(), time.Now().UnixMilli(), s) {
+			if node := q.Get("node"); node != "" && node != v.Node {
+				continue
+			}
+			if state := q.Get("state"); state != "" && state != v.State || watch.Watching && v.Rev <= watch.Since {
+				continue
+			}
+			out.Verdicts = append(out.Verdicts, v)
+		}
+		if log := j.Repairs(0); len(log) > 0 {
+			out.Log = log[max(len(log)-logShown, 0):]
+		}
+	})
+	if ok {
+		show(w, out)
+	}
+}
--- /dev/null
+++ b/internal/registry/replica/fleetmetrics.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// fleetMetrics are what GET /metrics of a replica with a fleet shows.
+type fleetMetrics struct {
+	handler  http.Handler
+	office   prometheus.Gauge
+	sessions prometheus.Gauge
+	revision prometheus.Gauge
+	step     prometheus.Histogram
+	reports  *prometheus.CounterVec
+	bad      *prometheus.CounterVec
+	commands *prometheus.CounterVec
+	drift    *prometheus.GaugeVec
+	suspect  prometheus.Gauge
+	repairs  *prometheus.CounterVec
+}
+
+func newFleetMetrics() *fleetMetrics {
+	reg := prometheus.NewRegistry()
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+		reg.MustRegister(g)
+		return g
+	}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+		reg.MustRegister(c)
+		return c
+	}
+	m := &fleetMetrics{office: gauge("fleet_office", "1 while this replica leads and judges."),
+		sessions: gauge("fleet_sessions", "Nodes present, as the leader last saw."),
+		revision: gauge("fleet_revision", "Revision of the newest change of the intent, as the leader last saw."),
+		reports:  counter("fleet_reports_total", "Reports of nodes by what became of them.", "result"),
+		bad:      counter("fleet_bad_bodies_total", "Bodies refused as malformed, too large or impossible, by path.", "path"),
+		commands: counter("fleet_commands_total", "Commands by core and outcome.", "core", "result"),
+		suspect:  gauge("fleet_drift_suspect", "1 while the detector of drift suspects itself and repairs nothing."),
+		repairs:  counter("fleet_drift_repairs_total", "Entries of the log of repairs, by what was done.", "act"),
+		drift:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_drift_nodes", Help: "Nodes by verdict, at the leader."}, []string{"state"}),
+		step:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "fleet_step_seconds", Help: "Time of one judgement.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)})}
+	reg.MustRegister(m.step, m.drift)
+	m.handler = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+	return m
+}
+
+// quiet lets one line a second through and counts the rest.
+type quiet struct {
+	mu      sync.Mutex
+	last    time.Time
+	skipped int
+}
+
+// ok says whether a line may be logged now, and how many were not since the last.
+func (q *quiet) ok() (skipped int, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now := time.Now(); now.Sub(q.last) >= time.Second {
+		skipped, q.skipped, q.last = q.skipped, 0, now
+		return skipped, true
+	}
+	q.skipped++
+	return 0, false
+}
--- /dev/null
+++ b/internal/registry/replica/list.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"starlingvalve/internal/registry"
+)
+
+// fresh says how long since this replica heard from a leader, and whether that is within the bound and the
+// replica has caught up with its own log.
+func (rep *Replica) fresh() (time.Duration, bool) {
+	if rep.raft.AppliedIndex() < rep.startLast {
+		return time.Since(rep.raft.LastContact()), false // still replaying what it had before a restart
+	}
+	if rep.raft.State() == raft.Leader {
+		return 0, true // raft steps a leader down once its lease lapses
+	}
+	if _, id := rep.raft.LeaderWithID(); id == "" {
+		return time.Since(rep.raft.LastContact()), false
+	}
+	age := time.Since(rep.raft.LastContact())
+	return age, age <= rep.cfg.Staleness
+}
+
+func (rep *Replica) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	watch, err := registry.ParseWatch(q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if q.Has("consistent") { // linearizable: the leader confirms it still leads and has applied all it committed
+		if rep.raft.State() != raft.Leader {
+			rep.notLeader(w)
+			return
+		}
+		if err := rep.raft.VerifyLeader().Error(); err != nil {
+			rep.notLeader(w)
+			return
+		}
+		if err := rep.raft.Barrier(5 * time.Second).Error(); err != nil {
+			http.Error(w, "not confirmed: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		watch = registry.Watch{}
+	}
+	rep.fsm.mu.Lock()
+	if watch.Watching && watch.Since >= rep.fsm.state.Rev && watch.Wait > 0 {
+		news := rep.fsm.news
+		rep.fsm.mu.Unlock()
+		registry.Await(r.Context(), news, watch.Wait)
+		rep.fsm.mu.Lock()
+	}
+	a := rep.fsm.state.Read(watch.Since, watch.Watching)
+	rep.fsm.mu.Unlock()
+	age, ok := rep.fresh()
+	w.Header().Set("X-Last-Contact-Ms", strconv.FormatInt(age.Milliseconds(), 10))
+	if !ok {
+		http.Error(w, "stale: no leader heard from within the bound", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(a)
+}
+
+type writeBody struct {
+	registry.Entry
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+func (rep *Replica) write(w http.ResponseWriter, r *http.Request) {
+	op := registry.Op(r.PathValue("op"))
+	var body writeBody
+	dec := json.NewDecoder(io.LimitReader(r.Body, 64<<10))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	c := registry.Command{Op: op, ID: body.ID, TTLMS: body.TTLMS, NowMS: time.Now().UnixMilli()}
+	switch op {
+	case registry.Register:
+		c.Entry, c.ID = body.Entry, ""
+	case registry.Renew, registry.Drain, registry.Deregister:
+	default:
+		http.Error(w, "no such operation", http.StatusNotFound)
+		return
+	}
+	if rep.raft.State() != raft.Leader {
+		rep.notLeader(w)
+		return
+	}
+	res, err := rep.propose(c)
+	if err != nil {
+		rep.notCommitted(w, err)
+		return
+	}
+	if res.err != nil {
+		code := http.StatusBadRequest
+		if errors.Is(res.err, registry.ErrUnknown) {
+			code = http.StatusNotFound
+		}
+		http.Error(w, res.err.Error(), code)
+		return
+	}
+	rep.fsm.mu.Lock()
+	rev := rep.fsm.state.Rev
+	rep.fsm.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"committed":true,"revision":%d}`+"\n", rev)
+}
+
+// notCommitted answers a raft error: that this replica does not lead, and nothing came of the call, or that the outcome
+// is not known.
+func (rep *Replica) notCommitted(w http.ResponseWriter, err error) {
+	if errors.Is(err, raft.ErrNotLeader) {
+		rep.notLeader(w)
+		return
+	}
+	rep.nameLeader(w)
+	http.Error(w, "not committed: "+err.Error(), http.StatusServiceUnavailable)
+}
+
+// notLeader answers 503 with the leader's HTTP address where it is known.
+func (rep *Replica) notLeader(w http.ResponseWriter) {
+	rep.nameLeader(w)
+	http.Error(w, "not the leader", http.StatusServiceUnavailable)
+}
+
+func (rep *Replica) nameLeader(w http.ResponseWriter) {
+	_, id := rep.raft.LeaderWithID()
+	for _, p := range rep.cfg.Peers {
+		if raft.ServerID(p.ID) == id {
+			w.Header().Set("X-Leader", p.HTTP)
+		}
+	}
+}
+
+func (rep *Replica) status(w http.ResponseWriter, _ *http.Request) {
+	_, leader := rep.raft.LeaderWithID()
+	rep.fsm.mu.Lock()
+	rev := rep.fsm.state.Rev
+	rep.fsm.mu.Unlock()
+	age, _ := rep.fresh()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(map[string]any{"id": rep.cfg.Self.ID, "state": rep.raft.State().String(), "leader": string(leader),
+		"revision": rev, "applied_index": rep.raft.AppliedIndex(), "last_contact_ms": age.Milliseconds()})
+}
--- /dev/null
+++ b/internal/registry/replica/peers.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/hashicorp/raft"
+)
+
+// Peer is one replica: its raft id, raft address and HTTP address.
+type Peer struct{ ID, Raft, HTTP string }
+
+// ParsePeer reads "ID=RAFT_ADDR=HTTP_ADDR".
+func ParsePeer(s string) (Peer, error) {
+	parts := strings.Split(s, "=")
+	if len(parts) != 3 || parts[0] == "" {
+		return Peer{}, fmt.Errorf("peer %q is not ID=RAFT_ADDR=HTTP_ADDR", s)
+	}
+	for _, a := range parts[1:] {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return Peer{}, fmt.Errorf("peer %q: %w", s, err)
+		}
+	}
+	return Peer{parts[0], parts[1], parts[2]}, nil
+}
+
+type routed map[raft.ServerID]raft.ServerAddress
+
+func (r routed) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	if a, ok := r[id]; ok {
+		return a, nil
+	}
+	return "", fmt.Errorf("no replica %s", id)
+}
+
+// routes gives the address each peer is dialed at: its own, or its route.
+func routes(cfg Config) routed {
+	out := routed{}
+	for _, p := range cfg.Peers {
+		out[raft.ServerID(p.ID)] = raft.ServerAddress(p.Raft)
+		if a, ok := cfg.Routes[p.ID]; ok {
+			out[raft.ServerID(p.ID)] = raft.ServerAddress(a)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/registry/replica/replica_test.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/raft"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/control"
+	"starlingvalve/internal/fleet/session"
+	"starlingvalve/internal/fleet/tenants"
+	"starlingvalve/internal/registry"
+)
+
+func log(c control.Command) *raft.Log { return &raft.Log{Data: fleetCommand(c)} }
+
+// A change of the fleet takes the next revision, wakes no watcher of the list, and comes back with a snapshot; a join
+// wakes no watcher of the intent either.
+func TestFSM(t *testing.T) {
+	f := newFSM(10)
+	list, intent := f.news, f.intent
+	woken := func(c chan struct{}) bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	}
+	raw, _ := json.Marshal(registry.Command{Op: registry.Register, Entry: registry.Entry{ID: "s", Addr: "127.0.0.1:1"}, TTLMS: 1000, NowMS: 1})
+	if a := f.Apply(&raft.Log{Data: raw}).(applied); !a.changed || !woken(list) || woken(intent) {
+		t.Fatalf("a registration: %+v", a)
+	}
+	list = f.news
+	m := fleet.Member{Node: "n", Zone: "z", Incarnation: 1}
+	join := control.Command{Session: &session.Command{Op: session.Join, Member: m}, Guard: f.fleet.Guard("n")}
+	if a := f.Apply(log(join)).(applied); a.rev != 2 || woken(list) || woken(intent) {
+		t.Fatalf("a join: %+v", a)
+	}
+	put := control.Command{Tenants: &tenants.Command{Op: tenants.Put, Name: "b", Spec: &fleet.Spec{Name: "b", Quota: fleet.Quota{Rate: 1, Burst: 1}}}}
+	if a := f.Apply(log(put)).(applied); a.rev != 3 || woken(list) || !woken(intent) {
+		t.Fatalf("a tenant: %+v", a)
+	}
+	if a := f.Apply(log(put)).(applied); !errors.Is(a.err, fleet.ErrConflict) || a.changed || f.state.Rev != 3 {
+		t.Fatalf("a tenant again: %+v", a)
+	}
+	if a := f.Apply(&raft.Log{Data: []byte(`{"op":"fleet","now_ms":0,"fleet":{"tenants":3}}`)}).(applied); a.err == nil || f.state.Rev != 3 {
+		t.Fatalf("a garbled command: %+v", a)
+	}
+	if a := f.state.Read(1, true); a.Version != 1 || a.Full || len(a.Servers) != 0 {
+		t.Errorf("the list after changes of the fleet: %+v", a)
+	}
+	snap, err := f.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := newFSM(10)
+	if err := g.Restore(io.NopCloser(bytes.NewReader(snap.(snapshot)))); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(f.fleet.Read(0, ""), g.fleet.Read(0, "")); d != "" || g.state.Rev != 3 || !g.fleet.Session.Present(m) {
+		t.Errorf("restored at revision %d: %s", g.state.Rev, d)
+	}
+	if err := g.Restore(io.NopCloser(bytes.NewReader([]byte(`{"rev":9,"version":2,"fleet":{"zones":1}}`)))); err == nil || g.state.Rev != 3 {
+		t.Errorf("a broken snapshot: %v, revision %d", err, g.state.Rev)
+	}
+}
+
+// Every asker of a batch gets the outcome of a check that began after it asked, and many share one.
+func TestBatch(t *testing.T) {
+	var begun, checks atomic.Int64
+	b := batch{check: func() error { begun.Add(1); checks.Add(1); time.Sleep(time.Millisecond); return nil }}
+	var all sync.WaitGroup
+	for range 200 {
+		all.Go(func() {
+			before := begun.Load()
+			if err := b.ask(); err != nil || begun.Load() <= before {
+				t.Errorf("%v: the check began before it was asked for", err)
+			}
+		})
+	}
+	all.Wait()
+	if n := checks.Load(); n > 20 {
+		t.Errorf("%d checks for 200 askers", n)
+	}
+}
--- /dev/null
+++ b/internal/registry/versions_test.go
@@ -0,0 +1,74 @@
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+func replay(t *testing.T, path string) *State {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(1000)
+	for _, line := range bytes.Split(bytes.TrimSpace(raw), []byte("\n")) {
+		var c Command
+		if err := json.Unmarshal(line, &c); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Apply(c); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		if again, _ := json.Marshal(c); !bytes.Equal(again, line) {
+			t.Errorf("a command of the list is written as %s, was %s", again, line)
+		}
+	}
+	return s
+}
+
+// A log and a snapshot that builds before the fleet wrote (testdata/v1-*) still restore, to the same list and on to the same
+// bytes; with the fleet's state beside it the list's answers stay the same.
+func TestOldLogAndSnapshotRestore(t *testing.T) {
+	s := replay(t, "testdata/v1-commands.jsonl")
+	old, err := os.ReadFile("testdata/v1-snapshot.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old = bytes.TrimSpace(old)
+	if raw, err := s.Snapshot(nil); err != nil || !bytes.Equal(raw, old) {
+		t.Errorf("snapshot without a fleet: %v\n%s\nwas\n%s", err, raw, old)
+	}
+	r := New(1000)
+	if fleet, err := r.Restore(old); err != nil || fleet != nil {
+		t.Fatalf("old snapshot: fleet %s, %v", fleet, err)
+	}
+	if d := cmp.Diff(s, r, cmpopts.IgnoreUnexported(State{})); d != "" {
+		t.Error(d)
+	}
+	if r.Bump() != 8 || r.Rev != 8 {
+		t.Fatalf("the fleet's revision is %d", r.Rev)
+	}
+	raw, _ := r.Snapshot(json.RawMessage(`{"a":1}`))
+	with := New(1000)
+	if fleet, err := with.Restore(raw); err != nil || string(fleet) != `{"a":1}` {
+		t.Fatalf("snapshot with a fleet: %s, %v", fleet, err)
+	}
+	for since := range uint64(9) {
+		if d := cmp.Diff(s.Read(since, true), with.Read(since, true)); d != "" {
+			t.Errorf("since %d, after a change of the fleet alone: %s", since, d)
+		}
+	}
+	with.Apply(Command{Op: Drain, ID: "a-2", NowMS: 9000})
+	if a := with.Read(7, true); a.Version != 9 || a.Full || len(a.Servers) != 1 {
+		t.Errorf("the list's next change: %+v", a)
+	}
+	if _, err := with.Restore([]byte(`{"rev":1,"version":3}`)); err == nil || with.Rev != 9 {
+		t.Errorf("a newer snapshot: %v, revision %d", err, with.Rev)
+	}
+}
