Let the list's agent leave a silent replica after 5 s, and reach replicas through relays

A watch of 20 s, given 5 more, kept an agent on a replica that had fallen silent for 25 s. It now waits 3 s and is given 2 more. Test with a replica that goes silent in the middle of a watch: left after 5 s, 25 s before.

--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,6 +20,13 @@
 	"starlingvalve/internal/registry"
 )
 
+// A watch waits so long at a replica, and is given so much more to answer in: a replica that falls silent is left after
+// both. Every answer says that the list is the newest, so a short wait also keeps its age true.
+const (
+	watchWait  = 3 * time.Second
+	watchSlack = 2 * time.Second
+)
+
 // Agent holds the list as last told.
 type Agent struct {
 	replicas []string
@@ -39,10 +47,15 @@
 
 // New makes an agent for the replicas' HTTP addresses.
 func New(replicas []string, log *slog.Logger) *Agent {
-	return &Agent{replicas: replicas, log: log, client: http.Client{Timeout: 25 * time.Second},
+	return &Agent{replicas: replicas, log: log, client: http.Client{Timeout: watchWait + watchSlack},
 		entries: map[string]registry.Entry{}, changed: map[string]uint64{}, news: make(chan struct{})}
 }
 
+// Dial sets how the replicas are reached; before Watch.
+func (a *Agent) Dial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
+	a.client.Transport = &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute}
+}
+
 // Watch follows the replicas until ctx ends.
 func (a *Agent) Watch(ctx context.Context) {
 	rnd := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0xa6e7))
@@ -72,9 +85,9 @@
 	a.mu.Lock()
 	since := a.version
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, 25*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/registry/instances?since=%d&timeout_ms=20000", replica, since)
+	url := fmt.Sprintf("http://%s/registry/instances?since=%d&timeout_ms=%d", replica, since, watchWait.Milliseconds())
 	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	resp, err := a.client.Do(req)
 	if err != nil {
--- a/internal/registry/agent/agent_test.go
+++ b/internal/registry/agent/agent_test.go
@@ -57,3 +57,36 @@
 		t.Errorf("dropped %d answers", a.Dropped)
 	}
 }
+
+// A replica that falls silent in the middle of a watch, its connection open: the agent leaves it for the other well before a
+// minute, or half of one, is over.
+func TestSilentWatchIsLeft(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer silent.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"version":5,"full":true,"servers":[]}`)
+	}))
+	defer good.Close()
+	a := New([]string{silent.Listener.Addr().String(), good.Listener.Addr().String()}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	start := time.Now()
+	if err := a.once(ctx, a.replicas[0]); err == nil {
+		t.Error("an answer of a silent replica")
+	}
+	if took := time.Since(start); took > 15*time.Second {
+		t.Errorf("a silent watch was left after %v", took)
+	}
+	go a.Watch(ctx)
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		a.mu.Lock()
+		v := a.version
+		a.mu.Unlock()
+		if v == 5 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the other replica's list never came")
+		}
+	}
+	cancel()
+}
