Add the fleet half of the agent: watch, durable copy, reports, its own count

A node talks to its agent alone. It tells nothing before the node was counted, and writes its copy before it hands on a report that names it.

--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,230 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sys/unix"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/fleet/session"
+)
+
+// Config places an agent.
+type Config struct {
+	Node, Zone string
+	Replicas   []string                                                          // their HTTP addresses
+	Dir        string                                                            // of the durable copy
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error) // how replicas are reached; nil: as named
+	Log        *slog.Logger
+}
+
+// Agent is a running fleet half. Start makes one.
+type Agent struct {
+	cfg    Config
+	client http.Client
+	zero   time.Time // of the clock, where the machine has no better
+	m      metrics
+	own    own
+
+	mu        sync.Mutex
+	copy      *Copy
+	again     map[string]bool // items to tell the node once more
+	counted   bool            // the control plane has counted the node: it may be told of quotas
+	saved     uint64          // revision that a restart would have at least
+	whole     bool            // the next watch asks for everything: the leader has asked for a restart
+	confirmed fleet.Time      // when a replica held the copy to be the newest it has; only with caughtUp
+	caughtUp  bool
+	news      chan struct{} // closed when the node is to be told something
+	dirty     chan struct{} // holds one: the copy is to be saved
+
+	holder  session.Holder
+	report  *carried      // the node's newest
+	reports chan struct{} // holds one: a report is to be carried
+	last    fleet.ReportAnswer
+	lastAt  fleet.Time // when the leader last answered
+	lost    bool       // no replica took the last report
+	fenced  bool       // the node's newest incarnation has a successor elsewhere
+	inc     uint64     // the largest incarnation seen, and its largest seq
+	seq     uint64
+}
+
+// carried is a report on its way to the leader.
+type carried struct {
+	raw  []byte
+	rev  uint64 // that the node holds by it
+	at   fleet.Time
+	inc  uint64
+	done chan struct{} // closed once the leader has answered it, or it has a successor
+	once sync.Once
+}
+
+func (c *carried) end() { c.once.Do(func() { close(c.done) }) }
+
+type metrics struct {
+	dropped, refused, badReports, saveErrors, renewals prometheus.Counter
+	revision                                           prometheus.Gauge
+}
+
+func newMetrics(reg prometheus.Registerer) metrics {
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+		reg.MustRegister(c)
+		return c
+	}
+	m := metrics{dropped: counter("fleet_agent_answers_dropped_total", "Answers of replicas that failed, were malformed or older than what the agent has."),
+		refused:    counter("fleet_agent_copies_refused_total", "Durable copies found damaged or not this node's."),
+		badReports: counter("fleet_agent_reports_refused_total", "Reports of the node that were malformed, too large or of an older incarnation."),
+		saveErrors: counter("fleet_agent_save_errors_total", "Times the durable copy could not be written."),
+		renewals:   counter("fleet_agent_renewals_total", "Reports that the leader answered with a lease."),
+		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "fleet_agent_revision", Help: "Newest revision of the intent that the agent has."})}
+	reg.MustRegister(m.revision)
+	return m
+}
+
+// Start reads the durable copy and follows the replicas until ctx ends. A copy that is damaged is refused, counted
+// and said; the agent starts without one.
+func Start(ctx context.Context, cfg Config, reg prometheus.Registerer) (*Agent, error) {
+	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, zero: time.Now(), m: newMetrics(reg), again: map[string]bool{}, news: make(chan struct{}),
+		dirty: make(chan struct{}, 1), reports: make(chan struct{}, 1)}
+	a.own.judge = drift.NewLocal(drift.Defaults())
+	a.client.Transport = &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	a.cfg.Log = cfg.Log.With("node", cfg.Node, "zone", cfg.Zone)
+	var err error
+	if a.copy, err = Load(cfg.Dir, cfg.Node); err != nil {
+		a.m.refused.Inc()
+		a.cfg.Log.Error("durable copy refused", "err", err)
+	}
+	a.counted, a.saved = a.copy.Revision > 0, a.copy.Revision // a copy is kept only of a node that was counted
+	a.m.revision.Set(float64(a.copy.Revision))
+	a.cfg.Log.Info("fleet agent starts", "revision", a.copy.Revision)
+	go a.watch(ctx)
+	go a.carry(ctx)
+	go a.save(ctx)
+	go a.judgeOwn(ctx)
+	return a, nil
+}
+
+// now reads the agent's clock: monotonic, and going on while the machine sleeps, as a session does at the leader.
+func (a *Agent) now() fleet.Time {
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return time.Since(a.zero)
+	}
+	return fleet.Time(ts.Nano())
+}
+
+// wake tells the node's watch that there is something new; the caller holds mu.
+func (a *Agent) wake() {
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+// take brings in a replica's answer that confirms the intent as of confirmed.
+func (a *Agent) take(in fleet.Intent, confirmed fleet.Time) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed, err := a.copy.Take(in)
+	if err != nil {
+		return err
+	}
+	if !a.caughtUp || confirmed > a.confirmed {
+		a.confirmed = confirmed
+	}
+	a.whole = a.whole && !in.Full
+	if changed {
+		a.m.revision.Set(float64(a.copy.Revision))
+		notify(a.dirty)
+	}
+	if changed || !a.caughtUp {
+		a.wake()
+	}
+	if !a.caughtUp {
+		a.caughtUp = true
+		a.cfg.Log.Info("caught up with a replica", "revision", a.copy.Revision)
+	}
+	return nil
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// count notes that the node has been counted, and has it told of what is intended. The caller holds mu.
+func (a *Agent) count() {
+	if !a.counted {
+		a.counted = true
+		notify(a.dirty)
+		a.wake()
+	}
+}
+
+// save writes the copy to disk after changes, at most every 50 ms. A copy that can't be written is taken away instead: an agent
+// that comes back without one tells its node nothing before the node is counted, but one with an old copy would tell it of
+// quotas that were larger.
+func (a *Agent) save(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.dirty:
+		}
+		a.mu.Lock()
+		counted := a.counted
+		c := Copy{Revision: a.copy.Revision, Items: maps.Clone(a.copy.Items)}
+		a.mu.Unlock()
+		if !counted {
+			continue
+		}
+		raw, err := c.Encode(a.cfg.Node)
+		if err == nil {
+			err = Save(a.cfg.Dir, a.cfg.Node, raw, c.Revision)
+		}
+		if err != nil {
+			a.m.saveErrors.Inc()
+			a.cfg.Log.Error("durable copy not written", "revision", c.Revision, "err", err)
+			err = Remove(a.cfg.Dir)
+		}
+		if err == nil {
+			a.mu.Lock()
+			a.saved = max(a.saved, c.Revision)
+			a.mu.Unlock()
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// retries is the wait between tries at replicas: 50 ms doubling to 2 s, half of it by chance.
+func retries() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.Multiplier, b.RandomizationFactor, b.MaxInterval = 50*time.Millisecond, 2, 0.5, 2*time.Second
+	b.Reset()
+	return b
+}
+
+// anyReplica is where a loop starts, so that agents are spread over the replicas.
+func (a *Agent) anyReplica() int { return rand.IntN(len(a.cfg.Replicas)) }
--- /dev/null
+++ b/internal/fleet/agent/own.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+)
+
+// ownEvery is how often the agent judges its own node.
+const ownEvery = 250 * time.Millisecond
+
+// own is the agent's judgement of its own node, by the agent's copy (docs/drift.md): a machine that is cut off still knows.
+type own struct {
+	mu     sync.Mutex
+	judge  *drift.Local
+	member fleet.Member // of the newest report; none: Node is empty
+}
+
+// ownStep judges the node by what the agent has now, and has it told again what it lacks. It gives what the next report is to
+// carry.
+func (a *Agent) ownStep(rep *fleet.Report) (want []string) {
+	a.mu.Lock()
+	in := drift.Intended{Revision: a.copy.Revision, Items: make([]fleet.Item, 0, len(a.copy.Items))}
+	for _, it := range a.copy.Items {
+		in.Items = append(in.Items, it)
+	}
+	counted, caughtUp, now := a.counted, a.caughtUp, a.now()
+	a.mu.Unlock()
+	a.own.mu.Lock()
+	if rep != nil {
+		a.own.member = rep.Member
+		a.own.judge.Observe(now, *rep) // refuses what hand refuses
+	}
+	if a.own.member.Node == "" || !counted {
+		a.own.mu.Unlock()
+		return nil
+	}
+	a.own.judge.Step(now, in, a.own.member, caughtUp)
+	var resend []string
+	if rep != nil {
+		resend, want = a.own.judge.Answer(rep.Node)
+	}
+	a.own.mu.Unlock()
+	if len(resend) > 0 {
+		a.mu.Lock()
+		a.tellAgain(resend)
+		a.mu.Unlock()
+		a.cfg.Log.Warn("own node drifts: telling it again", "keys", resend)
+	}
+	return want
+}
+
+// tellAgain has the node told items again whatever their revision. The caller holds mu.
+func (a *Agent) tellAgain(keys []string) {
+	for _, k := range keys {
+		a.again[k] = true
+	}
+	a.wake()
+}
+
+// judgeOwn judges the node while the agent runs, also when no report comes.
+func (a *Agent) judgeOwn(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.ownStep(nil)
+		pause(ctx, ownEvery)
+	}
+}
+
+// drift answers GET /fleet/v1/drift at the agent: what it thinks of its own node, in the leader's form.
+func (a *Agent) drift(w http.ResponseWriter, _ *http.Request) {
+	a.own.mu.Lock()
+	v, ok := a.own.judge.Verdict(a.now(), time.Now().UnixMilli(), a.cfg.Node)
+	a.own.mu.Unlock()
+	out := map[string][]drift.Verdict{"verdicts": {}}
+	if ok {
+		out["verdicts"] = append(out["verdicts"], v)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(out)
+}
+
+// union adds to a what of b it has not.
+func union(a, b []string) []string {
+	for _, s := range b {
+		if !slices.Contains(a, s) {
+			a = append(a, s)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/fleet/agent/serve.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/registry"
+)
+
+// answerWait is the longest a node's report waits for the leader's answer to it; then it gets what the leader last said.
+const answerWait = 250 * time.Millisecond
+
+// Routes puts the agent's paths on mux.
+func (a *Agent) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /fleet/v1/intent", a.intent)
+	mux.HandleFunc("POST /fleet/v1/report", a.takeReport)
+	mux.HandleFunc("GET /fleet/v1/drift", a.drift)
+}
+
+// intent answers the node's watch from the copy: at once where there is something new, else when there is, or when the
+// time asked for is over. A node that the control plane has not counted yet is told nothing: of a quota that it heard of, a floor
+// would be its own for good, and nobody would keep it back.
+func (a *Agent) intent(w http.ResponseWriter, r *http.Request) {
+	watch, err := registry.ParseWatch(r.URL.Query())
+	if node := r.URL.Query().Get("node"); err == nil && node != "" && node != a.cfg.Node {
+		err = fmt.Errorf("node: this agent is %s's", a.cfg.Node)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	start := time.Now()
+	a.mu.Lock()
+	if (watch.Since >= a.copy.Revision || !a.counted) && watch.Wait > 0 && len(a.again) == 0 {
+		news := a.news
+		a.mu.Unlock()
+		registry.Await(r.Context(), news, watch.Wait)
+		a.mu.Lock()
+	}
+	in := fleet.Intent{Revision: watch.Since, Full: watch.Since == 0, Items: []fleet.Item{}} // nothing new
+	if a.counted {
+		in = a.copy.Read(watch.Since, a.again)
+		clear(a.again)
+	}
+	now := a.now()
+	in.CaughtUp = a.caughtUp && a.counted
+	in.AgeMS = (now - a.confirmed).Milliseconds()
+	if !a.caughtUp {
+		in.AgeMS = (now + copyAge).Milliseconds()
+	}
+	in.HeldMS = a.holder.Left(now).Milliseconds()
+	a.mu.Unlock()
+	w.Header().Set("X-Waited-Ms", strconv.FormatInt(time.Since(start).Milliseconds(), 10))
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(in)
+}
+
+// copyAge is added to the age of what comes from disk alone: nobody knows how long the machine was away, and it is over every
+// bound of an age.
+const copyAge = 24 * time.Hour
+
+// takeReport takes the node's report, hands it on, and answers with the leader's word on it, or the last one where the
+// leader is slow or gone.
+func (a *Agent) takeReport(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, fleet.ReportLimit+1))
+	if err != nil {
+		return // the node has gone
+	}
+	rep, err := fleet.DecodeReport(raw)
+	if err == nil && (rep.Node != a.cfg.Node || rep.Zone != a.cfg.Zone) {
+		err = fmt.Errorf("%w: node, zone: this agent is that of %s in %s", fleet.ErrInvalid, a.cfg.Node, a.cfg.Zone)
+	}
+	if err != nil {
+		a.m.badReports.Inc()
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c, err := a.hand(rep, raw)
+	if err != nil {
+		a.m.badReports.Inc()
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	want := a.ownStep(&rep)
+	t := time.NewTimer(answerWait)
+	defer t.Stop()
+	select {
+	case <-c.done:
+	case <-t.C:
+	case <-r.Context().Done():
+		return
+	}
+	a.mu.Lock()
+	ans, fenced := a.word(), a.fenced && c.inc == a.inc
+	a.mu.Unlock()
+	if fenced {
+		http.Error(w, fleet.ErrFenced.Error(), http.StatusConflict)
+		return
+	}
+	ans.Want = union(ans.Want, want)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(ans)
+}
+
+// hand makes rep the one to carry, unless it is of an older incarnation or not newer than the last.
+func (a *Agent) hand(rep fleet.Report, raw []byte) (*carried, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case rep.Incarnation < a.inc:
+		return nil, fmt.Errorf("%w: %d, seen %d", fleet.ErrFenced, rep.Incarnation, a.inc)
+	case rep.Incarnation == a.inc && rep.Seq <= a.seq:
+		return nil, fmt.Errorf("seq: %d, seen %d", rep.Seq, a.seq)
+	case rep.Incarnation > a.inc:
+		a.holder.Drop()
+		a.last, a.fenced = fleet.ReportAnswer{}, false
+		a.cfg.Log.Info("node's process", "incarnation", rep.Incarnation, "revision", rep.Revision)
+	}
+	a.inc, a.seq = rep.Incarnation, rep.Seq
+	if a.report != nil {
+		a.report.end()
+	}
+	if slices.ContainsFunc(rep.Tenants, func(t fleet.TenantAck) bool { return t.UID != 0 }) {
+		a.count() // it was, as it has been told of tenants
+	}
+	a.report = &carried{raw: raw, rev: rep.Revision, at: a.now(), inc: rep.Incarnation, done: make(chan struct{})}
+	notify(a.reports)
+	return a.report, nil
+}
+
+// word is what the node is told on a report: the leader's last word, what it wants told once, and what is left of the session by
+// the agent's count. That the node is out for want of a session is forgotten once the leader has been gone for
+// outFor: without a control plane the node's own rules hold. The caller holds mu.
+func (a *Agent) word() fleet.ReportAnswer {
+	ans := a.last
+	a.last.Want = nil
+	if ans.Out && ans.TTLMS == 0 && a.now()-a.lastAt > outFor {
+		ans.Out = false
+	}
+	ans.TTLMS = a.holder.Left(a.now()).Milliseconds()
+	ans.Resend, ans.Restart = nil, false // the agent's own work
+	return ans
+}
+
+const outFor = 6 * time.Second
--- /dev/null
+++ b/internal/fleet/agent/serve_test.go
@@ -0,0 +1,150 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"starlingvalve/internal/fleet"
+)
+
+// leader stands in for a replica: its intent never changes, and it answers reports as it is told.
+type leader struct {
+	mu      sync.Mutex
+	code    int
+	answer  string
+	reports int
+}
+
+func (l *leader) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	code, answer := l.code, l.answer
+	if r.Method == http.MethodPost {
+		l.reports++
+	}
+	l.mu.Unlock()
+	if r.Method != http.MethodPost {
+		io.WriteString(w, `{"revision":5,"full":true,"items":[{"key":"zone/a","rev":5,"body":{"phase":"left","valid_ms":5000}}]}`)
+		return
+	}
+	w.WriteHeader(code)
+	io.WriteString(w, answer)
+}
+
+func (l *leader) says(code int, answer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.code, l.answer = code, answer
+}
+
+// The node's reports: bad ones change nothing and are counted; an answer renews the session; what the leader wants, and what it has
+// the agent tell again, comes once; a 409 ends the session until the node has a new incarnation.
+func TestReports(t *testing.T) {
+	lead, dir := &leader{}, t.TempDir()
+	srv := httptest.NewServer(lead)
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	reg := prometheus.NewRegistry()
+	a, err := Start(ctx, Config{Node: "n", Zone: "z", Replicas: []string{srv.Listener.Addr().String()}, Dir: dir,
+		Log: slog.New(slog.DiscardHandler)}, reg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	a.Routes(mux)
+	post := func(body string) (int, string) {
+		rec := httptest.NewRecorder()
+		mux.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/fleet/v1/report", strings.NewReader(body)))
+		return rec.Code, rec.Body.String()
+	}
+	get := func(query string) (fleet.Intent, string) {
+		rec := httptest.NewRecorder()
+		mux.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/fleet/v1/intent"+query, nil))
+		in, _ := fleet.DecodeIntent(rec.Body.Bytes())
+		return in, rec.Body.String()
+	}
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("never: ", what)
+			}
+		}
+	}
+	seq := 0
+	next := func(inc int) (int, string) {
+		seq++
+		return post(fmt.Sprintf(`{"node":"n","zone":"z","incarnation":%d,"seq":%d,"later_field":1}`, inc, seq))
+	}
+	lead.says(200, `{"ttl_ms":6000,"revision":5,"want":["~*"],"resend":["zone/a"]}`)
+	until("the intent at hand", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.caughtUp })
+	if in, text := get("?since=0"); in.CaughtUp || len(in.Items) != 0 || in.Revision != 0 || !in.Full {
+		t.Errorf("told before the node was counted: %s", text)
+	}
+	if in, text := get("?since=3"); in.CaughtUp || len(in.Items) != 0 || in.Revision != 3 || in.Full {
+		t.Errorf("told before the node was counted: %s", text)
+	}
+	if _, err := os.Stat(filepath.Join(dir, copyName)); err == nil {
+		t.Error("a copy kept before the node was counted")
+	}
+	until("wanted", func() bool { _, text := next(7); return strings.Contains(text, `"want":["~*"]`) })
+	lead.says(200, `{"ttl_ms":6000,"revision":5}`)
+	until("told again", func() bool { in, _ := get("?since=5"); return !in.Full && len(in.Items) == 1 })
+	until("counted, and told", func() bool { in, _ := get("?since=0"); return in.CaughtUp && len(in.Items) == 1 })
+	until("held, and the wish told once", func() bool {
+		_, text := next(7)
+		in, _ := get("?since=5")
+		return !strings.Contains(text, "want") && in.HeldMS > 0 && in.HeldMS <= 5760 && in.AgeMS < 10_000
+	})
+	for _, row := range []struct {
+		body string
+		code int
+		want string
+	}{
+		{`{"node":"m","zone":"z","incarnation":7,"seq":99}`, 400, "node, zone"},
+		{`{"node":"n","zone":"y","incarnation":7,"seq":99}`, 400, "node, zone"},
+		{`{"node":"n","zone":"z","incarnation":7,"seq":1}`, 409, "seq"},
+		{`{"node":"n","zone":"z","incarnation":6,"seq":99}`, 409, "older incarnation"},
+		{`{"node":"n","zone":"z","incarnation":7,"seq":99`, 400, "invalid"},
+		{strings.Repeat(" ", fleet.ReportLimit+1), 400, "invalid"},
+	} {
+		if code, text := post(row.body); code != row.code || !strings.Contains(text, row.want) {
+			t.Errorf("%.60s: %d %s", row.body, code, text)
+		}
+	}
+	if in, text := get("?since=5&node=m"); in.Revision != 0 || !strings.Contains(text, "this agent is n's") {
+		t.Errorf("another node's watch: %s", text)
+	}
+	lead.says(409, "older incarnation")
+	until("refused", func() bool { code, _ := next(7); in, _ := get("?since=5"); return code == 409 && in.HeldMS == 0 })
+	lead.says(200, `{"ttl_ms":6000,"revision":5}`)
+	until("held again by a new incarnation", func() bool { next(8); in, _ := get("?since=5"); return in.HeldMS > 0 })
+	lead.says(200, `{"revision":5,"out":true}`)
+	until("out", func() bool {
+		_, text := next(8)
+		in, _ := get("?since=5")
+		return strings.Contains(text, `"out":true`) && in.HeldMS == 0
+	})
+	lead.says(200, `garbage`)
+	if code, text := next(8); code != 200 || !strings.Contains(text, `"out":true`) {
+		t.Errorf("a garbled answer of the leader changed the last word: %d %s", code, text)
+	}
+	metrics, _ := reg.Gather()
+	for _, m := range metrics {
+		if m.GetName() == "fleet_agent_reports_refused_total" && m.Metric[0].Counter.GetValue() != 6 {
+			t.Errorf("bad reports counted: %v", m.Metric[0].Counter.GetValue())
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/watch.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// A watch waits so long at a replica, and is given so much more to answer in. It is short, as each answer confirms the age of
+// what the node is served, and directives hold for 5 s after one.
+const (
+	watchWait  = time.Second
+	watchSlack = 1500 * time.Millisecond
+)
+
+// watch follows the replicas, one at a time; where one fails it goes on to the next.
+func (a *Agent) watch(ctx context.Context) {
+	b, i := retries(), a.anyReplica()
+	for ctx.Err() == nil {
+		err := a.once(ctx, a.cfg.Replicas[i])
+		if err == nil {
+			b.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		a.m.dropped.Inc()
+		a.cfg.Log.Warn("intent: answer dropped", "replica", a.cfg.Replicas[i], "err", err)
+		i = (i + 1) % len(a.cfg.Replicas)
+		pause(ctx, b.NextBackOff())
+	}
+}
+
+// once makes one watch call and takes its answer, or says why not.
+func (a *Agent) once(ctx context.Context, replica string) error {
+	a.mu.Lock()
+	since := a.copy.Revision
+	if a.whole {
+		since = 0
+	}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	q := url.Values{"since": {strconv.FormatUint(since, 10)}, "timeout_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)}, "node": {a.cfg.Node}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+replica+"/fleet/v1/intent?"+q.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	t0 := a.now()
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, fleet.IntentLimit+1))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %.100q", resp.StatusCode, raw)
+	}
+	in, err := fleet.DecodeIntent(raw)
+	if err != nil {
+		return err
+	}
+	// The replica read its state after it had waited: no sooner than t0 and what it waited. It had heard from the
+	// leader so long before. What the answer took to come is counted as age, as it can't be told apart.
+	return a.take(in, min(t0+ms(resp.Header, "X-Waited-Ms"), a.now())-ms(resp.Header, "X-Last-Contact-Ms"))
+}
+
+// ms reads a header in ms, 0 to a minute; one that is not such a number is 0.
+func ms(h http.Header, name string) time.Duration {
+	n, err := strconv.Atoi(h.Get(name))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(max(n, 0), 60_000)) * time.Millisecond
+}
