--- /dev/null
+++ b/cmd/listd/drift_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+)
+
+type driftAnswer struct {
+	Revision uint64
+	States   map[string]int
+	Suspect  bool
+	Verdicts []drift.Verdict
+	Log      []drift.Entry
+}
+
+func (f *fleetUp) drift(query string) (a driftAnswer) {
+	f.t.Helper()
+	code, text := f.api(http.MethodGet, "/fleet/v1/drift"+query, nil)
+	if err := json.Unmarshal([]byte(text), &a); code != http.StatusOK || err != nil {
+		f.t.Fatalf("drift%s: %d %s", query, code, text)
+	}
+	return a
+}
+
+// One of ten nodes holds another tenant's rules than it was told: the leader names it, the item and the field, and has its agent
+// tell it again; the verdict's first-seen time outlives the leader. Then one node falls silent, and one has a ban of its operators.
+func TestDrift(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 10, "")
+	f.present()
+	f.mustPut("brand", 0, 100)
+	f.settled("brand", 1)
+	f.until("all in step", func() bool { return f.drift("").States[drift.InStep] == 10 })
+
+	odd := f.nodes[4]
+	odd.with(func() {
+		odd.odd = func(facts []fleet.Held) []fleet.Held {
+			for i, h := range facts {
+				if h.Key != "tenant/brand" {
+					continue
+				}
+				var b fleet.HeldTenant
+				json.Unmarshal(h.Body, &b)
+				b.Committed.Rate = 999
+				facts[i], _, _ = drift.Hold(h.Key, b)
+			}
+			return facts
+		}
+	})
+	f.until("the node named", func() bool {
+		a := f.drift("?node=n04&state=" + drift.Diverged)
+		return len(a.Verdicts) == 1 && slices.ContainsFunc(a.Verdicts[0].Items, func(d drift.Difference) bool {
+			return d.Key == "tenant/brand" && d.Field == "committed.rate" && d.Intended == "100" && d.Applied == "999"
+		})
+	})
+	f.until("told again", func() bool {
+		return slices.ContainsFunc(f.drift("").Log, func(e drift.Entry) bool { return e.Node == "n04" && slices.Contains(e.Keys, "tenant/brand") })
+	})
+	first := f.drift("?node=n04").Verdicts[0].FirstSeenMS
+	lead := f.leader()
+	f.Kill(lead)
+	f.until("the verdict again, by another leader", func() bool {
+		a := f.drift("?node=n04&state=" + drift.Diverged)
+		return len(a.Verdicts) == 1 && a.Verdicts[0].FirstSeenMS == first
+	})
+	odd.with(func() { odd.odd = nil })
+	f.until("all in step again", func() bool { return f.drift("").States[drift.InStep] == 10 })
+
+	f.nodes[5].with(func() { f.nodes[5].silent = true })
+	f.nodes[6].with(func() {
+		f.nodes[6].odd = func(facts []fleet.Held) []fleet.Held {
+			ban, _, _ := drift.Hold("ban/s-1", fleet.HeldBan{Out: true})
+			ban.By, ban.SinceMS = "ops", 1000
+			return append(facts, ban)
+		}
+	})
+	f.until("one silent, one overridden", func() bool {
+		a := f.drift("")
+		over := slices.ContainsFunc(a.Verdicts, func(v drift.Verdict) bool {
+			return v.Node == "n06" && v.State == drift.Overridden && len(v.Overrides) == 1 && v.Overrides[0].By == "ops"
+		})
+		return over && a.States[drift.Silent] == 1 && a.States[drift.InStep] == 8
+	})
+	before := f.drift("").Revision
+	f.nodes[5].with(func() { f.nodes[5].silent = false })
+	f.until("a watch to tell of n05", func() bool {
+		a := f.drift("?timeout_ms=5000&since=" + strconv.FormatUint(before, 10))
+		return slices.ContainsFunc(a.Verdicts, func(v drift.Verdict) bool { return v.Node == "n05" && v.State == drift.InStep })
+	})
+}
--- a/cmd/listd/main.go
+++ b/cmd/listd/main.go
@@ -2,10 +2,13 @@
 //
 //	listd serve --id a --peer a=RAFT=HTTP --peer b=RAFT=HTTP --peer c=RAFT=HTTP --dir DATA
 //	listd agent --replica HTTP --replica HTTP --listen 127.0.0.1:PORT
+//	listd serve ... --fleet FILE.toml
+//	listd agent ... --node NAME --zone ZONE --dir DATA
 //	listd tenants apply FILE | status NAME | delete NAME --replica HTTP --replica HTTP
 //
 // serve runs one replica of three or five: PROTOCOL's GET /registry/instances and the registration API.
 // agent runs beside a node and serves it the list it watches from the replicas.
+// With --fleet and --node the two are the control plane and the agent of docs/fleet.md, too.
 package main
 
 import (
@@ -21,8 +24,12 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/spf13/cobra"
 
+	fleetagent "starlingvalve/internal/fleet/agent"
+	"starlingvalve/internal/fleet/control"
 	"starlingvalve/internal/registry/agent"
 	"starlingvalve/internal/registry/replica"
 )
@@ -36,7 +43,7 @@
 }
 
 func serveCmd() *cobra.Command {
-	var id, dir string
+	var id, dir, fleetFile string
 	var peers, routes []string
 	var staleness time.Duration
 	var keep int
@@ -66,6 +73,17 @@
 			if dir == "" {
 				return fmt.Errorf("--dir is needed: raft's log and snapshots are kept there")
 			}
+			if fleetFile != "" {
+				raw, err := os.ReadFile(fleetFile)
+				if err != nil {
+					return fmt.Errorf("--fleet: %w", err)
+				}
+				set, err := control.ParseSettings(string(raw))
+				if err != nil {
+					return fmt.Errorf("--fleet %s: %w", fleetFile, err)
+				}
+				cfg.Fleet = &set
+			}
 			log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("replica", id)
 			cfg.Log = log
 			rep, err := replica.Start(cfg)
@@ -84,19 +102,23 @@
 	cmd.Flags().StringArrayVar(&peers, "peer", nil, "ID=RAFT_ADDR=HTTP_ADDR of each replica, this one too")
 	cmd.Flags().StringArrayVar(&routes, "route", nil, "ID=ADDR: dial that peer's raft at ADDR, as through a relay")
 	cmd.Flags().StringVar(&dir, "dir", "", "where raft's log, stable store and snapshots are kept")
+	cmd.Flags().StringVar(&fleetFile, "fleet", "", "the fleet's settings, a TOML file (docs/fleet.md); without it there is no fleet")
 	cmd.Flags().DurationVar(&staleness, "staleness", 2*time.Second, "the longest a follower answers reads without a leader's word")
 	cmd.Flags().IntVar(&keep, "keep-revisions", 1000, "revisions a gone entry is kept before watches from before it get the whole list")
 	return cmd
 }
 
 func agentCmd() *cobra.Command {
-	var replicas []string
-	var listen, addrMap string
+	var replicas, via []string
+	var listen, addrMap, node, zone, dir string
 	cmd := &cobra.Command{Use: "agent", Short: "Serve a node the list watched from the replicas", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if len(replicas) == 0 {
 				return fmt.Errorf("--replica is needed, once for each replica's HTTP address")
 			}
+			if node != "" && (zone == "" || dir == "") || node == "" && (zone != "" || dir != "") {
+				return fmt.Errorf("--node, --zone and --dir go together: the node whose fleet half this is, its zone, and where the copy of the intent is kept")
+			}
 			log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("agent", listen)
 			ln, err := net.Listen("tcp", listen)
 			if err != nil {
@@ -104,7 +126,12 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
+			dial, err := routes(via)
+			if err != nil {
+				return err
+			}
 			a := agent.New(replicas, log)
+			a.Dial(dial)
 			if addrMap != "" {
 				raw, err := os.ReadFile(addrMap)
 				if err != nil {
@@ -115,7 +142,13 @@
 				}
 			}
 			go a.Watch(ctx)
-			srv := &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
+			handler := http.Handler(a)
+			if node != "" {
+				if handler, err = fleetHalf(ctx, a, fleetagent.Config{Node: node, Zone: zone, Dir: dir, Replicas: replicas, Dial: dial, Log: log}); err != nil {
+					return err
+				}
+			}
+			srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 			go func() { <-ctx.Done(); srv.Close() }()
 			log.Info("serving", "listen", ln.Addr().String(), "replicas", len(replicas))
 			if err := srv.Serve(ln); err != http.ErrServerClosed {
@@ -124,7 +157,44 @@
 			return nil
 		}}
 	cmd.Flags().StringArrayVar(&replicas, "replica", nil, "a replica's HTTP address; once for each")
+	cmd.Flags().StringArrayVar(&via, "route", nil, "HTTP=ADDR: reach that replica at ADDR, as through a relay")
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "where the node asks, on loopback")
+	cmd.Flags().StringVar(&node, "node", "", "the node's name in the fleet: turns on the fleet half (docs/fleet.md)")
+	cmd.Flags().StringVar(&zone, "zone", "", "the node's zone; with --node")
+	cmd.Flags().StringVar(&dir, "dir", "", "where the durable copy of the intent is kept; with --node")
 	cmd.Flags().StringVar(&addrMap, "addr-map", "", "a JSON file of server id to the address this machine reaches it at")
 	return cmd
 }
+
+// fleetHalf starts the agent's fleet half and gives a handler of its paths, its metrics, and the list for all else.
+func fleetHalf(ctx context.Context, list http.Handler, cfg fleetagent.Config) (http.Handler, error) {
+	reg := prometheus.NewRegistry()
+	f, err := fleetagent.Start(ctx, cfg, reg)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	f.Routes(mux)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle("/", list)
+	return mux, nil
+}
+
+// routes gives a dialer that reaches the replicas named in "HTTP=ADDR" at ADDR.
+func routes(via []string) (func(ctx context.Context, network, addr string) (net.Conn, error), error) {
+	to := map[string]string{}
+	for _, v := range via {
+		replica, addr, ok := strings.Cut(v, "=")
+		if !ok {
+			return nil, fmt.Errorf("--route %q is not HTTP=ADDR", v)
+		}
+		to[replica] = addr
+	}
+	d := net.Dialer{Timeout: 2 * time.Second}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if via, ok := to[addr]; ok {
+			addr = via
+		}
+		return d.DialContext(ctx, network, addr)
+	}, nil
+}
--- /dev/null
+++ b/cmd/listd/rollout_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// tenant reads a tenant at the leader: a follower may be a moment behind.
+func (f *fleetUp) tenant(name string) (tn fleet.Tenant) {
+	f.t.Helper()
+	f.until("a read of "+name, func() bool {
+		resp, err := fleetClient.Get("http://" + f.HTTP[f.leader()] + "/fleet/v1/tenants/" + name)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusNotFound || decode(resp, &tn)
+	})
+	return tn
+}
+
+// Tenants on ten nodes: a rollout, a refusal by one node, two operators at once, a name deleted and made again at once, and
+// 200 tenants in one go.
+func TestTenants(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 10, "")
+	f.present()
+	f.mustPut("brand", 0, 100)
+	f.settled("brand", 1)
+	for _, n := range f.nodes {
+		f.until("the share of "+n.name, func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			_, ok := n.held["share/"+n.name]
+			return ok && len(n.held) == 2 // and no other node's
+		})
+	}
+
+	t.Run("refused", func(t *testing.T) {
+		f.nodes[3].with(func() { f.nodes[3].refuse = "no server matches routes[0]" })
+		f.mustPut("brand", 1, 200)
+		f.until("the rollback", func() bool { return f.status("brand").Phase == "settled" })
+		f.nodes[3].with(func() { f.nodes[3].refuse = "" })
+		if s := f.tenant("brand"); s.Committed.Number != 1 || !strings.Contains(s.RolledBack, "n03") || !strings.Contains(s.RolledBack, "no server matches") {
+			t.Errorf("after a refusal: %+v", s)
+		}
+	})
+
+	t.Run("two operators", func(t *testing.T) {
+		for g := uint64(1); g <= 4; g++ {
+			codes := [2]int{}
+			var both sync.WaitGroup
+			for i := range codes {
+				both.Go(func() { codes[i], _ = f.put("brand", g, float64(1000*int(g)+i)) })
+			}
+			both.Wait()
+			if codes[0]+codes[1] != http.StatusOK+http.StatusConflict {
+				t.Fatalf("generation %d: %v", g, codes)
+			}
+			f.settled("brand", g+1)
+			want := float64(1000 * int(g))
+			if codes[1] == http.StatusOK {
+				want++
+			}
+			if s := f.tenant("brand"); s.Committed.Spec.Quota.Rate != want {
+				t.Errorf("generation %d: rate %g is not the winner's %g", g+1, s.Committed.Spec.Quota.Rate, want)
+			}
+		}
+	})
+
+	t.Run("delete and re-create", func(t *testing.T) {
+		old := f.tenant("brand").UID
+		if code, text := f.api(http.MethodDelete, "/fleet/v1/tenants/brand?generation=4", nil); code != http.StatusConflict {
+			t.Errorf("delete of an older generation: %d %s", code, text)
+		}
+		if code, text, unknown := f.try(http.MethodDelete, "/fleet/v1/tenants/brand?generation=5", nil); code != http.StatusOK && !unknown {
+			t.Fatalf("delete: %d %s", code, text)
+		}
+		start := time.Now()
+		f.until("the name free", func() bool { code, _ := f.put("brand", 0, 7); return code == http.StatusOK })
+		t.Logf("the name was free after %v", time.Since(start))
+		f.settled("brand", 1)
+		if s := f.tenant("brand"); s.UID <= old || s.Committed.Spec.Quota.Rate != 7 {
+			t.Errorf("made again: %+v, the old one was %d", s, old)
+		}
+		for _, n := range f.nodes {
+			n.with(func() {
+				if n.uids["brand"] <= old {
+					t.Errorf("%s holds the old tenant", n.name)
+				}
+			})
+		}
+	})
+
+	t.Run("200 in one go", func(t *testing.T) {
+		start := time.Now()
+		var all sync.WaitGroup
+		for i := range 200 {
+			all.Go(func() {
+				if code, text := f.put(fmt.Sprintf("many-%03d", i), 0, 10); code != http.StatusOK {
+					t.Errorf("put %d: %d %s", i, code, text)
+				}
+			})
+		}
+		all.Wait()
+		f.until("200 tenants on every node", func() bool {
+			for _, n := range f.nodes {
+				for i := range 200 {
+					if n.serves(fmt.Sprintf("many-%03d", i)) != 1 {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		t.Logf("200 tenants on 10 nodes after %v", time.Since(start))
+	})
+}
+
+// Bad bodies get one plain error, change nothing and are counted.
+func TestBadBodies(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1, "")
+	f.present()
+	member := `"node":"n99","zone":"za","incarnation":1`
+	for _, row := range []struct {
+		method, path, body string
+		code               int
+		want               string
+	}{
+		{"PUT", "/fleet/v1/tenants/a", `{"generation":0,"spec":{"name":"a","quota":{"rate":-1}}}`, 400, "spec.quota.rate"},
+		{"PUT", "/fleet/v1/tenants/a", `{"generation":0,"spec":{"name":"a","quota":{"rate":1},"colour":1}}`, 400, "colour"},
+		{"PUT", "/fleet/v1/tenants/a", `{"generation":0,"spec":{"name":"b","quota":{"rate":1,"burst":1}}}`, 400, "name"},
+		{"PUT", "/fleet/v1/tenants/a", `{"generation":0,`, 400, "invalid"},
+		{"PUT", "/fleet/v1/tenants/a", `"` + strings.Repeat("x", fleet.TenantLimit) + `"`, 400, "over"},
+		{"PUT", "/fleet/v1/tenants/a", `{"generation":3,"spec":{"name":"a","quota":{"rate":1,"burst":1}}}`, 409, "generation 0"},
+		{"DELETE", "/fleet/v1/tenants/a?generation=x", ``, 400, "generation"},
+		{"DELETE", "/fleet/v1/tenants/a?generation=1", ``, 404, "not found"},
+		{"GET", "/fleet/v1/tenants/a/status", ``, 404, "not found"},
+		{"GET", "/fleet/v1/intent?since=x", ``, 400, "since"},
+		{"POST", "/fleet/v1/report", `{` + member + `,"seq":"1"}`, 400, "seq"},
+		{"POST", "/fleet/v1/report", `{"node":"","zone":"za","incarnation":1}`, 400, "node"},
+		{"POST", "/fleet/v1/report", `{` + member + `,"zones":[{"zone":"za","attempts":1,"lost":2}]}`, 400, "lost"},
+		{"POST", "/fleet/v1/report", `{"node":"n00","zone":"za","incarnation":1}`, 409, "older incarnation"},
+		{"POST", "/fleet/v1/report", `"` + strings.Repeat("x", fleet.ReportLimit) + `"`, 400, "over"},
+	} {
+		code, text := f.api(row.method, row.path, json.RawMessage(row.body))
+		if code != row.code || !strings.Contains(text, row.want) || strings.Count(strings.TrimSpace(text), "\n") > 0 {
+			t.Errorf("%s %s %.60s: %d %s", row.method, row.path, row.body, code, text)
+		}
+	}
+	if s := f.tenant("a"); s.UID != 0 {
+		t.Errorf("a bad body made %+v", s)
+	}
+	resp, err := fleetClient.Get("http://" + f.HTTP[f.leader()] + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, _ := io.ReadAll(resp.Body); !strings.Contains(string(text), `fleet_bad_bodies_total{path="report"} 4`) {
+		t.Errorf("metrics: %.300s", text)
+	}
+}
