Give no fresh age to a node that is told nothing yet

An agent that has not been counted answers its node with nothing new; the age of that answer was the copy's, and so confirmed what the node held. It now has an age over every bound.

--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -51,7 +51,7 @@
 	now := a.now()
 	in.CaughtUp = a.caughtUp && a.counted
 	in.AgeMS = (now - a.confirmed).Milliseconds()
-	if !a.caughtUp {
+	if !in.CaughtUp { // nobody has confirmed it, or nothing is told
 		in.AgeMS = (now + copyAge).Milliseconds()
 	}
 	in.HeldMS = a.holder.Left(now).Milliseconds()
