Let a node with a fleet block follow its agent and report what it holds

The module takes the fleet's facts; nothing told it. With the block "fleet" in its configuration a node now watches the agent on its own loopback, tells the module directives, tenants and its share with their ages, and posts what the module saw and holds, read in one turn of the loop. It is ready only once it has caught up: all is told, a report made after that was answered without "out", or catch_up_ms are over; an "out" lapses with the lease that it came with. A bad block stops the start with one line and is not taken at SIGHUP; a changed one is followed at a restart. Without the block no goroutine of it runs and no call is made.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,6 +36,7 @@
 	Peers    []netip.AddrPort
 	Known    list // the backends as this node last had them
 	Settings decide.Settings
+	Fleet    *FleetConfig // nil: the node is in no fleet
 }
 
 // The least that a node can run with, and what it takes where it isn't told.
@@ -81,6 +82,7 @@
 		PeersAll   string          `json:"peers_all"`
 		Known      json.RawMessage `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
+		Fleet      json.RawMessage `json:"fleet"`
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -153,5 +155,9 @@
 	if err := sensible(c.Settings); err != nil {
 		return nil, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	if c.Fleet, err = decodeFleet(in.Fleet, c.Name, c.Settings); err != nil {
+		return nil, fmt.Errorf("%s: fleet: %w", path, err)
+	}
+	c.Settings.Fleet = c.Fleet != nil
 	return c, nil
 }
--- /dev/null
+++ b/internal/node/fleet_config.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// FleetConfig is the "fleet" block of a node's configuration: {"agent": "127.0.0.1:PORT", "report_ms": 250,
+// "catch_up_ms": 10000}. Without the block a node has nothing to do with the fleet (docs/fleet.md).
+type FleetConfig struct {
+	Agent   netip.AddrPort // on the node's own machine
+	Report  time.Duration  // between reports
+	CatchUp time.Duration  // a node that has not heard of all that is intended by then serves by what it has
+}
+
+// Bounds of the block, and what holds where it names none.
+const (
+	usualReport  = 250
+	leastReport  = 50
+	mostReport   = 1000 // ms; a report of 2 s ago is no evidence any more
+	usualCatchUp = 10_000
+	mostCatchUp  = 600_000
+	fleetName    = 128 // bytes of a node's or zone's name, as fleet.DecodeReport takes them
+)
+
+// decodeFleet reads the block; nil where there is none. A bad one is one error that names its member.
+func decodeFleet(raw json.RawMessage, node string, s decide.Settings) (*FleetConfig, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil, nil
+	}
+	in := struct {
+		Agent   string `json:"agent"`
+		Report  int64  `json:"report_ms"`
+		CatchUp int64  `json:"catch_up_ms"`
+	}{Report: usualReport, CatchUp: usualCatchUp}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, err
+	}
+	agent, err := netip.ParseAddrPort(in.Agent)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("agent: %w", err)
+	case !agent.Addr().Is4() || !agent.Addr().IsLoopback() || agent.Port() == 0:
+		return nil, fmt.Errorf("agent: %v is not a port of this machine's loopback", agent)
+	case in.Report < leastReport || in.Report > mostReport:
+		return nil, fmt.Errorf("report_ms: want %d to %d, have %d", leastReport, mostReport, in.Report)
+	case in.CatchUp < 0 || in.CatchUp > mostCatchUp:
+		return nil, fmt.Errorf("catch_up_ms: want 0 to %d, have %d", mostCatchUp, in.CatchUp)
+	case len(node) > fleetName || len(s.Zone) > fleetName:
+		return nil, fmt.Errorf("the node's name and zone have %d bytes at most", fleetName)
+	case s.Zone == "":
+		return nil, errors.New("settings.zone is missing: a node of a fleet has a zone")
+	}
+	return &FleetConfig{Agent: agent, Report: time.Duration(in.Report) * time.Millisecond,
+		CatchUp: time.Duration(in.CatchUp) * time.Millisecond}, nil
+}
+
+// settledFleet gives a block's value, for comparison; the zero value where there is none.
+func settledFleet(c *FleetConfig) FleetConfig {
+	if c == nil {
+		return FleetConfig{}
+	}
+	return *c
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -37,6 +37,7 @@
 	emptied   atomic.Bool   // by the operators, until they want it back
 	open      atomic.Int64  // requests
 	maxOpen   int64
+	fleet     *fleetLink // nil: in no fleet
 	conns     *connections
 }
 
@@ -63,7 +64,7 @@
 	case !f.loop.able.Load() || !f.listening.Load():
 		return "no app server is known to be ready"
 	}
-	return ""
+	return f.fleet.unready()
 }
 
 // shut tells whether the drain takes no more.
--- a/internal/node/listing.go
+++ b/internal/node/listing.go
@@ -61,6 +61,7 @@
 func (l *loop) follow(n list, kind decide.ListKind) {
 	l.version = n.version
 	l.backends.update(n)
+	named := l.rules.Load().Fleet
 	if n.full {
 		clear(l.ready)
 		clear(l.names)
@@ -75,6 +76,9 @@
 		if s.State != decide.Gone {
 			l.names[s.ID] = s.name
 		}
+		if named {
+			s.Server.Name = s.name
+		}
 		e.Entries = append(e.Entries, s.Server)
 	}
 	l.able.Store(len(l.ready) > 0)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -51,7 +51,8 @@
 	back      map[string]time.Time       // returns that it was told of
 	version   uint64
 	endWatch  context.CancelFunc
-	watchOpen bool // the watch has had its first answer
+	watchOpen bool      // the watch has had its first answer
+	settled   time.Time // when the settings in force were taken
 }
 
 func newLoop(ctx context.Context, c *Config, b *backends, d *discovery, p *peers, log *slog.Logger) *loop {
@@ -59,7 +60,7 @@
 	l := &loop{module: decide.New(c.Settings, c.Seed), backends: b, disco: d, peers: p, log: log,
 		ctx: ctx, happened: make(chan func(), eventQueue), canServe: make(chan struct{}), began: now, base: time.Duration(now.UnixNano()),
 		requests: map[decide.RequestID]*request{}, ready: map[decide.ServerID]bool{}, names: map[decide.ServerID]string{},
-		out: map[string]bool{}, back: map[string]time.Time{}}
+		out: map[string]bool{}, back: map[string]time.Time{}, settled: now}
 	l.rules.Store(newRules(c.Settings))
 	return l
 }
@@ -160,7 +161,9 @@
 
 // change takes other settings: those that are open keep theirs.
 func (l *loop) change(s decide.Settings) {
-	s.AskForList = l.rules.Load().AskForList // who follows the list is settled at the start
+	was := l.rules.Load()
+	s.AskForList, s.Fleet = was.AskForList, was.Fleet // who follows the list, and the fleet, is settled at the start
+	l.settled = time.Now()
 	l.backends.configure(s)
 	l.handle(decide.SettingsChanged{Settings: s})
 	l.rules.Store(newRules(s))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	}
 	f := newFrontend(l, int(float64(clients)*softPart), log)
 	f.conns.beside = b.beside
+	f.fleet = newFleetLink(c, l, f.unready, log)
 	srv := f.server()
 
 	var running sync.WaitGroup
@@ -89,6 +90,9 @@
 			select {
 			case next := <-reloads:
 				d.move(next.Discovery)
+				if settledFleet(c.Fleet) != settledFleet(next.Fleet) {
+					log.Warn("the fleet block has changed; that is followed at a restart only")
+				}
 				l.post(func() { l.change(next.Settings) })
 				log.Info("configuration taken", "classes", len(next.Settings.Classes), "attempts", next.Settings.MaxAttempts)
 			case <-inner.Done():
@@ -96,6 +100,9 @@
 			}
 		}
 	})
+	if f.fleet != nil {
+		running.Go(func() { f.fleet.run(inner) })
+	}
 	if p != nil {
 		running.Go(func() { p.write(inner) })
 		running.Go(func() { p.read(l.heard) })
@@ -112,7 +119,11 @@
 	if tcp == nil {
 		select {
 		case <-l.canServe:
-			tcp, err = listen()
+			select {
+			case <-f.fleet.mayServe():
+				tcp, err = listen()
+			case <-ctx.Done():
+			}
 		case <-ctx.Done():
 		}
 	}
@@ -128,6 +139,7 @@
 			err = fmt.Errorf("serve: %w", err)
 		case <-ctx.Done():
 			f.drain(tcp)
+			f.fleet.leave(inner)
 		}
 	}
 	stop()
