Play the zones core with hundreds of nodes in one process: fleetlab simulate

A seeded schedule of lost, late, doubled and overtaking messages, stalls, crashes, restarts, new leaders, liars and lost zones, with clocks that run 1 % apart; servers fall by the cold rule.

--- /dev/null
+++ b/cmd/fleetlab/simulate.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/fleet/sim"
+)
+
+// simulateCmd plays the fleet's cores on seeded schedules, in this process alone.
+func simulateCmd() *cobra.Command {
+	var seeds, nodes, workers int
+	var first uint64
+	var kind string
+	var alone bool
+	var length time.Duration
+	cmd := &cobra.Command{Use: "simulate", Short: "Play the fleet's cores with many nodes on seeded schedules of faults, in one process",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			plans := map[string]func(uint64) sim.Plan{
+				"any":    func(s uint64) sim.Plan { return sim.Draw(s, nodes) },
+				"calm":   func(s uint64) sim.Plan { return sim.Calm(s, nodes) },
+				"unrest": func(s uint64) sim.Plan { return sim.Unrest(s, nodes, length) },
+			}
+			draw, ok := plans[kind]
+			if !ok || nodes < 6 || seeds < 1 || length <= 0 {
+				return fmt.Errorf("needs --kind any, calm or unrest, 6 nodes, 1 seed and a length above 0 at least")
+			}
+			debug.SetGCPercent(400)
+			began := time.Now()
+			sum := sim.Many(func(s uint64) sim.Plan {
+				p := draw(s)
+				p.Alone = alone
+				return p
+			}, first, seeds, workers, c.OutOrStdout())
+			raw, err := json.MarshalIndent(sum, "", "  ")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s\n%d plays in %v\n", raw, sum.Plays, time.Since(began).Round(time.Second))
+			if len(sum.Breaches) > 0 {
+				b := sum.Breaches[0]
+				return fmt.Errorf("%d of %d plays broke a rule; again: fleetlab simulate --kind %s --nodes %d --seed %d --seeds 1",
+					len(sum.Breaches), sum.Plays, kind, nodes, b.Seed)
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&seeds, "seeds", 100, "plays")
+	cmd.Flags().Uint64Var(&first, "seed", 1, "the first play's seed; the others follow")
+	cmd.Flags().IntVar(&nodes, "nodes", 100, "nodes of each play")
+	cmd.Flags().IntVar(&workers, "workers", runtime.NumCPU(), "plays at a time")
+	cmd.Flags().StringVar(&kind, "kind", "any", "any: random faults; calm: a zone's loss alone; unrest: lost messages and rolling restarts alone")
+	cmd.Flags().BoolVar(&alone, "alone", false, "without directives: each node judges for itself")
+	cmd.Flags().DurationVar(&length, "length", 10*time.Minute, "fleet time of a play of unrest")
+	return cmd
+}
--- /dev/null
+++ b/internal/fleet/sim/leader.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/zones"
+)
+
+// intent is one revision of what is intended; it is never changed.
+type intent struct {
+	rev        uint64
+	directives map[string]zones.Entry
+}
+
+// session is one node's in the replicated state.
+type session struct {
+	member  fleet.Member
+	highest uint64
+	present bool
+}
+
+// control is the replicated state and the leader of the moment.
+type control struct {
+	s        *Sim
+	state    zones.State
+	sessions map[string]*session
+	rev      uint64
+	intent   *intent
+
+	term   int // of the leader; 0 while there is none
+	terms  int
+	clock  clock
+	judge  *zones.Judge
+	office time.Duration            // by its clock
+	leases map[string]time.Duration // until, by its clock
+}
+
+// lead puts a new leader into office.
+func (c *control) lead() {
+	c.terms++
+	c.term, c.clock = c.terms, newClock(c.s.rng)
+	c.office, c.leases = c.clock.read(c.s.now), map[string]time.Duration{}
+	c.judge = zones.NewJudge(c.s.set)
+	c.judge.Office(c.office)
+	c.tick(c.term)
+}
+
+func (c *control) tick(term int) {
+	if c.term != term {
+		return
+	}
+	s, now := c.s, c.clock.read(c.s.now)
+	for _, name := range slices.Sorted(maps.Keys(c.sessions)) {
+		if ss := c.sessions[name]; ss.present && now >= max(c.leases[name], c.office+ttl) {
+			ss.present = false
+		}
+	}
+	commands := c.judge.Step(now, &c.state, c.present())
+	for _, cmd := range commands {
+		if s.plan.Alone {
+			break
+		}
+		if s.hooks.command != nil {
+			s.hooks.command(&cmd)
+		}
+		// A command that is in raft's log when its leader goes may be applied all the same.
+		s.after(2*time.Millisecond+time.Duration(s.rng.Int64N(int64(15*time.Millisecond))), func() {
+			if c.term == term || s.rng.IntN(2) == 0 {
+				c.apply(cmd)
+			}
+		})
+	}
+	s.after(c.clock.lasts(100*time.Millisecond), func() { c.tick(term) })
+}
+
+func (c *control) present() (out []fleet.Member) {
+	for _, name := range slices.Sorted(maps.Keys(c.sessions)) {
+		if ss := c.sessions[name]; ss.present {
+			out = append(out, ss.member)
+		}
+	}
+	return out
+}
+
+func (c *control) apply(cmd zones.Command) {
+	before := maps.Clone(c.state.Directives)
+	changed, err := c.state.Apply(cmd, func() uint64 { c.rev++; return c.rev })
+	if err != nil || len(changed) == 0 {
+		return
+	}
+	c.intent = &intent{c.rev, maps.Clone(c.state.Directives)}
+	c.s.applied(before, cmd, changed)
+	it := c.intent
+	for i := range c.s.nodes {
+		c.s.link(i, func() { c.s.nodes[i].hear(it) })
+	}
+}
+
+// report takes a node's report and answers it, if a leader hears it.
+func (c *control) report(i int, r fleet.Report, answer func()) {
+	if c.term == 0 {
+		return
+	}
+	ss := c.sessions[r.Node]
+	if ss == nil {
+		ss = &session{}
+		c.sessions[r.Node] = ss
+	}
+	if r.Incarnation < ss.highest {
+		return // 409 older incarnation
+	}
+	now := c.clock.read(c.s.now)
+	if r.Incarnation > ss.highest || !ss.present {
+		*ss = session{member: r.Member, highest: r.Incarnation, present: true}
+		delete(c.leases, r.Node)
+	}
+	c.leases[r.Node] = max(c.leases[r.Node], now+ttl)
+	c.judge.Observe(now, fleet.NodeView{Member: r.Member, At: now, Report: r})
+	if c.s.hooks.observe != nil {
+		c.s.hooks.observe(c, now, r)
+	}
+	c.s.link(i, answer)
+}
--- /dev/null
+++ b/internal/fleet/sim/many.go
@@ -0,0 +1,76 @@
+package sim
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+)
+
+// Summary is what many plays gave together.
+type Summary struct {
+	Plays    int      `json:"plays"`
+	Nodes    int      `json:"nodes"`
+	Stop95   Quantile `json:"stop95_ms"`
+	Spread   Quantile `json:"spread_ms"`
+	Losses   int      `json:"losses"`  // of zones
+	Unheard  int      `json:"unheard"` // of them, those that under 95 % of all nodes ever heard of, down, deaf or stalled ones among them, or that ended before
+	Falls    int      `json:"cold_falls"`
+	Wrong    int      `json:"wrong_leaves"`
+	Steps    int      `json:"steps"`
+	Answered int      `json:"answered"`
+	Refused  int      `json:"refused"`
+	Lost     int      `json:"lost"`
+	Further  int      `json:"further"`
+	Breaches []Result `json:"breaches,omitempty"` // by seed
+}
+
+// Quantile is a figure over all losses.
+type Quantile struct {
+	Least, P50, P95, Most int64
+}
+
+func quantile(all []int64) (q Quantile) {
+	if len(all) == 0 {
+		return q
+	}
+	slices.Sort(all)
+	at := func(p int) int64 { return all[(len(all)-1)*p/100] }
+	return Quantile{all[0], at(50), at(95), all[len(all)-1]}
+}
+
+// Many plays the plans of seeds from first on, so many at a time, and tells each breach as it comes.
+func Many(plan func(seed uint64) Plan, first uint64, seeds, workers int, tell io.Writer) Summary {
+	var sum Summary
+	var stop, spread []int64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	next := make(chan uint64)
+	for range max(workers, 1) {
+		wg.Go(func() {
+			for seed := range next {
+				p := plan(seed)
+				r := Run(p)
+				mu.Lock()
+				sum.Plays, sum.Nodes, sum.Losses = sum.Plays+1, p.Nodes, sum.Losses+len(r.Stop95)+r.Unheard
+				stop, spread = append(stop, r.Stop95...), append(spread, r.Spread...)
+				sum.Unheard, sum.Falls, sum.Wrong, sum.Steps = sum.Unheard+r.Unheard, sum.Falls+r.Falls, sum.Wrong+r.Wrong, sum.Steps+r.Steps
+				sum.Answered, sum.Refused, sum.Lost, sum.Further = sum.Answered+r.Answered, sum.Refused+r.Refused, sum.Lost+r.Lost, sum.Further+r.Further
+				if r.Breach != nil {
+					sum.Breaches = append(sum.Breaches, r)
+					fmt.Fprintf(tell, "seed %d, %d nodes: %v\n", seed, p.Nodes, r.Breach)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range seeds {
+		next <- first + uint64(i)
+	}
+	close(next)
+	wg.Wait()
+	sum.Stop95, sum.Spread = quantile(stop), quantile(spread)
+	slices.SortFunc(sum.Breaches, func(a, b Result) int { return cmp.Compare(a.Seed, b.Seed) })
+	return sum
+}
--- /dev/null
+++ b/internal/fleet/sim/plan.go
@@ -0,0 +1,97 @@
+// Package sim plays the fleet's pure cores with hundreds of nodes in one process, on a seeded schedule of drops,
+// delays, reorders, duplicates, stalls, crashes, restarts, new leaders, lost zones and clocks that differ. The same
+// plan plays the same way every time. What it checks are the rules of docs/fleet.md as an observer sees them who
+// knows what really happened.
+package sim
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Plan is one play.
+type Plan struct {
+	Seed    uint64        `json:"seed"`
+	Nodes   int           `json:"nodes"`
+	Zones   int           `json:"zones"`
+	Servers int           `json:"servers"` // of a zone
+	For     time.Duration `json:"for"`
+	Loss    float64       `json:"loss"`   // of every message of the control plane, and of every attempt
+	Jitter  time.Duration `json:"jitter"` // of a message's delay, at most
+	Alone   bool          `json:"alone"`  // the control plane gives no directives: each node judges for itself
+	Faults  []Fault       `json:"faults"`
+}
+
+// Kinds of faults.
+const (
+	ZoneLost  = "zone lost"  // its servers give no answer; at the end they have been restarted and are cold
+	ZoneGray  = "zone gray"  // P of the attempts at it are lost
+	ZoneCut   = "zone cut"   // the nodes of From lose all attempts at it
+	Deaf      = "deaf"       // the Nth nodes hear and send nothing of the control plane
+	Slow      = "slow"       // their messages take up to a second more, and overtake each other
+	Twice     = "twice"      // their messages come twice, the second late
+	Stall     = "stall"      // their processes stand still
+	Crash     = "crash"      // they are killed, and back at the end as new incarnations with their disk copies
+	Rolling   = "rolling"    // every node is restarted in its turn, each down for a second
+	NewLeader = "new leader" // the leader is gone; another takes office at the end
+	Liar      = "liar"       // one node reports that one zone, or every one, fails
+)
+
+// Fault is one thing that happens.
+type Fault struct {
+	Kind  string        `json:"kind"`
+	At    time.Duration `json:"at"`
+	For   time.Duration `json:"for"`
+	Zone  int           `json:"zone"`
+	From  int           `json:"from"`
+	First int           `json:"first"` // of the nodes that it is about
+	Nth   int           `json:"nth"`   // every so many nodes from First on
+	P     float64       `json:"p"`
+}
+
+func (f Fault) on(now time.Duration) bool { return f.At <= now && now < f.At+f.For }
+
+func (f Fault) node(i int) bool { return i%max(f.Nth, 1) == f.First%max(f.Nth, 1) }
+
+// Draw makes the plan of a seed: a zone is lost and returns, and up to six other faults come at any time.
+func Draw(seed uint64, nodes int) Plan {
+	r := rand.New(rand.NewPCG(seed, 0x5eed))
+	p := Plan{Seed: seed, Nodes: nodes, Zones: 3 + r.IntN(3), Servers: 3 + r.IntN(4), For: 45 * time.Second, Loss: r.Float64() * 0.05,
+		Jitter: time.Duration(1+r.IntN(50)) * time.Millisecond}
+	p.Faults = append(p.Faults, Fault{Kind: ZoneLost, At: 6*time.Second + ms(r, 4000), For: time.Second + ms(r, 9000), Zone: r.IntN(p.Zones)})
+	kinds := []string{ZoneLost, ZoneGray, ZoneCut, Deaf, Slow, Twice, Stall, Crash, Rolling, NewLeader, Liar}
+	for range r.IntN(7) {
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: 4*time.Second + ms(r, 30000), For: 200*time.Millisecond + ms(r, 12000),
+			Zone: r.IntN(p.Zones), From: r.IntN(p.Zones), First: r.IntN(nodes), Nth: 2 + r.IntN(10), P: 0.2 + 0.6*r.Float64()}
+		switch f.Kind {
+		case NewLeader:
+			f.For = 300*time.Millisecond + ms(r, 1200)
+		case Rolling:
+			f.For = time.Duration(nodes) * 300 * time.Millisecond
+		case Liar:
+			f.Nth = nodes
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	return p
+}
+
+// Calm is the plan of a zone's loss and return with no other fault.
+func Calm(seed uint64, nodes int) Plan {
+	p := Draw(seed, nodes)
+	p.Zones, p.Servers, p.Loss, p.Jitter, p.Faults = 3, 4, 0, 5*time.Millisecond, p.Faults[:1]
+	p.Faults[0].Zone %= p.Zones
+	return p
+}
+
+// Unrest is a plan with no zone's fault: lost messages and attempts, jitter and rolling restarts.
+func Unrest(seed uint64, nodes int, length time.Duration) Plan {
+	p := Calm(seed, nodes)
+	p.For, p.Loss, p.Jitter, p.Faults = length, 0.05, 50*time.Millisecond, nil
+	for at := 5 * time.Second; at < length; at += time.Duration(nodes) * 300 * time.Millisecond {
+		p.Faults = append(p.Faults, Fault{Kind: Rolling, At: at, For: time.Duration(nodes) * 300 * time.Millisecond})
+	}
+	return p
+}
+
+func ms(r *rand.Rand, n int) time.Duration { return time.Duration(r.IntN(n)) * time.Millisecond }
--- /dev/null
+++ b/internal/fleet/sim/servers.go
@@ -0,0 +1,78 @@
+package sim
+
+import (
+	"math"
+	"time"
+)
+
+// server is an app server that falls when it gets more than the cold rule allows.
+type server struct {
+	up      bool
+	started time.Duration // cold from then on; negative: warm ever since
+	fallen  time.Duration // down until then
+	arrived []time.Duration
+}
+
+const coldSpan = time.Second // in which a cold server bears what it can
+
+// allowed is what a server of a rate bears in coldSpan, so long after its start.
+func (s *Sim) allowed(age time.Duration) float64 {
+	part := math.Min(1, s.set.ColdFrom+(1-s.set.ColdFrom)*age.Seconds()/s.set.ColdTime.Seconds())
+	n := part * s.capacity * coldSpan.Seconds()
+	return n + 3*math.Sqrt(n) + 3
+}
+
+// ask sends one attempt of node n to a server and tells whether it is answered.
+func (s *Sim) ask(n *node, zone, id int) bool {
+	sv := s.servers[zone][id]
+	p := s.plan.Loss
+	for _, f := range s.plan.Faults {
+		switch {
+		case !f.on(s.now) || f.Zone != zone:
+		case f.Kind == ZoneLost, f.Kind == ZoneCut && f.From == n.zone && f.From != zone:
+			p = 1
+		case f.Kind == ZoneGray:
+			p = math.Max(p, f.P)
+		}
+	}
+	if p == 1 || s.rng.Float64() < p || s.now < sv.fallen {
+		return false
+	}
+	if age := s.now - sv.started; sv.started >= 0 && age < s.set.ColdTime {
+		for len(sv.arrived) > 0 && sv.arrived[0] <= s.now-coldSpan {
+			sv.arrived = sv.arrived[1:]
+		}
+		sv.arrived = append(sv.arrived, s.now)
+		if float64(len(sv.arrived)) > s.allowed(age) {
+			s.res.Falls++
+			if !s.alone(zone) {
+				s.breach("cold", "server %d of zone %s got %d in a second, %v after its start", id, s.zones[zone], len(sv.arrived), age)
+			}
+			sv.fallen, sv.arrived = s.now+s.set.ColdTime, nil
+			s.trouble[zone] = sv.fallen
+			return false
+		}
+	}
+	return true
+}
+
+// alone tells whether some nodes may have been judging for themselves when a zone returned: then a cold fall is no
+// breach of the directives.
+func (s *Sim) alone(zone int) bool {
+	if s.plan.Alone || !s.left[s.zones[zone]] {
+		return true
+	}
+	for _, f := range s.plan.Faults {
+		if f.At < s.now && f.Kind != ZoneLost && f.Kind != Liar {
+			return true
+		}
+	}
+	return len(s.plan.Faults) > 1
+}
+
+// restart makes a zone's servers cold.
+func (s *Sim) restart(zone int) {
+	for _, sv := range s.servers[zone] {
+		sv.started, sv.fallen, sv.arrived = s.now, 0, nil
+	}
+}
--- /dev/null
+++ b/internal/fleet/sim/sim.go
@@ -0,0 +1,187 @@
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/zones"
+)
+
+// Sim is a play that goes on.
+type Sim struct {
+	plan     Plan
+	set      zones.Settings
+	rng      *rand.Rand
+	now      time.Duration // real time, which no process reads
+	queue    queue
+	events   int
+	zones    []string
+	nodes    []*node
+	servers  [][]*server
+	capacity float64 // requests/s of a warm server
+	holdPart float64
+	control  *control
+	hooks    hooks
+
+	broken  *Breach
+	res     Result
+	trouble []time.Duration // by zone: when it last gave reason to be left
+	left    map[string]bool // zones that a directive was ever on
+	entered map[string]time.Duration
+	lowest  map[string]float64
+	first   map[string]uint64
+	losses  []*loss
+}
+
+// hooks are faults planted by tests.
+type hooks struct {
+	command func(*zones.Command)
+	observe func(*control, time.Duration, fleet.Report)
+	takeOld bool
+	ageless bool
+	greed   float64 // what a node multiplies its rates by
+}
+
+// loss is one zone's loss, as the nodes come to stop.
+type loss struct {
+	zone    int
+	at, end time.Duration
+	stops   map[int]time.Duration
+}
+
+// Result is what a play gave. Times are in ms.
+type Result struct {
+	Seed     uint64  `json:"seed"`
+	Breach   *Breach `json:"breach,omitempty"`
+	Stop95   []int64 `json:"stop95_ms,omitempty"` // from a zone's loss until 95 % of the running nodes had stopped
+	Spread   []int64 `json:"spread_ms,omitempty"` // from the first of them to the last
+	Unheard  int     `json:"unheard"`             // losses for which that many never stopped
+	Returned []int64 `json:"returned_ms,omitempty"`
+	Falls    int     `json:"cold_falls"`
+	Wrong    int     `json:"wrong_leaves"`
+	Steps    int     `json:"steps"`
+	Answered int     `json:"answered"`
+	Refused  int     `json:"refused"`
+	Lost     int     `json:"lost"`
+	Further  int     `json:"further"`
+	Events   int     `json:"events"`
+}
+
+// Run plays a plan to its end or its first breach.
+func Run(p Plan) Result { return run(p, nil) }
+
+func run(p Plan, plant func(*Sim)) Result {
+	s := &Sim{plan: p, set: zones.Default(p.Nodes), rng: rand.New(rand.NewPCG(p.Seed, 2)), holdPart: holdPart, left: map[string]bool{},
+		entered: map[string]time.Duration{}, lowest: map[string]float64{}, first: map[string]uint64{}, trouble: make([]time.Duration, p.Zones)}
+	s.hooks.greed = 1
+	s.set.ColdTime = 10 * time.Second // servers that are cold for long, and hardly more than what is asked of them
+	s.capacity = 1.3 * demand * float64(p.Nodes) / float64(p.Zones*p.Servers)
+	for z := range p.Zones {
+		s.zones = append(s.zones, fmt.Sprintf("z%d", z))
+		s.trouble[z] = -time.Hour
+		var all []*server
+		for range p.Servers {
+			all = append(all, &server{up: true, started: -1})
+		}
+		s.servers = append(s.servers, all)
+	}
+	s.control = &control{s: s, sessions: map[string]*session{}, intent: &intent{}}
+	if plant != nil {
+		plant(s)
+	}
+	for i := range p.Nodes {
+		s.newNode(i).start()
+	}
+	s.control.lead()
+	for _, f := range p.Faults {
+		s.after(f.At, func() { s.begin(f) })
+	}
+	for len(s.queue) > 0 && s.broken == nil {
+		e := heap.Pop(&s.queue).(event)
+		if e.at > p.For {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	s.res.Seed, s.res.Breach, s.res.Events = p.Seed, s.broken, s.events
+	for _, l := range s.losses {
+		s.measure(l)
+	}
+	return s.res
+}
+
+// begin starts a fault; what its end needs is done by then.
+func (s *Sim) begin(f Fault) {
+	switch f.Kind {
+	case ZoneLost:
+		s.losses = append(s.losses, &loss{zone: f.Zone, at: s.now, end: s.now + f.For, stops: map[int]time.Duration{}})
+		s.after(f.For, func() { s.restart(f.Zone) })
+	case Stall:
+		for _, n := range s.nodes {
+			if f.node(n.i) {
+				n.frozen = max(n.frozen, s.now+f.For)
+			}
+		}
+	case Crash:
+		for _, n := range s.nodes {
+			if f.node(n.i) {
+				s.crash(n, f.For)
+			}
+		}
+	case Rolling:
+		for i, n := range s.nodes {
+			s.after(f.For*time.Duration(i)/time.Duration(len(s.nodes)), func() { s.crash(n, time.Second) })
+		}
+	case NewLeader:
+		s.control.term = 0
+		s.after(f.For, func() {
+			if s.control.term == 0 {
+				s.control.lead()
+			}
+		})
+	}
+}
+
+func (s *Sim) crash(n *node, down time.Duration) {
+	if n.down {
+		return
+	}
+	n.down = true
+	n.run++
+	s.after(down, n.start)
+}
+
+// measure adds a loss's figures: of the nodes that ran all through it.
+func (s *Sim) measure(l *loss) {
+	var at []time.Duration
+	for _, t := range l.stops {
+		at = append(at, t-l.at)
+	}
+	slices.Sort(at)
+	need := (95*len(s.nodes) + 99) / 100
+	if len(at) < need {
+		s.res.Unheard++
+		return
+	}
+	s.res.Stop95 = append(s.res.Stop95, at[need-1].Milliseconds())
+	s.res.Spread = append(s.res.Spread, (at[need-1] - at[0]).Milliseconds())
+}
+
+// stopped notes that a node has stopped sending to a lost zone.
+func (s *Sim) stopped(n *node, zone int, has bool) {
+	if !has {
+		return
+	}
+	for _, l := range s.losses {
+		if l.zone == zone && s.now >= l.at && s.now < l.end {
+			if _, ok := l.stops[n.i]; !ok {
+				l.stops[n.i] = s.now
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/sim/sim_test.go
@@ -0,0 +1,107 @@
+package sim
+
+import (
+	"io"
+	"reflect"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/zones"
+)
+
+// TestSeeds: no play of fixed seeds breaks a rule.
+func TestSeeds(t *testing.T) {
+	sum := Many(func(s uint64) Plan { return Draw(s, 30) }, 1, 40, 4, io.Discard)
+	for _, r := range sum.Breaches {
+		t.Errorf("seed %d: %v", r.Seed, r.Breach)
+	}
+	if sum.Steps < 100 || sum.Losses < 40 {
+		t.Errorf("nothing much was played: %+v", sum)
+	}
+}
+
+// TestCalm: a zone's loss and return with no other fault, by its figures.
+func TestCalm(t *testing.T) {
+	for _, nodes := range []int{30, 100} {
+		sum := Many(func(s uint64) Plan { return Calm(s, nodes) }, 1, 5, 4, io.Discard)
+		if len(sum.Breaches) > 0 || sum.Falls > 0 || sum.Wrong > 0 || sum.Unheard > 0 || sum.Stop95.Most > 2500 || sum.Spread.Most > 500 {
+			t.Errorf("%+v", sum)
+		}
+	}
+}
+
+// TestReplay: a plan plays the same way twice.
+func TestReplay(t *testing.T) {
+	for seed := range uint64(3) {
+		if a, b := Run(Draw(seed, 20)), Run(Draw(seed, 20)); !reflect.DeepEqual(a, b) {
+			t.Errorf("seed %d:\n%+v\n%+v", seed, a, b)
+		}
+	}
+}
+
+// TestPlanted: each planted fault is found, by the rule that it breaks, and found again by its seed.
+func TestPlanted(t *testing.T) {
+	entry := func(f func(*zones.Entry)) func(*Sim) {
+		return func(s *Sim) {
+			s.hooks.command = func(c *zones.Command) {
+				for i := range c.Items {
+					f(&c.Items[i].Entry)
+				}
+			}
+		}
+	}
+	for _, p := range []struct {
+		name, rule string
+		from       uint64 // the seed to begin with, to save time
+		plant      func(*Sim)
+	}{
+		{"one node's word counts for all", "Z1", 17, func(s *Sim) {
+			s.hooks.observe = func(c *control, now time.Duration, r fleet.Report) {
+				for _, n := range s.nodes {
+					if !s.lying(r.Node) {
+						continue
+					}
+					r.Member, r.Seq = n.member(), uint64(s.events)+1e9
+					c.judge.Observe(now, fleet.NodeView{Member: r.Member, At: now, Report: r})
+				}
+			}
+		}},
+		{"no panic threshold, and room for anything", "Z2", 26, func(s *Sim) { s.set.Panic, s.set.Headroom = 0, 1e3 }},
+		{"nodes take thrice their part", "Z3", 0, func(s *Sim) { s.hooks.greed = 3 }},
+		{"no hold-off", "Z4", 0, func(s *Sim) { s.set.HoldOff = 100 * time.Millisecond }},
+		{"a step begins before the last was seen", "Z4", 0, func(s *Sim) { s.set.StepTime, s.set.StepNeed, s.set.ColdTime = 0, 0, 0 }},
+		{"the floor is the newest share", "Z5", 15, entry(func(e *zones.Entry) {
+			if e.Step > 1 {
+				e.Floor = e.Share
+			}
+		})},
+		{"a directive never ages", "Z5", 15, func(s *Sim) { s.hooks.ageless = true }},
+		{"an agent takes older intent", "revision", 0, func(s *Sim) { s.hooks.takeOld = true }},
+		{"an agent counts to the whole ttl and more", "session", 8, func(s *Sim) { s.holdPart = 1.15 }},
+		{"all of a cold zone at once", "cold", 25, entry(func(e *zones.Entry) {
+			if e.Step > 0 {
+				e.Share, e.Budget = 1, 50*e.Budget
+			}
+		})},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			for seed := p.from; seed < p.from+100; seed++ {
+				plan := Draw(seed, 20)
+				if p.rule == "cold" {
+					plan = Calm(seed, 100)
+				}
+				r := run(plan, p.plant)
+				if r.Breach == nil || r.Breach.Rule != p.rule {
+					continue
+				}
+				if again := run(plan, p.plant); !reflect.DeepEqual(r, again) {
+					t.Errorf("seed %d does not play the same again: %v, %v", seed, r.Breach, again.Breach)
+				}
+				t.Logf("seed %d: %v", seed, r.Breach)
+				return
+			}
+			t.Errorf("not found by rule %s", p.rule)
+		})
+	}
+}
--- a/internal/fleet/zones/evidence.go
+++ b/internal/fleet/zones/evidence.go
@@ -30,6 +30,8 @@
 	ready    bool
 	at       fleet.Time
 	windows  []window // the newest last
+	counts   map[string]count
+	until    fleet.Time // counts hold until then, unless a window comes
 }
 
 // take keeps a report; it tells whether it was newer than what is known.
@@ -56,6 +58,7 @@
 			}
 		}
 		n.windows = append(n.windows, w)
+		n.counts = nil
 	}
 	n.windows = slices.DeleteFunc(n.windows, func(w window) bool { return now-w.at > j.set.Stale })
 	return n, true
@@ -117,17 +120,13 @@
 		if n == nil || n.Incarnation != m.Incarnation || now-n.at > j.set.Stale {
 			continue
 		}
-		s := sight{Member: m, rev: n.rev, ready: n.ready, zones: map[string]count{}}
-		for _, w := range n.windows {
-			for z := range w.zones {
-				zones[z] = true
-				if _, ok := s.zones[z]; !ok {
-					s.zones[z] = j.set.count(now, n, z, 0)
-				}
-			}
+		if n.counts == nil || now > n.until {
+			n.sum(now, &j.set)
+		}
+		for z := range n.counts {
+			zones[z] = true
 		}
-		s.fault = faulty(s.zones)
-		v.sights = append(v.sights, s)
+		v.sights = append(v.sights, sight{Member: m, rev: n.rev, ready: n.ready, zones: n.counts, fault: faulty(n.counts)})
 	}
 	maps.DeleteFunc(j.nodes, func(name string, n *seen) bool { return !names[name] && now-n.at > j.set.Stale })
 	slices.SortFunc(v.sights, func(a, b sight) int { return cmp.Compare(a.Node, b.Node) })
@@ -135,6 +134,22 @@
 	return v
 }
 
+// sum counts all that the windows have which are not stale.
+func (n *seen) sum(now fleet.Time, set *Settings) {
+	n.counts, n.until = map[string]count{}, now+set.Stale
+	for _, w := range n.windows {
+		if now-w.at > set.Stale {
+			continue
+		}
+		n.until = min(n.until, w.at+set.Stale)
+		for z := range w.zones {
+			if _, ok := n.counts[z]; !ok {
+				n.counts[z] = set.count(now, n, z, 0)
+			}
+		}
+	}
+}
+
 // count adds up a node's newest windows on a zone, back over Look, of those that began at revision from or later.
 // The word is of the newest of them that are enough for one.
 func (set *Settings) count(now fleet.Time, n *seen, zone string, from uint64) (c count) {
--- a/internal/fleet/zones/findings.go
+++ b/internal/fleet/zones/findings.go
@@ -6,24 +6,36 @@
 	"starlingvalve/internal/fleet"
 )
 
-// lost tells whether a quorum of nodes and of zones sees zone y fail; with how many nodes that do and that have a word.
-func (set *Settings) lost(v view, y string) (found bool, fail, words int) {
-	type tally struct{ fail, words int }
-	by := map[string]tally{}
-	for _, s := range v.sights {
+// votes are how many nodes have a word on a zone, and which.
+type votes struct{ fail, well, words int }
+
+// poll gives the votes on zone y by the zone of the nodes, and of all.
+func (v view) poll(y string) (by map[string]votes, all votes) {
+	by = make(map[string]votes, len(v.present))
+	for i := range v.sights {
+		s := &v.sights[i]
 		w := s.zones[y].word
 		if w == none || s.fault {
 			continue
 		}
 		t := by[s.Zone]
 		t.words++
-		words++
-		if w == fails {
+		all.words++
+		switch w {
+		case fails:
 			t.fail++
-			fail++
+			all.fail++
+		case well:
+			t.well++
+			all.well++
 		}
 		by[s.Zone] = t
 	}
+	return by, all
+}
+
+// lost tells whether a quorum of nodes and of zones sees zone y fail.
+func (set *Settings) lost(v view, y string, by map[string]votes, all votes) bool {
 	others := 0 // zones with nodes that could judge
 	for x := range v.present {
 		if x != y && set.observer(x) {
@@ -39,33 +51,17 @@
 			}
 		}
 	}
-	found = 2*fail > words && fail >= 2 && (heard == 0 || 2*agree > heard) && (others < 2 || agree >= 2)
-	return found, fail, words
+	return 2*all.fail > all.words && all.fail >= 2 && (heard == 0 || 2*agree > heard) && (others < 2 || agree >= 2)
 }
 
 // observer tells whether zone x counts for the quorum of zones.
 func (set *Settings) observer(x string) bool { return len(set.Region) == 0 || set.Region[x] != "" }
 
-// cutOff tells whether zone x's nodes see y fail while the others see it well.
-func (set *Settings) cutOff(v view, y, x string) (found bool, fail, words int) {
-	others, good := 0, 0
-	for _, s := range v.sights {
-		w := s.zones[y].word
-		switch {
-		case w == none || s.fault:
-		case s.Zone == x:
-			words++
-			if w == fails {
-				fail++
-			}
-		default:
-			others++
-			if w == well {
-				good++
-			}
-		}
-	}
-	return 2*fail > words && (fail >= 2 || fail == 1 && v.present[x] == 1) && 2*good > others, fail, words
+// cutOff tells whether zone x's nodes see a zone fail while the others see it well.
+func cutOff(v view, x string, by map[string]votes, all votes) bool {
+	own := by[x]
+	return 2*own.fail > own.words && (own.fail >= 2 || own.fail == 1 && v.present[x] == 1) &&
+		2*(all.well-own.well) > all.words-own.words
 }
 
 // tries are a node's attempts at a zone, for shares of the fleet's.
@@ -148,16 +144,17 @@
 		out[key] = Finding{Key: key, Event: event, Nodes: nodes, Words: words, Lost: p, hold: hold}
 	}
 	for _, y := range v.zones {
-		if found, fail, words := j.set.lost(v, y); found {
-			add(Key(y, ""), Lost, fail, words, 1, j.set.Hold)
+		by, all := v.poll(y)
+		if j.set.lost(v, y, by, all) {
+			add(Key(y, ""), Lost, all.fail, all.words, 1, j.set.Hold)
 			continue
 		}
 		if p, nodes, hold := j.set.gray(v, y); p > 0 {
 			add(Key(y, ""), Gray, nodes, nodes, p, hold)
 		}
 		for x := range v.present {
-			if found, fail, words := j.set.cutOff(v, y, x); found {
-				add(Key(y, x), CutOff, fail, words, 1, j.set.Hold)
+			if cutOff(v, x, by, all) {
+				add(Key(y, x), CutOff, by[x].fail, by[x].words, 1, j.set.Hold)
 			}
 		}
 	}
