Write a node in step as in step, with its own evidence; test what mutants outlived

Of 14 mutants of the core two outlived the tests: what lies between two looks of the judge, and a left node's late report at a new leader, have tests now; a condition that did nothing is gone.

--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -102,7 +102,7 @@
 	case n.heard && v.Report.Seq <= n.report.Seq:
 		return fmt.Errorf("%w: %s: sequence %d after %d", fleet.ErrFenced, v.Node, v.Report.Seq, n.report.Seq)
 	}
-	anew := !n.heard || now-n.at >= j.bounds.Fresh || n.at < j.office
+	anew := !n.heard || now-n.at >= j.bounds.Fresh
 	j.floor[v.Node] = v.Incarnation
 	n.Member = v.Member
 	if n.prevRev = 0; n.heard {
@@ -244,7 +244,7 @@
 	switch {
 	case old == nil:
 	case state == CatchingUp && old.State == InStep:
-		state = InStep
+		s, state = finding{overrides: s.overrides, evidence: whySame}, InStep
 	case old.State != state:
 		due = true
 	case state != InStep && state != CatchingUp:
--- a/internal/fleet/drift/prop_test.go
+++ b/internal/fleet/drift/prop_test.go
@@ -140,6 +140,10 @@
 	}
 	late := Command{Set: []Change{{Verdict{Member: old[0].Member, State: Ahead}, r.st.Verdicts[old[0].Node].Rev}}}
 	must(t, errors.Is(r.st.Apply(late, nil), fleet.ErrFenced), "a command on an older incarnation")
+	events["left|the node's last report said leaving"](r) // and what comes late does not bring back a node that left
+	r.j.Office(r.now, r.st)
+	err := r.j.Observe(r.now, fleet.NodeView{Member: r.nodes[0].Member, Report: r.nodes[0].report()})
+	must(t, errors.Is(err, fleet.ErrFenced) && r.verdict(0).State == "none", "%v: %+v", err, r.verdict(0))
 }
 
 // The verdict and its first-seen outlive three failovers and a snapshot; at no time is another state shown.
--- a/internal/fleet/drift/unit_test.go
+++ b/internal/fleet/drift/unit_test.go
@@ -144,6 +144,30 @@
 	}
 }
 
+// What was changed twice between two looks, or went without a word, is not known for the revisions between; before
+// and after, it is.
+func TestBookBetweenLooks(t *testing.T) {
+	for key, change := range map[string]func(*intent){
+		"zone/z2": func(c *intent) { c.put("zone/z2", left(0.5)); c.drop("zone/z2"); c.put("zone/z9", left(0.5)) },
+		"tenant/t1": func(c *intent) {
+			c.in.Items = slices.DeleteFunc(c.in.Items, func(it fleet.Item) bool { return it.Key == "tenant/t1" })
+			c.put("zone/z9", left(0.5))
+			c.in.Revision += 2
+		}} {
+		c, b, self := seed(1), book{}, fleet.Member{Node: "n000", Zone: "z2"}
+		b.ingest(0, c.in)
+		first := c.in.Revision
+		change(c)
+		b.ingest(0, c.in)
+		for n, want := range map[uint64]bool{0: false, first: true, first + 1: false, first + 3: true} {
+			held, whole := b.expect(n, self)
+			must(t, whole == want, "%s at %d of %d: %v, %v", key, n, first, whole, held)
+			must(t, !whole || (bodyOf(held, key) != nil) == (n == first), "%s at %d: %v", key, n, held)
+			must(t, !whole || (bodyOf(held, "zone/z9") != nil) == (n > first), "%s at %d: %v", key, n, held)
+		}
+	}
+}
+
 func itemRevOf(c *intent, key string) uint64 { return itemRev(&world{intent: c}, key) }
 
 func TestStateRefuses(t *testing.T) {
