Hold a real module to what drift expects of it, fact by fact

The contract between the module's facts and the judge was kept by reading alone. A test tells a real module zones, tenants, shares and a list, as the node does, and compares digests; a module that missed a change differs in just that. It found one case: a share whose rates are null is not held by the module, but was expected.

--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -231,7 +231,7 @@
 	case "share":
 		if err = json.Unmarshal(it.Body, &v.shares); err == nil {
 			v.held, held, err = Hold(fleet.KeyShare, fleet.ShareBody(*v.shares))
-			v.empty = !held
+			v.empty = !held || v.shares.Rates == nil
 		}
 	default:
 		v.empty = true
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -53,7 +53,7 @@
 }
 
 // HeldShare is the body of "share": the leased parts as last told, whether or not the lease still runs. Nothing is
-// held before the first is told.
+// held before the first is told, and where its rates are null.
 type HeldShare struct {
 	Epoch uint64             `json:"epoch"`
 	Slots int                `json:"slots"`
