Tell a loss together with another of the last second, for nodes that send little

A node has a word on a zone by two servers in one window; one that sends it two or three requests a second lost them one by one and had none. Losses are told 12 % too often by it at one request a window.

--- a/decide/fleet_state.go
+++ b/decide/fleet_state.go
@@ -141,9 +141,28 @@
 	if lost && a.silent {
 		return // counted when it fell silent
 	}
-	c.ended++
-	if lost {
+	if c.ended++; lost {
 		c.lost++
+		a.server.lostAt = m.now
+	} else {
+		a.server.lostAt = 0
+	}
+}
+
+// joined counts one more server of a zone of which but one was tried in this window, in vain: one that lost an
+// attempt in the last second and has answered none since. A node that sends little sees them one by one.
+func (m *Module) joined() {
+	tried, lost := map[string]int{}, map[string]int{}
+	for _, s := range m.ring {
+		if s.seen.ended > 0 {
+			tried[s.Zone]++
+			lost[s.Zone] += s.seen.lost
+		}
+	}
+	for _, s := range m.ring {
+		if c := &s.seen; tried[s.Zone] == 1 && lost[s.Zone] > 0 && c.ended == 0 && s.lostAt > 0 && m.now-s.lostAt <= time.Second {
+			c.ended, c.lost, tried[s.Zone] = 1, 1, 2
+		}
 	}
 }
 
@@ -162,9 +181,11 @@
 				a.silent = true
 				a.server.seen.ended++
 				a.server.seen.lost++
+				a.server.lostAt = m.now
 			}
 		}
 	}
+	m.joined()
 	zones := map[string]*ZoneWindow{}
 	of := func(name string) *ZoneWindow {
 		if zones[name] == nil {
--- a/decide/fleet_tenants_test.go
+++ b/decide/fleet_tenants_test.go
@@ -316,3 +316,38 @@
 		}
 	}
 }
+
+// A node that sends little loses attempts one by one: a loss is told with another of the last second.
+func TestSparseLossesAreJoined(t *testing.T) {
+	r := zonesRig(t, 30)
+	r.run(time.Second, 0, "")
+	r.m.Window(r.now)
+	r.delay = func(id decide.ServerID) (time.Duration, decide.OutcomeCode) {
+		if id%2 == 1 {
+			return time.Millisecond, decide.Reset
+		}
+		return 20 * time.Millisecond, decide.OK
+	}
+	most, lost := 0, 0
+	for range 12 {
+		r.next++
+		r.feed(decide.RequestArrived{ID: decide.RequestID(fmt.Sprint("once", r.next)), Class: "once", Patience: time.Second})
+		r.run(250*time.Millisecond, 0, "")
+		for _, z := range r.m.Window(r.now).Zones {
+			if lost += z.Lost; z.Zone == "a" {
+				most = max(most, z.LostServers)
+			}
+			if z.Lost+z.OK > z.Attempts || z.LostServers > z.Lost || z.Servers > z.Attempts || z.Zone == "b" && z.Lost > 0 {
+				t.Errorf("%+v", z)
+			}
+		}
+	}
+	a, _ := r.sentTo()
+	if most != 2 || a < 4 || lost > 2*a {
+		t.Errorf("%d servers in one window at most, of %d attempts lost, told as %d", most, a, lost)
+	}
+	r.run(2*time.Second, 0, "")
+	if z := r.m.Window(r.now).Zones[0]; z.Lost > 0 {
+		t.Errorf("long after: %+v", z)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,6 +42,7 @@
 	pace                float64 // sends that its zone's rate allows
 	paceAt              Time
 	seen                evidence
+	lostAt              Time // when an attempt was last lost as a zone's loss ends it, with none answered since; 0: never
 }
 
 type class struct {
