Find a zone lost by the fleet's attempts, where nodes use one server of it

A node's subset has most servers in its own zone: of 24 in 3 zones a node of 30 uses one or two of each other zone, so most nodes had no word on a zone that fell, and all its attempts lost were held as a gray finding for 5 s.

--- a/internal/fleet/zones/findings.go
+++ b/internal/fleet/zones/findings.go
@@ -6,6 +6,10 @@
 	"starlingvalve/internal/fleet"
 )
 
+// allLost is the share of the fleet's attempts lost from which a zone is lost, though its nodes have but one server of it
+// in use and so no word on it. It holds without any one node's and any one zone's attempts, and for most nodes.
+const allLost = 0.9
+
 // votes are how many nodes have a word on a zone, and which.
 type votes struct{ fail, well, words int }
 
@@ -149,7 +153,10 @@
 			add(Key(y, ""), Lost, all.fail, all.words, 1, j.set.Hold)
 			continue
 		}
-		if p, nodes, hold := j.set.gray(v, y); p > 0 {
+		if p, nodes, hold := j.set.gray(v, y); p >= allLost && 2*nodes > len(v.sights) {
+			add(Key(y, ""), Lost, nodes, nodes, p, j.set.Hold)
+			continue
+		} else if p > 0 {
 			add(Key(y, ""), Gray, nodes, nodes, p, hold)
 		}
 		for x := range v.present {
