--- a/internal/registry/replica/fleetdrift.go
+++ b/internal/registry/replica/fleetdrift.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"starlingvalve/internal/fleet/control"
 	"starlingvalve/internal/fleet/drift"
 	"starlingvalve/internal/registry"
@@ -21,6 +23,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if o.rep.raft.State() != raft.Leader {
+		o.rep.notLeader(w)
+		return
+	}
 	f := o.rep.fsm
 	f.mu.Lock()
 	if watch.Watching && watch.Since >= f.fleet.Drift.Rev && watch.Wait > 0 {
