Tell a node nothing older than the leader had when its session began

A run that joined holding nothing was told what its agent's copy had: a copy from disk, or a follower's, might be two generations behind what present nodes serve. The copy must now be as new as the leader was when the session was first answered, and where the node may be told at once its reports wait until it was. Test: three reports of a run that has not been told reach no leader.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -41,6 +41,8 @@
 	copy      *Copy
 	again     map[string]bool // items to tell the node once more
 	counted   bool            // the control plane has counted the node: it may be told of quotas
+	session   bool            // a session was answered, at revision need of the leader
+	need      uint64          // the node is told nothing older: others may be two generations on
 	saved     uint64          // revision that a restart would have at least
 	whole     bool            // the next watch asks for everything: the leader has asked for a restart
 	confirmed fleet.Time      // when a replica held the copy to be the newest it has; only with caughtUp
@@ -149,6 +151,9 @@
 		a.m.revision.Set(float64(a.copy.Revision))
 		notify(a.dirty)
 	}
+	if a.session {
+		a.count()
+	}
 	if changed || !a.caughtUp {
 		a.wake()
 	}
@@ -166,9 +171,10 @@
 	}
 }
 
-// count notes that the node has been counted, and has it told of what is intended. The caller holds mu.
+// count notes that the node has been counted, and has it told of what is intended, once the copy is as new as the leader's
+// state was then. The caller holds mu.
 func (a *Agent) count() {
-	if !a.counted {
+	if !a.counted && a.copy.Revision >= a.need {
 		a.counted = true
 		notify(a.dirty)
 		a.wake()
--- a/internal/fleet/agent/carry.go
+++ b/internal/fleet/agent/carry.go
@@ -36,9 +36,10 @@
 		for ctx.Err() == nil {
 			a.mu.Lock()
 			c, saved := a.report, a.saved
+			told := a.counted && a.copy.Revision > 0
 			a.mu.Unlock()
-			if c == nil {
-				break
+			if c == nil || c.rev == 0 && told {
+				break // it would join as one that holds nothing, and then take what the copy has: it is told that first
 			}
 			if a.now()-c.at > carryFresh {
 				a.say(true, c)
@@ -128,6 +129,9 @@
 	if ttl := time.Duration(ans.TTLMS) * time.Millisecond; ttl > 0 && ttl <= time.Hour {
 		a.holder.Renewed(t0, ttl)
 		a.m.renewals.Inc()
+		if !a.session {
+			a.session, a.need = true, ans.Revision
+		}
 		a.count()
 	} else {
 		a.holder.Drop()
--- a/internal/fleet/agent/serve_test.go
+++ b/internal/fleet/agent/serve_test.go
@@ -83,10 +83,10 @@
 			}
 		}
 	}
-	seq := 0
+	seq, rev := 0, 0
 	next := func(inc int) (int, string) {
 		seq++
-		return post(fmt.Sprintf(`{"node":"n","zone":"z","incarnation":%d,"seq":%d,"later_field":1}`, inc, seq))
+		return post(fmt.Sprintf(`{"node":"n","zone":"z","incarnation":%d,"seq":%d,"revision":%d,"later_field":1}`, inc, seq, rev))
 	}
 	lead.says(200, `{"ttl_ms":6000,"revision":5,"want":["~*"],"resend":["zone/a"]}`)
 	until("the intent at hand", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.caughtUp })
@@ -101,6 +101,7 @@
 	}
 	until("wanted", func() bool { _, text := next(7); return strings.Contains(text, `"want":["~*"]`) })
 	lead.says(200, `{"ttl_ms":6000,"revision":5}`)
+	rev = 5 // as it has been told
 	until("told again", func() bool { in, _ := get("?since=5"); return !in.Full && len(in.Items) == 1 })
 	until("counted, and told", func() bool { in, _ := get("?since=0"); return in.CaughtUp && len(in.Items) == 1 })
 	until("held, and the wish told once", func() bool {
@@ -141,6 +142,18 @@
 	if code, text := next(8); code != 200 || !strings.Contains(text, `"out":true`) {
 		t.Errorf("a garbled answer of the leader changed the last word: %d %s", code, text)
 	}
+	lead.mu.Lock()
+	before := lead.reports
+	lead.mu.Unlock()
+	rev = 0
+	for range 3 {
+		next(9)
+	}
+	lead.mu.Lock()
+	if lead.reports != before {
+		t.Error("a run that has not been told was reported as one that holds nothing")
+	}
+	lead.mu.Unlock()
 	metrics, _ := reg.Gather()
 	for _, m := range metrics {
 		if m.GetName() == "fleet_agent_reports_refused_total" && m.Metric[0].Counter.GetValue() != 6 {
