Let a watch of the list wait where only the fleet has changed

The list's watch compared its version with the revision that the list shares with the fleet: once the fleet had changed, every list agent's watch was answered at once, some 100 calls a second each. It compares with the list's own last change. A test has a watch wait its time out after changes of the fleet.

--- a/cmd/listd/rollout_test.go
+++ b/cmd/listd/rollout_test.go
@@ -44,6 +44,13 @@
 		})
 	}
 
+	// The fleet's changes have made revisions, and none of them is the list's: a watch of it waits its time out.
+	start := time.Now()
+	a, err := f.Read(f.leader(), "?since=0&timeout_ms=1000")
+	if took := time.Since(start); err != nil || a.Version != 0 || a.Full || took < 900*time.Millisecond {
+		t.Errorf("a watch of an empty list: %+v after %v, %v", a, took, err)
+	}
+
 	t.Run("refused", func(t *testing.T) {
 		f.nodes[3].with(func() { f.nodes[3].refuse = "no server matches routes[0]" })
 		f.mustPut("brand", 1, 200)
--- a/internal/registry/replica/list.go
+++ b/internal/registry/replica/list.go
@@ -53,7 +53,7 @@
 		watch = registry.Watch{}
 	}
 	rep.fsm.mu.Lock()
-	if watch.Watching && watch.Since >= rep.fsm.state.Rev && watch.Wait > 0 {
+	if watch.Watching && watch.Since >= rep.fsm.state.Last && watch.Wait > 0 {
 		news := rep.fsm.news
 		rep.fsm.mu.Unlock()
 		registry.Await(r.Context(), news, watch.Wait)
