--- a/cmd/fleetlab/simulate.go
+++ b/cmd/fleetlab/simulate.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -32,7 +36,9 @@
 			}
 			debug.SetGCPercent(400)
 			began := time.Now()
-			sum := sim.Many(func(s uint64) sim.Plan {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			sum := sim.Many(ctx, func(s uint64) sim.Plan {
 				p := draw(s)
 				p.Alone = alone
 				return p
--- a/internal/fleet/sim/node.go
+++ b/internal/fleet/sim/node.go
@@ -128,6 +128,7 @@
 		n.s.breach("revision", "%s goes back from %d to %d", n.name, n.held.rev, it.rev)
 	}
 	n.held, n.confirmed = it, n.clock.read(n.s.now)
+	n.s.heard(n)
 }
 
 // poll asks a replica whether there is anything new.
@@ -156,6 +157,7 @@
 	n.since = now
 	n.clear()
 	n.lie(&r)
+	n.acknowledge(&r)
 	run := n.run
 	n.s.link(n.i, func() {
 		n.s.control.report(n.i, r, func() {
--- a/internal/fleet/sim/plan.go
+++ b/internal/fleet/sim/plan.go
@@ -20,6 +20,15 @@
 	Jitter  time.Duration `json:"jitter"` // of a message's delay, at most
 	Alone   bool          `json:"alone"`  // the control plane gives no directives: each node judges for itself
 	Faults  []Fault       `json:"faults"`
+	Changes []Change      `json:"changes"`
+}
+
+// Change is what an operator does with a tenant: a new quota, or its removal.
+type Change struct {
+	At     time.Duration `json:"at"`
+	Tenant string        `json:"tenant"`
+	Rate   float64       `json:"rate"`   // requests/s; 0 removes it
+	Refuse bool          `json:"refuse"` // one node refuses it
 }
 
 // Kinds of faults.
@@ -73,6 +82,14 @@
 		}
 		p.Faults = append(p.Faults, f)
 	}
+	p.Changes = []Change{{At: 2 * time.Second, Tenant: "amouage", Rate: 100}, {At: 2 * time.Second, Tenant: "lulu", Rate: 20}}
+	for range r.IntN(6) {
+		c := Change{At: 8*time.Second + ms(r, 32000), Tenant: []string{"amouage", "lulu"}[r.IntN(2)], Rate: 10 + 190*r.Float64(), Refuse: r.IntN(6) == 0}
+		if r.IntN(6) == 0 {
+			c.Rate = 0
+		}
+		p.Changes = append(p.Changes, c)
+	}
 	return p
 }
 
@@ -81,6 +98,7 @@
 	p := Draw(seed, nodes)
 	p.Zones, p.Servers, p.Loss, p.Jitter, p.Faults = 3, 4, 0, 5*time.Millisecond, p.Faults[:1]
 	p.Faults[0].Zone %= p.Zones
+	p.Changes = p.Changes[:2]
 	return p
 }
 
--- a/internal/fleet/sim/rules.go
+++ b/internal/fleet/sim/rules.go
@@ -108,8 +108,10 @@
 			}
 		}
 	}
+	s.serves(n)
 	if n.i == 0 {
 		s.budgets()
+		s.quotas()
 	}
 }
 
--- a/internal/fleet/sim/sim.go
+++ b/internal/fleet/sim/sim.go
@@ -35,6 +35,9 @@
 	lowest  map[string]float64
 	first   map[string]uint64
 	losses  []*loss
+
+	committed map[string]bool // uid, generation and digest
+	rollouts  []*rollout
 }
 
 // hooks are faults planted by tests.
@@ -42,6 +45,8 @@
 	command func(*zones.Command)
 	observe func(*control, time.Duration, fleet.Report)
 	takeOld bool
+	rejoin  bool // a run is present again before it has heard what was intended meanwhile
+	staged  bool // nodes serve by what is staged
 	ageless bool
 	greed   float64 // what a node multiplies its rates by
 }
@@ -61,6 +66,8 @@
 	Spread   []int64 `json:"spread_ms,omitempty"` // from the first of them to the last
 	Unheard  int     `json:"unheard"`             // losses for which that many never stopped
 	Returned []int64 `json:"returned_ms,omitempty"`
+	Onboard  []int64 `json:"onboard_ms,omitempty"` // from a tenant's change to its being applied on every present node
+	Undone   int     `json:"undone"`               // changes that were rolled back, refused, or not applied by the end
 	Falls    int     `json:"cold_falls"`
 	Wrong    int     `json:"wrong_leaves"`
 	Steps    int     `json:"steps"`
@@ -76,7 +83,7 @@
 
 func run(p Plan, plant func(*Sim)) Result {
 	s := &Sim{plan: p, set: zones.Default(p.Nodes), rng: rand.New(rand.NewPCG(p.Seed, 2)), holdPart: holdPart, left: map[string]bool{},
-		entered: map[string]time.Duration{}, lowest: map[string]float64{}, first: map[string]uint64{}, trouble: make([]time.Duration, p.Zones)}
+		entered: map[string]time.Duration{}, lowest: map[string]float64{}, first: map[string]uint64{}, trouble: make([]time.Duration, p.Zones), committed: map[string]bool{}}
 	s.hooks.greed = 1
 	s.set.ColdTime = 10 * time.Second // servers that are cold for long, and hardly more than what is asked of them
 	s.capacity = 1.3 * demand * float64(p.Nodes) / float64(p.Zones*p.Servers)
@@ -100,6 +107,9 @@
 	for _, f := range p.Faults {
 		s.after(f.At, func() { s.begin(f) })
 	}
+	for _, c := range p.Changes {
+		s.after(c.At, func() { s.operate(c, 0) })
+	}
 	for len(s.queue) > 0 && s.broken == nil {
 		e := heap.Pop(&s.queue).(event)
 		if e.at > p.For {
@@ -112,6 +122,13 @@
 	for _, l := range s.losses {
 		s.measure(l)
 	}
+	for _, r := range s.rollouts {
+		if r.done == 0 {
+			s.res.Undone++
+		} else {
+			s.res.Onboard = append(s.res.Onboard, (r.done - r.put).Milliseconds())
+		}
+	}
 	return s.res
 }
 
