--- a/decide/fleet_state.go
+++ b/decide/fleet_state.go
@@ -1,11 +1,14 @@
 package decide
 
-// What the module keeps of the fleet's facts, and the counts that it gives for reports. Nothing is decided here.
+// What the module keeps of the fleet's facts, the counts that it gives for reports, and what of
+// a fact makes no sense. Nothing is decided here.
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
+	"path"
 	"slices"
 	"time"
 )
@@ -248,3 +251,44 @@
 	}
 	return w
 }
+
+// sane tells whether a directive makes sense; one that does not changes nothing.
+func (e *ZoneTold) sane() bool {
+	return e.Share >= 0 && e.Share <= 1 && e.Floor >= 0 && e.Floor <= 1 && e.Rate >= 0 && e.Rate <= mostRate &&
+		e.Age >= 0 && e.Valid >= 0
+}
+
+// flaw tells what is wrong with a generation wherever it is served; empty if nothing is.
+func flaw(g *TenantRules) string {
+	if !(g.Rate >= 0 && g.Rate <= mostRate && g.Burst >= 0 && g.Burst <= mostRate) {
+		return fmt.Sprintf("quota: rate %v, burst %v", g.Rate, g.Burst)
+	}
+	for _, c := range slices.Sorted(maps.Keys(g.ClassRates)) {
+		if rate := g.ClassRates[c]; !(rate >= 0 && rate <= g.Rate) {
+			return fmt.Sprintf("quota.classes: class %q with rate %v", c, rate)
+		}
+	}
+	for i, r := range g.Routes {
+		if _, err := path.Match(r.ID, ""); err != nil || !(r.Weight > 0 && r.Weight <= mostRate) {
+			return fmt.Sprintf("routes[%d]: id %q, weight %v", i, r.ID, r.Weight)
+		}
+	}
+	return ""
+}
+
+// matches tells whether a route names a server.
+func (t *TenantRoute) matches(s *server) bool {
+	ok := t.ID == ""
+	if !ok {
+		ok, _ = path.Match(t.ID, s.Name)
+	}
+	return ok && (t.Zone == "" || t.Zone == s.Zone) && (t.Kind == "" || t.Kind == s.Kind)
+}
+
+// leave ends a request's place among its tenant's open ones.
+func (m *Module) leave(r *request) {
+	if r.brand != nil {
+		r.brand.open--
+		r.brand = nil
+	}
+}
--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"math"
-	"path"
 	"slices"
 	"time"
 )
@@ -87,24 +86,6 @@
 	return flaw(g)
 }
 
-// flaw tells what is wrong with a generation wherever it is served; empty if nothing is.
-func flaw(g *TenantRules) string {
-	if !(g.Rate >= 0 && g.Rate <= mostRate && g.Burst >= 0 && g.Burst <= mostRate) {
-		return fmt.Sprintf("quota: rate %v, burst %v", g.Rate, g.Burst)
-	}
-	for _, c := range slices.Sorted(maps.Keys(g.ClassRates)) {
-		if rate := g.ClassRates[c]; !(rate >= 0 && rate <= g.Rate) {
-			return fmt.Sprintf("quota.classes: class %q with rate %v", c, rate)
-		}
-	}
-	for i, r := range g.Routes {
-		if _, err := path.Match(r.ID, ""); err != nil || !(r.Weight > 0 && r.Weight <= mostRate) {
-			return fmt.Sprintf("routes[%d]: id %q, weight %v", i, r.ID, r.Weight)
-		}
-	}
-	return ""
-}
-
 // quota is a tenant's share here, requests/s: the floor part, which it always has, and what is leased. A
 // lease that was of another tenant of its name is none: the control plane sees to it that others sum up.
 func (m *Module) quota(b *brand) (floor, leased float64) {
@@ -164,14 +145,6 @@
 	return true
 }
 
-// leave ends a request's place among its tenant's open ones.
-func (m *Module) leave(r *request) {
-	if r.brand != nil {
-		r.brand.open--
-		r.brand = nil
-	}
-}
-
 // within takes a request's token from its tenant's share, and from that of its class.
 func (m *Module) within(r *request, b *brand) bool {
 	m.settle(b)
@@ -206,15 +179,6 @@
 	return true
 }
 
-// matches tells whether a route names a server.
-func (t *TenantRoute) matches(s *server) bool {
-	ok := t.ID == ""
-	if !ok {
-		ok, _ = path.Match(t.ID, s.Name)
-	}
-	return ok && (t.Zone == "" || t.Zone == s.Zone) && (t.Kind == "" || t.Kind == s.Kind)
-}
-
 // chooseRouted adds to the subset what a tenant's routes need, from the node's place on the ring on, and
 // notes which routes match a server in use.
 func (m *Module) chooseRouted(b *brand) {
--- a/decide/fleet_zones.go
+++ b/decide/fleet_zones.go
@@ -33,12 +33,6 @@
 	} // FleetSynced changes no decision: a tenant not told yet is refused as an unknown one
 }
 
-// sane tells whether a directive makes sense; one that does not changes nothing.
-func (e *ZoneTold) sane() bool {
-	return e.Share >= 0 && e.Share <= 1 && e.Floor >= 0 && e.Floor <= 1 && e.Rate >= 0 && e.Rate <= mostRate &&
-		e.Age >= 0 && e.Valid >= 0
-}
-
 // zoneTold takes a directive. Older news than what is held changes nothing; the same again confirms it.
 func (m *Module) zoneTold(e ZoneTold) {
 	f, d := m.fleet, m.fleet.zones[e.Zone]
