Let a lab event name the zone of the replica that leads

The case of a zone lost together with the raft leader could not be said, as who leads is known only in the run: zone:leader and not-zone:leader at the ends of a link's fault name it, as replicas:leader names the replica. Checked when the scenario is read, as ever.

--- a/internal/lab/links_test.go
+++ b/internal/lab/links_test.go
@@ -63,12 +63,13 @@
 
 func TestEventsAreCheckedWhenRead(t *testing.T) {
 	for text, want := range map[string]string{
-		`do = "kill"` + "\nnodes = \"zone:c\"":                    `"zone:c" is no zone or region`,
-		`do = "kill"` + "\nagents = \"0\"":                        `selector "0" is not one of 0--1`,
-		`do = "kill"` + "\nreplicas = \"leader\"":                 `selector "leader"`,
-		`do = "link"` + "\nbetween = [\"clients\", \"moon:all\"]": `"moon:all" is none of`,
-		`do = "list"` + "\nservers = \"0\"\nstate = \"up\"":       `state "up"`,
-		`do = "link"` + "\nloss = 1.5":                            "loss and reorder are shares",
+		`do = "kill"` + "\nnodes = \"zone:c\"":                       `"zone:c" is no zone or region`,
+		`do = "kill"` + "\nagents = \"0\"":                           `selector "0" is not one of 0--1`,
+		`do = "kill"` + "\nreplicas = \"leader\"":                    `selector "leader"`,
+		`do = "link"` + "\nbetween = [\"clients\", \"moon:all\"]":    `"moon:all" is none of`,
+		`do = "link"` + "\nbetween = [\"zone:leader\", \"clients\"]": `"zone:leader" is no zone`,
+		`do = "list"` + "\nservers = \"0\"\nstate = \"up\"":          `state "up"`,
+		`do = "link"` + "\nloss = 1.5":                               "loss and reorder are shares",
 	} {
 		if _, err := ParseScenario("x", []byte("[[events]]\nat_s = 1\n"+text+"\n")); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/lab/selectors.go
+++ b/internal/lab/selectors.go
@@ -98,7 +98,9 @@
 				_, err = s.selected(sel, replicas)
 			}
 		case "zone", "not-zone", "region":
-			_, err = s.selected(end, s.Fleet.Nodes)
+			if sel != "leader" || kind == "region" || !listd {
+				_, err = s.selected(end, s.Fleet.Nodes)
+			}
 		default:
 			err = fmt.Errorf("between: %q is none of clients, discovery, nodes:, servers:, agents:, replicas:, zone:, not-zone:, region:", end)
 		}
