--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -47,7 +47,7 @@
 	config := map[string]any{"name": n.info.Name, "listen": n.info.Listen, "discovery": discovery,
 		"seed": fmt.Sprintf("%x", f.s.Seed*7919+uint64(n.i)+1), "limits": map[string]any{"sockets": 4096, "memory_mb": 192},
 		"settings": settings}
-	if f.s.Fleet.Control {
+	if f.s.Fleet.Control && f.s.Fleet.Follow {
 		config["fleet"] = map[string]any{"agent": discovery, "report_ms": 250, "catch_up_ms": 10000}
 	}
 	raw, err := json.Marshal(config)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -37,6 +37,7 @@
 	ListdBin   string              `toml:"listd_binary"`
 	Control    bool                `toml:"control"` // the control plane of docs/fleet.md, on listd
 	TTLMS      int                 `toml:"ttl_ms"`  // of its sessions
+	Follow     bool                `toml:"follow"`  // with control: nodes have the fleet block; false to see what they do without
 	Gossip     bool                `toml:"gossip"`  // a member beside each node (cmd/members)
 	MembersBin string              `toml:"members_binary"`
 }
@@ -110,7 +111,7 @@
 // use, is one plain error that names it.
 func ParseScenario(name string, text []byte) (*Scenario, error) {
 	s := Scenario{Seed: 1, DurationS: 20, Fleet: Fleet{Nodes: 4, Servers: 6, Zones: []string{"a", "b"}, ReadyS: 20, NoticeS: 2,
-		NodeBinary: "bin/starlingvalve", Discovery: "standin", Replicas: 3, ListdBin: "bin/listd", TTLMS: 6000, MembersBin: "bin/members"},
+		NodeBinary: "bin/starlingvalve", Discovery: "standin", Replicas: 3, ListdBin: "bin/listd", TTLMS: 6000, Follow: true, MembersBin: "bin/members"},
 		Servers: Servers{Capacity: 8, LatencyMS: 20, Spread: 0.3, MaxConns: 256, IdleS: 15, ColdS: 5},
 		Load:    Load{Rate: 100, MaxRequests: 100000, FromS: 1}}
 	md, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&s)
