--- a/internal/lab/standin/appserver.go
+++ b/internal/lab/standin/appserver.go
@@ -204,8 +204,9 @@
 	return fell
 }
 
-// breakOff resets the request's connection.
-func breakOff(w http.ResponseWriter) {
+// breakOff resets the request's connection. The attempt ends before: the node may begin another at once.
+func (s *AppServer) breakOff(w http.ResponseWriter, a *invariants.Attempt) {
+	a.End = s.rec.Since()
 	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
 		if tc, ok := c.(*net.TCPConn); ok {
 			tc.SetLinger(0)
@@ -225,7 +226,12 @@
 	id := r.Header.Get("X-Correlation-Id")
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	a := invariants.Attempt{ID: id, Class: class, Server: s.Spec.ID, Node: s.nodeOf(r.RemoteAddr), Start: s.rec.Since()}
-	defer func() { a.End = s.rec.Since(); s.rec.attempt(a) }()
+	defer func() {
+		if a.End == 0 {
+			a.End = s.rec.Since()
+		}
+		s.rec.attempt(a)
+	}()
 	if id == "" {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -235,12 +241,12 @@
 		return
 	}
 	if s.fallen(a.Node) {
-		breakOff(w)
+		s.breakOff(w, &a)
 		return
 	}
 	switch Mode(s.mode.Load()) {
 	case Reset:
-		breakOff(w)
+		s.breakOff(w, &a)
 		return
 	case Silent:
 		<-r.Context().Done()
@@ -269,7 +275,7 @@
 		return
 	}
 	if s.fallen(-2) {
-		breakOff(w)
+		s.breakOff(w, &a)
 		return
 	}
 	if Mode(s.mode.Load()) == Failing {
