Judge a node's list once the leader's judge knows that version of it

The judge takes in what is intended every 100 ms, while a node may have heard a newer list from any replica and named it in its report: the list was then compared with the older one, and the node was shown as diverged by the servers between (two of ten nodes at a start, all ten when the replicas were back and the app servers registered again). Such a report is compared at the judge's next look, as one of a newer revision already was; a list that stays above the leader's revision for 1 s is the verdict ahead, with the list as the item.

--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -159,6 +159,18 @@
 	return failed
 }
 
+// above says which of a report's two versions is newer than all that the judge has taken in, as the judge looks now and then
+// and nodes hear from any replica: "revision", "list" or "" for neither.
+func (b *book) above(r *fleet.Report) string {
+	switch {
+	case r.Revision > b.rev:
+		return "revision"
+	case !b.noList && r.List > b.rev:
+		return "list"
+	}
+	return ""
+}
+
 // add puts a version on record. What an item was before the judge first heard of anything is unknown; one that
 // appears later was not there.
 func (b *book) add(key string, v version) {
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -113,7 +113,7 @@
 // known, stays as it was.
 func (n *node) compare(now fleet.Time, b *book) {
 	r := &n.report
-	if n.redo = !b.known || r.Revision > b.rev; n.redo {
+	if n.redo = !b.known || b.above(r) != ""; n.redo {
 		return
 	}
 	if e := &n.expected; e.tree == nil || e.rev != r.Revision || e.gen != b.gen {
@@ -213,15 +213,16 @@
 	if !n.heard || n.at < office {
 		return finding{}
 	}
-	above := b.known && n.report.Revision > b.rev
+	newer := b.above(&n.report)
+	above := b.known && newer != ""
 	if !above {
 		n.aheadAt = never
 	} else if n.aheadAt == never {
 		n.aheadAt = now
 	}
 	if above && now-n.aheadAt >= bd.Ahead {
-		return finding{state: Ahead, overrides: slices.Clone(n.local), evidence: whyAbove, items: []Difference{{Key: "*", Field: "revision",
-			Intended: strconv.FormatUint(b.rev, 10), Applied: strconv.FormatUint(n.report.Revision, 10)}}}
+		return finding{state: Ahead, overrides: slices.Clone(n.local), evidence: whyAbove, items: []Difference{{Key: "*", Field: newer,
+			Intended: strconv.FormatUint(b.rev, 10), Applied: strconv.FormatUint(max(n.report.Revision, n.report.List), 10)}}}
 	}
 	f := finding{overrides: slices.Clone(n.local)}
 	was := n.shown.state
--- a/internal/fleet/drift/unit_test.go
+++ b/internal/fleet/drift/unit_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+// A node may hear of the list from a replica before the judge has looked again: it is compared once the judge knows that version.
+func TestListNewerThanTheJudge(t *testing.T) {
+	c, b := seed(1), book{}
+	b.ingest(0, c.in)
+	before := c.in.Revision
+	c.serve("s99", "ready")
+	m := module{Member: fleet.Member{Node: "n000", Zone: "z2"}}
+	m.hear(c.in)
+	n := &node{Member: m.Member, heard: true, report: m.report()}
+	n.report.Revision = before
+	n.compare(0, &b)
+	must(t, n.redo && !n.judged() && len(n.trees[1].ask) == 0, "compared with a list that was not known: %+v", n.trees[1])
+	b.ingest(0, c.in)
+	n.compare(0, &b)
+	must(t, !n.redo && n.judged() && n.trees[0].same && n.trees[1].same, "after the judge has looked: %+v", n.trees)
+}
+
 func itemRevOf(c *intent, key string) uint64 { return itemRev(&world{intent: c}, key) }
 
 func TestStateRefuses(t *testing.T) {
