End a lab's lease renewal with the run, not 10 s a server after it

A renewal in flight as the links were closed went on for every server in turn, each trying for 10 s: a run with 9 servers ended 90 s and more after its end. Writes now stop once the list is closed.

--- a/internal/lab/listd.go
+++ b/internal/lab/listd.go
@@ -76,7 +76,7 @@
 	return l, nil
 }
 
-// write sends one call to whoever leads, trying for up to 10 s.
+// write sends one call to whoever leads, trying for up to 10 s, or until the list is closed.
 func (l *listdList) write(op string, e standin.Entry) error {
 	body := map[string]any{"id": e.ID, "ttl_ms": leaseMS}
 	if op == "register" {
@@ -85,6 +85,11 @@
 	}
 	raw, _ := json.Marshal(body)
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-l.done:
+			return fmt.Errorf("listd: %s %s not committed before the end", op, e.ID)
+		default:
+		}
 		lead, err := l.cluster.Leader(5*time.Second, -1)
 		if err != nil {
 			continue
