Hold no node to a returning zone's budget that was deaf before the zone was left

A zone cut off whole with its nodes goes on serving them as ever, as they can't hear that the others left it: Z-budget counted that against the budget of the others (20 requests/s where 2 were given). Such nodes are left out; one that went deaf after it was told is counted as before, as it is to keep its smallest share.

--- a/internal/invariants/fleet.go
+++ b/internal/invariants/fleet.go
@@ -172,12 +172,15 @@
 }
 
 // zoneBudgets finds servers of a returning zone that got more from all nodes together than the directive's budget, in
-// any second, with chance's part as the cold rule has it.
+// any second, with chance's part as the cold rule has it. What a node sends that was deaf before the zone was left, and still is, is not
+// counted: it serves the zone as ever.
 func (r Run) zoneBudgets(byKey map[string][]Told) []Breach {
 	var out []Breach
 	byServer := map[string][]Attempt{}
 	for _, a := range r.Attempts {
-		byServer[a.Server] = append(byServer[a.Server], a)
+		if !r.deafSince(leftAt(byKey["zone/"+r.Fleet.ServerZone[a.Server]], a.Start), a) {
+			byServer[a.Server] = append(byServer[a.Server], a)
+		}
 	}
 	for server, as := range byServer {
 		told := byKey["zone/"+r.Fleet.ServerZone[server]]
@@ -200,6 +203,29 @@
 	return out
 }
 
+// leftAt is when the first directive of those that hold at at was told; 0 where none holds.
+func leftAt(told []Told, at time.Duration) time.Duration {
+	since := time.Duration(0)
+	for _, t := range told {
+		switch {
+		case t.At > at:
+			return since
+		case t.Gone:
+			since = 0
+		case since == 0:
+			since = t.At
+		}
+	}
+	return since
+}
+
+// deafSince says whether a fault has kept the attempt's node itself from hearing from before left until the attempt.
+func (r Run) deafSince(left time.Duration, a Attempt) bool {
+	return left > 0 && slices.ContainsFunc(r.Excuses, func(e Excuse) bool {
+		return e.Node == a.Node && e.Rule == "after-grace" && e.From <= left && (e.To < 0 || a.Start <= e.To)
+	})
+}
+
 // budgetAbout is the largest budget that held from a bound before from to a bound after to; false where at some time
 // there was none.
 func budgetAbout(told []Told, from, to time.Duration) (float64, bool) {
--- a/internal/invariants/fleet_test.go
+++ b/internal/invariants/fleet_test.go
@@ -77,9 +77,10 @@
 				r.put(18*sec+520*ms+time.Duration(i)*10*ms, i%3, "sb", "old", "schedule-view")
 			}
 		}},
-		"tenant nobody committed": {"T-uncommitted", 1, func(r *Run) { r.put(3*sec, 0, "sa", "x", "schedule-view") }},
-		"tenant only staged":      {"T-uncommitted", 1, func(r *Run) { r.put(2*sec, 0, "sa", "new", "schedule-view") }},
-		"removed tenant":          {"T-removed", 1, func(r *Run) { r.put(28*sec, 0, "sa", "new", "schedule-view") }},
+		"over the budget by one deaf since the zone was left": {"Z-budget", 1, func(r *Run) { r.deafRush(12 * sec) }},
+		"tenant nobody committed":                             {"T-uncommitted", 1, func(r *Run) { r.put(3*sec, 0, "sa", "x", "schedule-view") }},
+		"tenant only staged":                                  {"T-uncommitted", 1, func(r *Run) { r.put(2*sec, 0, "sa", "new", "schedule-view") }},
+		"removed tenant":                                      {"T-removed", 1, func(r *Run) { r.put(28*sec, 0, "sa", "new", "schedule-view") }},
 		"over the quota": {"T-quota", 1, func(r *Run) {
 			for i := range 30 {
 				r.put(23*sec+time.Duration(i)*30*ms, 0, "sa", "new", "schedule-view")
@@ -109,6 +110,14 @@
 	r.put(52*sec, 1, "sc", "old", "schedule-view") // of zone b: stays
 }
 
+// deafRush has node 1, deaf from a time on, send more to zone b than its budget as it returns.
+func (r *Run) deafRush(from time.Duration) {
+	r.Excuses = append(r.Excuses, Excuse{Node: 1, Rule: "after-grace", From: from, To: 24 * sec, Back: 19 * sec, Why: "deaf agent:n1"})
+	for i := range 20 {
+		r.put(18*sec+520*ms+time.Duration(i)*10*ms, 1, "sb", "old", "schedule-view")
+	}
+}
+
 // What the rules let be: a node that can't hear, a quota just changed, an alarm on a node under a fault.
 func TestFleetRulesKnowTheirExcuses(t *testing.T) {
 	for name, change := range map[string]func(*Run){
@@ -116,6 +125,7 @@
 			r.put(12*sec, 2, "sb", "old", "schedule-view")
 			r.Excuses = append(r.Excuses, Excuse{Node: 2, Rule: "after-grace", From: 9 * sec, To: 13 * sec, Back: 11 * sec, Why: "deaf n2"})
 		},
+		"deaf before the zone was left": func(r *Run) { r.deafRush(9 * sec) },
 		"alarm on a node that is down": func(r *Run) {
 			r.Fleet.Verdicts = append(r.Fleet.Verdicts, Verdict{2, 36 * sec, "stuck", ""})
 		},
