Let drift's judge take in a change of the list where no item of the intent has changed

The judge skipped what is intended while the intent's revision stood still, and a change of the server list alone leaves it as it was: after the replicas were back and app servers registered anew, ten of ten nodes were compared with a list from before (diverged), or shown as ahead of it. What has been taken in is now told by the newest revision of either; the alarm on the intent's revision is as it was. A node that is behind in the list alone is found too.

--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -33,7 +33,7 @@
 func Expect(in Intended, m fleet.Member) ([]fleet.Held, error) {
 	var b book
 	err := b.ingest(0, in)
-	list := b.list(in.Revision)
+	list := b.list(b.seen)
 	held, _ := b.expect(in.Revision, m)
 	held = append(held, list...)
 	slices.SortFunc(held, func(a, b fleet.Held) int { return strings.Compare(a.Key, b.Key) })
@@ -84,7 +84,8 @@
 
 // book is the judge's memory of what was intended of late.
 type book struct {
-	rev     uint64
+	rev     uint64 // of the intent
+	seen    uint64 // newest revision taken in, the list's or the intent's
 	gen     uint64 // counts changes
 	known   bool   // something has been taken in
 	entries map[string]*entry
@@ -107,7 +108,11 @@
 // ingest takes in what is intended now. Items of a revision already known are left; one that can't be read counts
 // as unknown, and the first such is the error.
 func (b *book) ingest(now fleet.Time, in Intended) error {
-	if b.known && in.Revision == b.rev {
+	newest := in.Revision // a change of the list alone leaves the intent's revision as it is
+	for i := range in.Servers {
+		newest = max(newest, in.Servers[i].Rev)
+	}
+	if b.known && newest == b.seen && in.Revision == b.rev {
 		return nil
 	}
 	if b.entries == nil {
@@ -150,12 +155,12 @@
 		switch {
 		case seen[key] || b.noList && isList(key):
 		case !e.last().gone: // without a word: at some revision since the last
-			b.add(key, version{rev: b.rev + 1, sure: in.Revision, gone: true, seen: now})
-		case e.last().rev+goneKept < in.Revision:
+			b.add(key, version{rev: b.seen + 1, sure: newest, gone: true, seen: now})
+		case e.last().rev+goneKept < newest:
 			b.remove(e)
 		}
 	}
-	b.rev, b.known = in.Revision, true
+	b.rev, b.seen, b.known = in.Revision, newest, true
 	return failed
 }
 
@@ -165,7 +170,7 @@
 	switch {
 	case r.Revision > b.rev:
 		return "revision"
-	case !b.noList && r.List > b.rev:
+	case !b.noList && r.List > b.seen:
 		return "list"
 	}
 	return ""
@@ -191,7 +196,7 @@
 			b.servers = insert(b.servers, e)
 		}
 	}
-	e.last().until = b.rev
+	e.last().until = b.seen
 	e.versions = append(e.versions, v)
 	if over := len(e.versions) - versionsKept; over > 0 { // what was before the first kept is not known
 		e.versions = slices.Delete(e.versions, 0, over)
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -221,8 +221,11 @@
 		n.aheadAt = now
 	}
 	if above && now-n.aheadAt >= bd.Ahead {
-		return finding{state: Ahead, overrides: slices.Clone(n.local), evidence: whyAbove, items: []Difference{{Key: "*", Field: newer,
-			Intended: strconv.FormatUint(b.rev, 10), Applied: strconv.FormatUint(max(n.report.Revision, n.report.List), 10)}}}
+		d := Difference{Key: "*", Field: newer, Intended: strconv.FormatUint(b.rev, 10), Applied: strconv.FormatUint(n.report.Revision, 10)}
+		if newer == "list" {
+			d.Intended, d.Applied = strconv.FormatUint(b.seen, 10), strconv.FormatUint(n.report.List, 10)
+		}
+		return finding{state: Ahead, overrides: slices.Clone(n.local), evidence: whyAbove, items: []Difference{d}}
 	}
 	f := finding{overrides: slices.Clone(n.local)}
 	was := n.shown.state
--- a/internal/fleet/drift/unit_test.go
+++ b/internal/fleet/drift/unit_test.go
@@ -174,10 +174,11 @@
 	b.ingest(0, c.in)
 	before := c.in.Revision
 	c.serve("s99", "ready")
+	c.in.Revision = before // as the control plane has it: no item has changed
 	m := module{Member: fleet.Member{Node: "n000", Zone: "z2"}}
 	m.hear(c.in)
+	m.list++
 	n := &node{Member: m.Member, heard: true, report: m.report()}
-	n.report.Revision = before
 	n.compare(0, &b)
 	must(t, n.redo && !n.judged() && len(n.trees[1].ask) == 0, "compared with a list that was not known: %+v", n.trees[1])
 	b.ingest(0, c.in)
