Let a rollout go on without a node that reports and never applies it

A committed generation waited for every present node for as long as it reported: one that was deaf, or went on by the old generation, held a tenant for good. After 10 s it is late now: the status names it, and drift has it stuck by its acknowledgements and repairs it by its steps. Once it is out of the front its lease is not renewed, so that it is present no more a ttl later (T2 stands), and it joins again only when it has followed. Removals likewise.

--- a/internal/fleet/control/judge.go
+++ b/internal/fleet/control/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"starlingvalve/internal/fleet"
@@ -28,6 +29,7 @@
 	drift   *drift.Judge
 	seqs    map[string]seen   // the newest report taken, by node
 	ready   map[string]uint64 // incarnations that were found to be caught up since they joined, by node
+	ended   map[string]uint64 // incarnations whose leases are not renewed, as they hold up a rollout, by node
 }
 
 type seen struct{ incarnation, seq uint64 }
@@ -37,7 +39,7 @@
 func Office(set Settings, now fleet.Time, s *State) *Judge {
 	j := &Judge{set: set, leases: session.Office(now, set.TTL), zones: zones.NewJudge(set.Zones),
 		tenants: tenants.NewJudge(tenants.Config{Slots: set.Slots, TTL: set.TTL}), drift: drift.NewJudge(drift.Defaults()),
-		seqs: map[string]seen{}, ready: map[string]uint64{}}
+		seqs: map[string]seen{}, ready: map[string]uint64{}, ended: map[string]uint64{}}
 	for node, m := range s.Session.Members {
 		j.ready[node] = m.Incarnation // a former leader has seen to it, or the run has served since
 	}
@@ -67,12 +69,22 @@
 		return nil, true, nil
 	case present:
 		return nil, false, nil
-	case !s.MayJoin(r):
+	case !s.MayJoin(r) || j.holdsUp(s, r):
 		return nil, true, nil
 	}
 	return &Command{Session: &session.Command{Op: session.Join, Member: r.Member, Slots: j.set.Slots}, Guard: s.Guard(r.Node)}, false, nil
 }
 
+// holdsUp says that a run is not to be present, as it held up a rollout, was taken out of the front for it, and has not
+// followed since.
+func (j *Judge) holdsUp(s *State, r fleet.Report) bool {
+	if inc, ok := j.ended[r.Node]; ok && (inc != r.Incarnation || tenants.Follows(&s.Tenants, r)) {
+		delete(j.ended, r.Node)
+	}
+	_, ok := j.ended[r.Node]
+	return ok
+}
+
 // Out is the answer to a run that is not present.
 func Out(s *State) fleet.ReportAnswer { return fleet.ReportAnswer{Revision: s.Rev, Out: true} }
 
@@ -90,8 +102,11 @@
 	if last.incarnation == r.Incarnation && r.Seq < last.seq {
 		return fleet.ReportAnswer{}, ErrOlder
 	}
-	if err := j.leases.Renew(now, r.Member); err != nil {
-		return fleet.ReportAnswer{}, err
+	held := !j.holdsUp(s, r)
+	if held {
+		if err := j.leases.Renew(now, r.Member); err != nil {
+			return fleet.ReportAnswer{}, err
+		}
 	}
 	if last.incarnation != r.Incarnation || r.Seq > last.seq {
 		j.seqs[r.Node] = seen{r.Incarnation, r.Seq}
@@ -101,6 +116,9 @@
 	}
 	ans := fleet.ReportAnswer{TTLMS: j.set.TTL.Milliseconds(), Revision: s.Rev}
 	ans.Resend, ans.Want, ans.Restart, ans.Out = j.drift.Answer(r.Node)
+	if !held {
+		ans.TTLMS, ans.Out = 0, true
+	}
 	if j.ready[r.Node] != r.Incarnation {
 		if s.CaughtUp(r) {
 			j.ready[r.Node] = r.Incarnation
@@ -125,9 +143,15 @@
 	for _, c := range j.tenants.Step(now, &s.Tenants, s.Session.Epoch, present) {
 		out = append(out, Command{Tenants: &c})
 	}
-	for _, c := range j.drift.Step(now, &s.Drift, drift.Intended{Revision: s.Rev, Items: s.All(), Servers: servers}, present) {
+	late := j.late(now, s, present)
+	for _, c := range j.drift.Step(now, &s.Drift, drift.Intended{Revision: s.Rev, Items: s.All(), Servers: servers, Late: late}, present) {
 		out = append(out, Command{Drift: &c})
 	}
+	for _, m := range present {
+		if late[m.Node] != nil && j.drift.Out(m.Node) {
+			j.ended[m.Node] = m.Incarnation
+		}
+	}
 	for node := range j.seqs {
 		if _, ok := s.Session.Members[node]; !ok {
 			delete(j.seqs, node)
@@ -141,6 +165,16 @@
 	return out
 }
 
+// late is what present nodes hold up past its bound, as drift names it.
+func (j *Judge) late(now fleet.Time, s *State, present []fleet.Member) map[string][]drift.Difference {
+	out := map[string][]drift.Difference{}
+	for _, l := range j.tenants.Late(now, &s.Tenants, present) {
+		out[l.Node] = append(out[l.Node], drift.Difference{Key: "tenant/" + l.Tenant, Field: "applied",
+			Intended: strconv.FormatUint(l.Want, 10), Applied: strconv.FormatUint(l.Has, 10)})
+	}
+	return out
+}
+
 // Settled says that a command's outcome is known: it was applied, refused, or will surely never be.
 func (j *Judge) Settled(c Command) {
 	if c.Session != nil && c.Session.Op == session.Lapse {
--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -18,6 +18,7 @@
 	Revision uint64
 	Items    []fleet.Item
 	Servers  []Listed
+	Late     map[string][]Difference // by present node: what it holds up, a rollout's step, past its bound
 }
 
 // Listed is an entry of the server list.
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -153,6 +153,7 @@
 		if j.gone(now, n, here[name], st, &c) {
 			continue
 		}
+		n.late = in.Late[name]
 		if gen != j.book.gen {
 			n.follow(&j.book)
 		}
@@ -306,6 +307,12 @@
 	return keys
 }
 
+// Out says that a node's repair has come to its last step: it is to be out of the front.
+func (j *Judge) Out(name string) bool {
+	n := j.nodes[name]
+	return n != nil && n.repair.Step == Out
+}
+
 // Answer gives what a report of the node is to be answered with: keys that the agent sends its node again ("*": all), what
 // the node's next report is to carry (Fill), whether the agent is to restart, and whether the node is to be out of the
 // front. What is asked of the agent is asked once a step of the repair.
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -35,6 +35,8 @@
 	local    []Override
 	from     Override // of its settings: who and since when
 
+	late []Difference // what it holds up past its bound
+
 	absent bool // it has no session, since then:
 	gone   fleet.Time
 
@@ -89,6 +91,7 @@
 	whySettings = "other settings than the fleet's"
 	whyBehind   = "outstanding, inside the bound"
 	whyLate     = "outstanding, past the bound"
+	whyLateStep = "holds up a rollout past its bound"
 	whyAsking   = "other content, being named"
 	whyUnknown  = "not comparable yet"
 	whyOther    = "other content, named"
@@ -235,6 +238,10 @@
 		f.worse(Diverged, whyCounts)
 	}
 	lagging := n.findBehind(bd, &f)
+	if len(n.late) > 0 {
+		f.items = append(f.items, n.late...)
+		f.worse(Stuck, whyLateStep)
+	}
 	if over := len(f.items) - itemsMost; over > 0 {
 		f.items, f.more = f.items[:itemsMost], f.more+over
 	}
--- a/internal/fleet/drift/rig_test.go
+++ b/internal/fleet/drift/rig_test.go
@@ -152,6 +152,7 @@
 	nodes   []*module
 	present []fleet.Member
 	quiet   bool // the first node sends nothing
+	late    map[string][]Difference
 	each    func()
 	refused []error
 }
@@ -183,7 +184,9 @@
 }
 
 func (r *rig) step() {
-	for _, c := range r.j.Step(r.now, r.st, r.in, r.present) {
+	in := r.in
+	in.Late = r.late
+	for _, c := range r.j.Step(r.now, r.st, in, r.present) {
 		c.AtMS = int64(r.now / ms)
 		r.st.Apply(c, func() uint64 { r.rev++; return r.rev })
 	}
--- a/internal/fleet/drift/table_test.go
+++ b/internal/fleet/drift/table_test.go
@@ -58,6 +58,10 @@
 		r.then(3500*ms, r.behind)
 		return r.names("zone/z3@z1", "rev")
 	},
+	"report|holds up a rollout past its bound": func(r *rig) error {
+		r.then(time.Second, func() { r.late = map[string][]Difference{r.nodes[0].Node: {{Key: "tenant/t", Field: "applied"}}} })
+		return r.names("tenant/t", "applied")
+	},
 	"report|other content, being named": func(r *rig) error {
 		return r.then(2500*ms, func() { r.nodes[0].plant, r.nodes[0].mute = change("zone/z2", nil), true })
 	},
--- a/internal/fleet/tenants/judge.go
+++ b/internal/fleet/tenants/judge.go
@@ -14,8 +14,8 @@
 type Judge struct {
 	cfg    Config
 	office fleet.Time
-	views  map[string]*view  // by node
-	staged map[string]staged // by tenant: the rollout that is being staged
+	views  map[string]*view // by node
+	begun  map[string]begun // by tenant: the step that its rollout or removal is at
 	lend   lender
 }
 
@@ -31,7 +31,7 @@
 	load float64
 }
 
-type staged struct {
+type begun struct {
 	uid, rev uint64
 	at       fleet.Time // when this leader first saw it
 }
@@ -45,7 +45,7 @@
 
 // Office begins a leader's time in office: nothing seen before counts.
 func (j *Judge) Office(now fleet.Time) {
-	j.office, j.views, j.staged, j.lend = now, map[string]*view{}, map[string]staged{}, newLender()
+	j.office, j.views, j.begun, j.lend = now, map[string]*view{}, map[string]begun{}, newLender()
 }
 
 // Observe takes a present node's newest report. Those of older incarnations, and older ones of a run, are left out.
@@ -99,9 +99,9 @@
 			delete(j.views, n)
 		}
 	}
-	for name := range j.staged {
-		if s.Phase(name) != PhaseStaging {
-			delete(j.staged, name)
+	for name := range j.begun {
+		if phase := s.Phase(name); phase == PhaseSettled || phase == PhaseNone {
+			delete(j.begun, name)
 		}
 	}
 	var out []Command
@@ -123,7 +123,11 @@
 
 // rollout says what a tenant is ready for.
 func (j *Judge) rollout(now fleet.Time, s *State, e *Entry, name string, present []fleet.Member) (Command, bool) {
-	switch s.Phase(name) {
+	phase := s.Phase(name)
+	if b := j.begun[name]; phase != PhaseSettled && (b.uid != e.UID || b.rev != e.Rev) {
+		j.begun[name] = begun{uid: e.UID, rev: e.Rev, at: now}
+	}
+	switch phase {
 	case PhaseStaging:
 		return j.staging(now, s, e, name, present)
 	case PhaseApplying:
@@ -140,11 +144,6 @@
 }
 
 func (j *Judge) staging(now fleet.Time, s *State, e *Entry, name string, present []fleet.Member) (Command, bool) {
-	mark := j.staged[name]
-	if mark.uid != e.UID || mark.rev != e.Rev {
-		mark = staged{uid: e.UID, rev: e.Rev, at: now}
-		j.staged[name] = mark
-	}
 	back := Command{Op: Rollback, Generation: e.Staged.Number}
 	for _, m := range present {
 		ok, refused, why := j.hasStaged(e, name, m)
@@ -162,7 +161,7 @@
 		}
 		back.Node, back.Reason = s.holder(name), reasonTimeout+": may still hold a share of the larger quota"
 	}
-	return back, now-mark.at >= StageTimeout
+	return back, now-j.begun[name].at >= StageTimeout
 }
 
 // hasStaged says whether a node has validated and staged what is intended, by its own word with its module's digest;
--- a/internal/fleet/tenants/page_test.go
+++ b/internal/fleet/tenants/page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -169,6 +170,23 @@
 		f.now += StageTimeout
 		return errors.Join(err, f.step(false))
 	},
+	"timeout/a present node has not applied within 10 s": func(f *fixture) error {
+		f.answer(func(n string, a *fleet.TenantAck) {
+			if n == "n2" {
+				a.Committed = 0
+			}
+		})
+		err := f.step(false)
+		early := f.j.Late(f.now+ApplyTimeout-1, f.s, f.present)
+		f.now += ApplyTimeout
+		if late := f.j.Late(f.now, f.s, f.present); len(early) > 0 || !slices.Equal(late, []Late{{"n2", "lulu", 1, 0}}) {
+			return fmt.Errorf("late: %v, before %v", late, early)
+		}
+		if st, _ := f.j.Status(f.now, f.s, "lulu", f.present); st[1].Reason != reasonLate || st[0].Reason != "" {
+			return fmt.Errorf("status: %+v", st)
+		}
+		return errors.Join(err, f.step(false))
+	},
 }
 
 func TestPageTable(t *testing.T) {
--- a/internal/fleet/tenants/status.go
+++ b/internal/fleet/tenants/status.go
@@ -32,6 +32,9 @@
 			a, held := j.ack(e, name, m)
 			st.Generation, st.Staged = a.Committed, a.Staged
 			st.Phase, st.Reason = j.nodePhase(e, name, m, a, held)
+			if b := j.begun[name]; st.Phase == NodeBehind && b.rev == e.Rev && now-b.at >= ApplyTimeout && j.late(s, e, name, m) {
+				st.Reason = reasonLate
+			}
 		}
 		out = append(out, st)
 	}
@@ -62,6 +65,65 @@
 	return NodeBehind, ""
 }
 
+// Late is a present node that holds up a step of a rollout or removal, past ApplyTimeout.
+type Late struct {
+	Node, Tenant string
+	Want, Has    uint64 // generations committed: intended, and by the node's word
+}
+
+// Late names those that hold up what is committed, by tenant and node: it is never taken back, and so nothing but them
+// stands in its way. A node that still has requests of a removed tenant open is not among them.
+func (j *Judge) Late(now fleet.Time, s *State, present []fleet.Member) (out []Late) {
+	for _, name := range sortedKeys(j.begun) {
+		e := s.Tenants[name]
+		if b := j.begun[name]; e == nil || b.rev != e.Rev || now-b.at < ApplyTimeout {
+			continue
+		}
+		for _, m := range present {
+			if j.late(s, e, name, m) {
+				l := Late{Node: m.Node, Tenant: name}
+				if e.Committed != nil {
+					l.Want = e.Committed.Number
+				}
+				if a, ok := j.ack(e, name, m); ok {
+					l.Has = a.Committed
+				}
+				out = append(out, l)
+			}
+		}
+	}
+	return out
+}
+
+// late says whether a node has yet to take the step that a tenant is at.
+func (j *Judge) late(s *State, e *Entry, name string, m fleet.Member) bool {
+	switch s.Phase(name) {
+	case PhaseApplying:
+		return !j.applied(e, name, m)
+	case PhaseRemoving, PhaseUnquoted:
+		return !j.heard(e, m)
+	}
+	return false
+}
+
+// Follows says whether a node that reports so holds up nothing: it has applied all that is committed.
+func Follows(s *State, r fleet.Report) bool {
+	for name, e := range s.Tenants {
+		if !e.Applying && !e.Removing && !e.QuotaGone {
+			continue
+		}
+		if r.Revision < e.Rev {
+			return false
+		}
+		if e.Applying && !slices.ContainsFunc(r.Tenants, func(a fleet.TenantAck) bool {
+			return a.Name == name && a.UID == e.UID && a.Committed == e.Committed.Number && a.Digest == e.Committed.Digest
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
 // CaughtUp says whether a node that reports so may begin to serve: of every committed tenant it holds the present
 // generation, or while that is being applied its predecessor, and none of a tenant that is no more. It is asked before a
 // run becomes present; until then the leader answers its reports with Out (T2, T4).
--- a/internal/fleet/tenants/tenants.go
+++ b/internal/fleet/tenants/tenants.go
@@ -13,6 +13,7 @@
 // Bounds of a rollout and of a division, by the leader's clock.
 const (
 	StageTimeout  = 10 * time.Second // a present node that has not staged by then rolls the rollout back
+	ApplyTimeout  = 10 * time.Second // a present node that has not applied by then is late, and named
 	DivideEvery   = time.Second      // at most one division in this time
 	smoothing     = 2 * time.Second  // time constant of a node's offered load
 	tombsKept     = 1000             // names and nodes gone that are remembered
@@ -21,6 +22,7 @@
 	keyTenant     = "tenant/"
 	keyShare      = "share/"
 	reasonTimeout = "not staged in time"
+	reasonLate    = "not applied in time"
 )
 
 // ErrStale refuses a command of the judge that was decided from what has changed since: the item's revision, the
@@ -95,6 +97,6 @@
 	Phase      string `json:"phase"`      // silent, behind, staged, refused, applied, draining, removed
 	Generation uint64 `json:"generation"` // that it serves by; 0 none
 	Staged     uint64 `json:"staged,omitempty"`
-	Reason     string `json:"reason,omitempty"` // refused: the node's own
+	Reason     string `json:"reason,omitempty"` // refused: the node's own; behind: why, where it is known, or that it is late
 	AgeMS      int64  `json:"age_ms"`           // of its word; -1: it has none
 }
