Count what drift finds and how long it lasts; show and log the agent's own verdict

A leader's metrics had nodes by state and repairs by step alone. They count differences by verdict and kind of item now, and the seconds from when a verdict of drift was first seen to its end, from the replicated state, so that a failover does not shorten them. An agent's own judgement was seen at one path only: it is in its metrics, and in its log as it changes, one line in 10 s at most, so that a machine which is cut off still tells. TestDrift asks for each of them.

--- a/cmd/listd/drift_test.go
+++ b/cmd/listd/drift_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"starlingvalve/internal/fleet"
@@ -28,6 +30,20 @@
 	return a
 }
 
+// metric waits until an address shows a line at /metrics.
+func (f *fleetUp) metric(what, addr, line string) {
+	f.t.Helper()
+	f.until(what+": "+line, func() bool {
+		resp, err := fleetClient.Get("http://" + addr + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return strings.Contains(string(text), "\n"+line+"\n")
+	})
+}
+
 // One of ten nodes holds another tenant's rules than it was told: the leader names it, the item and the field, and has its agent
 // tell it again; the verdict's first-seen time outlives the leader. Then one node falls silent, and one has a ban of its operators.
 func TestDrift(t *testing.T) {
@@ -62,6 +78,8 @@
 	f.until("told again", func() bool {
 		return slices.ContainsFunc(f.drift("").Log, func(e drift.Entry) bool { return e.Node == "n04" && slices.Contains(e.Keys, "tenant/brand") })
 	})
+	f.metric("the leader's count", f.HTTP[f.leader()], `fleet_drift_differences_total{kind="tenant",state="diverged"} 1`)
+	f.metric("the agent's own verdict", odd.agent, `fleet_agent_drift{state="diverged"} 1`)
 	first := f.drift("?node=n04").Verdicts[0].FirstSeenMS
 	lead := f.leader()
 	f.Kill(lead)
@@ -71,6 +89,8 @@
 	})
 	odd.with(func() { odd.odd = nil })
 	f.until("all in step again", func() bool { return f.drift("").States[drift.InStep] == 10 })
+	f.metric("the verdict's end", f.HTTP[f.leader()], `fleet_drift_seconds_count{state="diverged"} 1`)
+	f.metric("the agent's own verdict again", odd.agent, `fleet_agent_drift{state="in-step"} 1`)
 
 	f.nodes[5].with(func() { f.nodes[5].silent = true })
 	f.nodes[6].with(func() {
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -76,6 +76,8 @@
 type metrics struct {
 	dropped, refused, badReports, saveErrors, renewals prometheus.Counter
 	revision                                           prometheus.Gauge
+	own                                                *prometheus.GaugeVec
+	ownChanges                                         *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) metrics {
@@ -90,7 +92,9 @@
 		saveErrors: counter("fleet_agent_save_errors_total", "Times the durable copy could not be written."),
 		renewals:   counter("fleet_agent_renewals_total", "Reports that the leader answered with a lease."),
 		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "fleet_agent_revision", Help: "Newest revision of the intent that the agent has."})}
-	reg.MustRegister(m.revision)
+	m.own = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_agent_drift", Help: "1 at the state that the agent itself finds its node in."}, []string{"state"})
+	m.ownChanges = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "fleet_agent_drift_verdicts_total", Help: "Times the agent came to find its node in a state."}, []string{"state"})
+	reg.MustRegister(m.revision, m.own, m.ownChanges)
 	return m
 }
 
--- a/internal/fleet/agent/own.go
+++ b/internal/fleet/agent/own.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync"
@@ -20,6 +21,44 @@
 	mu     sync.Mutex
 	judge  *drift.Local
 	member fleet.Member // of the newest report; none: Node is empty
+
+	state  string     // of the last verdict
+	said   string     // that the log has
+	saidAt fleet.Time // when it was put there
+}
+
+// ownQuiet is the least time between two lines of the log on the agent's own verdict.
+const ownQuiet = 10 * time.Second
+
+// ownSay shows the verdict in the metrics and, where it is another than the log has, in the log. The caller holds own.mu.
+func (a *Agent) ownSay(now fleet.Time) {
+	o := &a.own
+	v, ok := o.judge.Verdict(now, time.Now().UnixMilli(), a.cfg.Node)
+	if !ok {
+		return
+	}
+	if v.State != o.state {
+		if o.state != "" {
+			a.m.own.WithLabelValues(o.state).Set(0)
+		}
+		a.m.own.WithLabelValues(v.State).Set(1)
+		a.m.ownChanges.WithLabelValues(v.State).Inc()
+		o.state = v.State
+	}
+	bad := func(state string) bool { return state != "" && state != drift.InStep && state != drift.CatchingUp }
+	if v.State == o.said || !bad(v.State) && !bad(o.said) || o.saidAt != 0 && now-o.saidAt < ownQuiet {
+		return
+	}
+	level := slog.LevelInfo
+	if bad(v.State) {
+		level = slog.LevelWarn
+	}
+	var keys []string
+	for _, d := range v.Items[:min(len(v.Items), 8)] {
+		keys = union(keys, []string{d.Key})
+	}
+	a.cfg.Log.Log(context.Background(), level, "own node's verdict", "state", v.State, "was", o.said, "reason", v.Evidence, "keys", keys, "incarnation", v.Incarnation, "revision", v.LastRev)
+	o.said, o.saidAt = v.State, now
 }
 
 // ownStep judges the node by what the agent has now, and has it told again what it lacks. It gives what the next report is to
@@ -42,6 +81,7 @@
 		return nil
 	}
 	a.own.judge.Step(now, in, a.own.member, caughtUp)
+	a.ownSay(now)
 	var resend []string
 	if rep != nil {
 		resend, want = a.own.judge.Answer(rep.Node)
--- a/internal/registry/replica/fleetmetrics.go
+++ b/internal/registry/replica/fleetmetrics.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"starlingvalve/internal/fleet/drift"
 )
 
 // fleetMetrics are what GET /metrics of a replica with a fleet shows.
@@ -22,6 +25,8 @@
 	drift    *prometheus.GaugeVec
 	suspect  prometheus.Gauge
 	repairs  *prometheus.CounterVec
+	found    *prometheus.CounterVec
+	lasted   *prometheus.HistogramVec
 }
 
 func newFleetMetrics() *fleetMetrics {
@@ -44,13 +49,36 @@
 		commands: counter("fleet_commands_total", "Commands by core and outcome.", "core", "result"),
 		suspect:  gauge("fleet_drift_suspect", "1 while the detector of drift suspects itself and repairs nothing."),
 		repairs:  counter("fleet_drift_repairs_total", "Entries of the log of repairs, by what was done.", "act"),
-		drift:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_drift_nodes", Help: "Nodes by verdict, at the leader."}, []string{"state"}),
-		step:     prometheus.NewHistogram(prometheus.HistogramOpts{Name: "fleet_step_seconds", Help: "Time of one judgement.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)})}
-	reg.MustRegister(m.step, m.drift)
+		found:    counter("fleet_drift_differences_total", "Differences found, by verdict and the kind of what differs.", "state", "kind"),
+		lasted: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "fleet_drift_seconds", Help: "Time from when a verdict of drift was first seen to its end.",
+			Buckets: prometheus.ExponentialBuckets(0.5, 2, 12)}, []string{"state"}),
+		drift: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_drift_nodes", Help: "Nodes by verdict, at the leader."}, []string{"state"}),
+		step:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "fleet_step_seconds", Help: "Time of one judgement.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 9)})}
+	reg.MustRegister(m.step, m.drift, m.lasted)
 	m.handler = promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 	return m
 }
 
+// tally counts what a command of drift found and ended.
+func (m *fleetMetrics) tally(all []drift.Tally) {
+	for _, t := range all {
+		for kind, n := range t.Found {
+			m.found.WithLabelValues(t.State, kindOf(kind)).Add(float64(n))
+		}
+		if t.Ended != "" {
+			m.lasted.WithLabelValues(t.Ended).Observe(float64(t.ForMS) / 1000)
+		}
+	}
+}
+
+// kindOf keeps the label within the kinds that there are, whatever a node names.
+func kindOf(kind string) string {
+	if slices.Contains([]string{"zone", "tenant", "share", "server", "*"}, kind) {
+		return kind
+	}
+	return "other"
+}
+
 // quiet lets one line a second through and counts the rest.
 type quiet struct {
 	mu      sync.Mutex
--- a/internal/registry/replica/office.go
+++ b/internal/registry/replica/office.go
@@ -11,6 +11,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/control"
+	"starlingvalve/internal/fleet/drift"
 	"starlingvalve/internal/registry"
 )
 
@@ -126,6 +127,13 @@
 	o.rep.fsm.mu.Lock()
 	now := o.now()
 	cmds := judge.Step(now, o.rep.fsm.fleet, o.rep.fsm.servers())
+	tallies := make([][]drift.Tally, len(cmds))
+	for i, c := range cmds {
+		if c.Drift != nil {
+			c.Drift.AtMS = time.Now().UnixMilli()
+			tallies[i] = c.Drift.Tally(&o.rep.fsm.fleet.Drift)
+		}
+	}
 	o.note(judge, now)
 	o.m.sessions.Set(float64(len(o.rep.fsm.fleet.Session.Members)))
 	o.m.revision.Set(float64(o.rep.fsm.fleet.Rev))
@@ -134,9 +142,6 @@
 	o.m.step.Observe(time.Since(start).Seconds())
 	futures := make([]raft.ApplyFuture, len(cmds))
 	for i, c := range cmds {
-		if c.Drift != nil {
-			c.Drift.AtMS = time.Now().UnixMilli()
-		}
 		futures[i] = o.rep.raft.Apply(fleetCommand(c), 5*time.Second)
 	}
 	lost := false
@@ -148,7 +153,11 @@
 			o.m.commands.WithLabelValues(core(c), "lost").Inc()
 			continue
 		}
-		o.outcome(c, futures[i].Response().(applied))
+		a := futures[i].Response().(applied)
+		o.outcome(c, a)
+		if a.err == nil && a.changed {
+			o.m.tally(tallies[i])
+		}
 		o.mu.Lock()
 		judge.Settled(c)
 		o.mu.Unlock()
