Hold a real module to what drift expects of a share that was taken back

It was thought that the module keeps an empty fact then. It holds none, as the node tells it rates of null; drift expects none.

--- a/internal/fleet/drift/module_test.go
+++ b/internal/fleet/drift/module_test.go
@@ -98,6 +98,13 @@
 		tell(m, 3*time.Second, c.in, self)
 		check()
 	}
+	c.put("share/n000", fleet.Shares{Epoch: 9, Slots: 3, Rates: map[string]float64{"t0": 2}})
+	tell(m, 3*time.Second, c.in, self)
+	check()
+	c.drop("share/n000")
+	check("share")
+	m.Handle(3*time.Second, decide.ShareTold{Epoch: 9, Slots: 3}) // as internal/node tells a share that is gone
+	check()
 	at := slices.IndexFunc(m.Holds(), func(f decide.Fact) bool { return f.Key == fleet.KeySettings })
 	got, want := hold("settings", m.Holds()[at].Value), hold("settings", fleet.HeldSettings{Nodes: 1, MaxAttempts: 3, MaxOpen: 100,
 		Classes: []fleet.HeldClass{{Name: "read", Worth: 1, AimMS: 1000, DeadlineMS: 2000, Effect: 2}}})
