--- a/cmd/fleetlab/simulate.go
+++ b/cmd/fleetlab/simulate.go
@@ -21,7 +21,7 @@
 	var seeds, nodes, workers int
 	var first uint64
 	var kind string
-	var alone bool
+	var alone, module bool
 	var length time.Duration
 	cmd := &cobra.Command{Use: "simulate", Short: "Play the fleet's cores with many nodes on seeded schedules of faults, in one process",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
@@ -40,7 +40,7 @@
 			defer stop()
 			sum := sim.Many(ctx, func(s uint64) sim.Plan {
 				p := draw(s)
-				p.Alone = alone
+				p.Alone, p.Module = alone, module
 				return p
 			}, first, seeds, workers, c.OutOrStdout())
 			raw, err := json.MarshalIndent(sum, "", "  ")
@@ -61,6 +61,7 @@
 	cmd.Flags().IntVar(&workers, "workers", runtime.NumCPU(), "plays at a time")
 	cmd.Flags().StringVar(&kind, "kind", "any", "any: random faults; calm: a zone's loss alone; unrest: lost messages and rolling restarts alone")
 	cmd.Flags().BoolVar(&alone, "alone", false, "without directives: each node judges for itself")
+	cmd.Flags().BoolVar(&module, "module", false, "requests are decided by the module, far slower")
 	cmd.Flags().DurationVar(&length, "length", 10*time.Minute, "fleet time of a play of unrest")
 	return cmd
 }
--- a/internal/fleet/sim/node.go
+++ b/internal/fleet/sim/node.go
@@ -37,6 +37,7 @@
 	until     time.Duration // by its clock: its session is held until then
 	seq       uint64
 
+	module  *module // nil: the node's own simple way of sending
 	owed    float64
 	counts  []fleet.ZoneCount
 	touched []map[int][2]int // by zone and server: attempts, lost
@@ -79,6 +80,9 @@
 	n.confirmed, n.since = now-time.Hour, now
 	n.losing, n.bad, n.paces = nil, map[[2]int]badness{}, map[[2]int]pace{}
 	n.clear()
+	if n.s.plan.Module {
+		n.decides()
+	}
 	n.every(tickTime, n.traffic)
 	n.every(250*time.Millisecond, n.report)
 	n.every(time.Second, n.poll)
@@ -128,6 +132,9 @@
 		n.s.breach("revision", "%s goes back from %d to %d", n.name, n.held.rev, it.rev)
 	}
 	n.held, n.confirmed = it, n.clock.read(n.s.now)
+	if n.module != nil {
+		n.module.tell()
+	}
 	n.s.heard(n)
 }
 
@@ -144,7 +151,13 @@
 	r := fleet.Report{Member: n.member(), Revision: n.held.rev, Ready: true, WindowMS: (now - n.since).Milliseconds()}
 	n.seq++
 	r.Seq = n.seq
+	if n.module != nil {
+		n.module.window(&r)
+	}
 	for z, c := range n.counts {
+		if n.module != nil {
+			break
+		}
 		c.Zone, c.Listed = n.s.zones[z], n.s.plan.Servers
 		for _, t := range n.touched[z] {
 			c.Servers++
@@ -223,6 +236,10 @@
 		shares[z] = n.portion(z)
 		s.stopped(n, z, shares[z].Share == 0)
 	}
+	if n.module != nil {
+		s.node(n, now)
+		return
+	}
 	for n.owed += demand * tickTime.Seconds(); n.owed >= 1; n.owed-- {
 		for attempt := range 2 {
 			zone, id, ok := n.choose(shares, now, attempt)
--- a/internal/fleet/sim/plan.go
+++ b/internal/fleet/sim/plan.go
@@ -18,6 +18,7 @@
 	For     time.Duration `json:"for"`
 	Loss    float64       `json:"loss"`   // of every message of the control plane, and of every attempt
 	Jitter  time.Duration `json:"jitter"` // of a message's delay, at most
+	Module  bool          `json:"module"` // requests are decided by the module, else in a simple way of the simulator's own
 	Alone   bool          `json:"alone"`  // the control plane gives no directives: each node judges for itself
 	Faults  []Fault       `json:"faults"`
 	Changes []Change      `json:"changes"`
--- a/internal/fleet/sim/sim_test.go
+++ b/internal/fleet/sim/sim_test.go
@@ -10,9 +10,13 @@
 	"starlingvalve/internal/fleet/zones"
 )
 
-// TestSeeds: no play of fixed seeds breaks a rule.
+// TestSeeds: no play of fixed seeds breaks a rule, with the simulator's own way of sending and with the module's.
 func TestSeeds(t *testing.T) {
-	sum := Many(t.Context(), func(s uint64) Plan { return Draw(s, 30) }, 1, 40, 4, io.Discard)
+	sum := Many(t.Context(), func(s uint64) Plan {
+		p := Draw(s, 30)
+		p.Module = s%4 == 0
+		return p
+	}, 1, 40, 4, io.Discard)
 	for _, r := range sum.Breaches {
 		t.Errorf("seed %d: %v", r.Seed, r.Breach)
 	}
@@ -33,8 +37,10 @@
 
 // TestReplay: a plan plays the same way twice.
 func TestReplay(t *testing.T) {
-	for seed := range uint64(3) {
-		if a, b := Run(Draw(seed, 20)), Run(Draw(seed, 20)); !reflect.DeepEqual(a, b) {
+	for seed := range uint64(4) {
+		p := Draw(seed, 20)
+		p.Module = seed%2 == 0
+		if a, b := Run(p), Run(p); !reflect.DeepEqual(a, b) {
 			t.Errorf("seed %d:\n%+v\n%+v", seed, a, b)
 		}
 	}
