--- a/internal/fleet/agent/serve_test.go
+++ b/internal/fleet/agent/serve_test.go
@@ -21,10 +21,10 @@
 
 // leader stands in for a replica: its intent never changes, and it answers reports as it is told.
 type leader struct {
-	mu      sync.Mutex
-	code    int
-	answer  string
-	untold  int // reports of run 9, which has not been told anything
+	mu     sync.Mutex
+	code   int
+	answer string
+	untold int // reports of run 9, which has not been told anything
 }
 
 func (l *leader) ServeHTTP(w http.ResponseWriter, r *http.Request) {
