Run listd tenants against a real control plane

Its commands were tested against a stand-in alone. In TestTenants they are run as programs now, beside ten agents: a bad file, a rollout, the status of each node, a refusal by one named node, and a removal; each is waited for by its condition.

--- a/cmd/listd/rollout_test.go
+++ b/cmd/listd/rollout_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -107,6 +110,37 @@
 		}
 	})
 
+	t.Run("by the command", func(t *testing.T) {
+		file := filepath.Join(t.TempDir(), "lulu.toml")
+		run := func(want string, ok bool, args ...string) {
+			t.Helper()
+			for _, r := range f.HTTP {
+				args = append(args, "--replica", r)
+			}
+			out, err := exec.Command(f.Bin, append([]string{"tenants"}, args...)...).CombinedOutput()
+			if !strings.Contains(string(out), want) || (err == nil) != ok {
+				t.Errorf("listd tenants %s: %v, %s; want %q", args[0], err, out, want)
+			}
+		}
+		toml := func(text string) { os.WriteFile(file, []byte(text), 0o644) }
+		toml("name = \"lulu\"\n[quota]\nrate = 0\n")
+		run("lulu.toml: invalid: line 3: quota.rate", false, "apply", file)
+		toml("name = \"lulu\"\n[quota]\nrate = 40\nburst = 4\n")
+		run("lulu: generation 1 proposed", true, "apply", file)
+		f.settled("lulu", 1)
+		run("n09   applied  1", true, "status", "lulu")
+		run("lulu is at generation 1 already", true, "apply", file)
+		f.nodes[2].with(func() { f.nodes[2].refuse = "routes[0]: matches no server" })
+		toml("name = \"lulu\"\n[quota]\nrate = 50\nburst = 4\n")
+		run("lulu: generation 2 proposed", true, "apply", file)
+		f.until("the rollback", func() bool { return f.status("lulu").Phase == "settled" })
+		f.nodes[2].with(func() { f.nodes[2].refuse = "" })
+		run("node n02: routes[0]: matches no server", true, "status", "lulu")
+		run("lulu: removal of generation 1 begun", true, "delete", "lulu")
+		f.until("the removal", func() bool { return f.status("lulu").Phase == "none" })
+		run("there is none", false, "delete", "lulu")
+	})
+
 	t.Run("200 in one go", func(t *testing.T) {
 		start := time.Now()
 		var all sync.WaitGroup
