--- a/cmd/listd/agents_test.go
+++ b/cmd/listd/agents_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"starlingvalve/internal/lab/faults"
+	"starlingvalve/internal/lab/played"
 )
 
 func decode(resp *http.Response, v any) bool {
@@ -17,29 +17,6 @@
 	return err == nil && resp.StatusCode == http.StatusOK && json.Unmarshal(raw, v) == nil
 }
 
-// cut takes a node's agent off every replica, or puts it back.
-func (n *played) cut(off bool) {
-	for _, l := range n.links {
-		l.Set(faults.Fault{Blackhole: off})
-	}
-}
-
-// metric reads one counter of the agent.
-func (n *played) metric(name string) string {
-	resp, err := fleetClient.Get("http://" + n.agent + "/metrics")
-	if err != nil {
-		return ""
-	}
-	defer resp.Body.Close()
-	raw, _ := io.ReadAll(resp.Body)
-	for _, line := range strings.Split(string(raw), "\n") {
-		if v, ok := strings.CutPrefix(line, name+" "); ok {
-			return v
-		}
-	}
-	return ""
-}
-
 // An agent serves its durable copy with its age while no replica can be reached; a damaged copy is refused and put aside;
 // an old one is served as old, and never over what the node holds.
 func TestAgentsCopy(t *testing.T) {
@@ -49,9 +26,9 @@
 	f.mustPut("brand", 0, 100)
 	f.settled("brand", 1)
 	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	file := func(n *played) string { return filepath.Join(n.dir, "intent.copy") }
+	file := func(n *played.Node) string { return filepath.Join(n.Dir, "intent.copy") }
 	for _, n := range f.nodes {
-		f.until("the copy of "+n.name, func() bool {
+		f.until("the copy of "+n.Name, func() bool {
 			raw, err := os.ReadFile(file(n))
 			return err == nil && strings.Contains(string(raw), "brand") && strings.Contains(string(raw), "committed")
 		})
@@ -64,22 +41,22 @@
 	f.settled("brand", 2)
 
 	// a: the agent starts again with its copy and no replica, beside a node that starts again too.
-	a.stopAgent()
-	a.cut(true)
-	a.boot()
-	a.startAgent()
-	f.until("the copy served", func() bool { return a.serves("brand") > 0 })
-	if in := a.look(); in.CaughtUp || in.HeldMS != 0 || in.AgeMS < 60_000 {
+	a.StopAgent()
+	a.Cut(true)
+	a.Boot()
+	f.startAgent(a)
+	f.until("the copy served", func() bool { return a.Serves("brand") > 0 })
+	if in := a.Look(); in.CaughtUp || in.HeldMS != 0 || in.AgeMS < 60_000 {
 		t.Errorf("from the copy alone: %+v", in)
 	}
-	a.cut(false)
+	a.Cut(false)
 	f.until("caught up", func() bool {
-		in := a.look()
-		return in.CaughtUp && in.AgeMS < 5000 && in.HeldMS > 0 && a.serves("brand") == 2
+		in := a.Look()
+		return in.CaughtUp && in.AgeMS < 5000 && in.HeldMS > 0 && a.Serves("brand") == 2
 	})
 
 	// b: its copy is damaged.
-	b.stopAgent()
+	b.StopAgent()
 	raw, err := os.ReadFile(file(b))
 	if err != nil {
 		t.Fatal(err)
@@ -88,34 +65,32 @@
 	if err := os.WriteFile(file(b), raw, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	b.boot()
-	b.startAgent()
-	f.until("caught up without a copy", func() bool { return b.look().CaughtUp && b.serves("brand") == 2 })
-	if _, err := os.Stat(file(b) + ".refused"); err != nil || b.metric("fleet_agent_copies_refused_total") != "1" {
-		t.Errorf("the damaged copy: %v, counted %q", err, b.metric("fleet_agent_copies_refused_total"))
+	b.Boot()
+	f.startAgent(b)
+	f.until("caught up without a copy", func() bool { return b.Look().CaughtUp && b.Serves("brand") == 2 })
+	if _, err := os.Stat(file(b) + ".refused"); err != nil || b.Metric("fleet_agent_copies_refused_total") != "1" {
+		t.Errorf("the damaged copy: %v, counted %q", err, b.Metric("fleet_agent_copies_refused_total"))
 	}
 
 	// c: its copy is of before the second generation, and no replica answers.
-	c.stopAgent()
-	c.cut(true)
+	c.StopAgent()
+	c.Cut(true)
 	if err := os.WriteFile(file(c), old, 0o644); err != nil {
 		t.Fatal(err)
 	}
-	c.startAgent()
-	f.until("the old copy offered", func() bool { in := c.look(); return !in.CaughtUp && in.Revision < c.revisionNow() })
-	if in := c.look(); in.AgeMS < 60_000 || c.serves("brand") != 2 {
-		t.Errorf("an old copy: age %d ms, the node serves generation %d", in.AgeMS, c.serves("brand"))
+	f.startAgent(c)
+	f.until("the old copy offered", func() bool { in := c.Look(); return !in.CaughtUp && in.Revision < c.Revision() })
+	if in := c.Look(); in.AgeMS < 60_000 || c.Serves("brand") != 2 {
+		t.Errorf("an old copy: age %d ms, the node serves generation %d", in.AgeMS, c.Serves("brand"))
 	}
-	c.cut(false)
-	f.until("caught up from an old copy", func() bool { return c.look().CaughtUp && c.look().Revision >= c.revisionNow() })
+	c.Cut(false)
+	f.until("caught up from an old copy", func() bool { return c.Look().CaughtUp && c.Look().Revision >= c.Revision() })
 	if raw, err := os.ReadFile(file(c)); err != nil || string(raw) == string(old) {
 		f.until("the copy made new", func() bool { raw, _ := os.ReadFile(file(c)); return string(raw) != string(old) })
 	}
 	f.settled("brand", 2)
 }
 
-func (n *played) revisionNow() uint64 { n.mu.Lock(); defer n.mu.Unlock(); return n.revision }
-
 // All replicas are gone: the agents go on serving what they have, with its age, and count their nodes out; when the replicas are
 // back, so are the sessions, without a new incarnation.
 func TestReplicasGone(t *testing.T) {
@@ -128,9 +103,9 @@
 		f.Kill(i)
 	}
 	for _, n := range f.nodes {
-		f.until(n.name+" counted out, and told the age", func() bool { in := n.look(); return in.HeldMS == 0 && in.AgeMS > 2000 })
-		if in := n.look(); n.serves("brand") != 1 || !in.CaughtUp {
-			t.Errorf("%s with the replicas gone: generation %d, %+v", n.name, n.serves("brand"), in)
+		f.until(n.Name+" counted out, and told the age", func() bool { in := n.Look(); return in.HeldMS == 0 && in.AgeMS > 2000 })
+		if in := n.Look(); n.Serves("brand") != 1 || !in.CaughtUp {
+			t.Errorf("%s with the replicas gone: generation %d, %+v", n.Name, n.Serves("brand"), in)
 		}
 	}
 	for i := range f.HTTP {
--- a/cmd/listd/drift_test.go
+++ b/cmd/listd/drift_test.go
@@ -55,8 +55,8 @@
 	f.until("all in step", func() bool { return f.drift("").States[drift.InStep] == 10 })
 
 	odd := f.nodes[4]
-	odd.with(func() {
-		odd.odd = func(facts []fleet.Held) []fleet.Held {
+	odd.With(func() {
+		odd.Odd = func(facts []fleet.Held) []fleet.Held {
 			for i, h := range facts {
 				if h.Key != "tenant/brand" {
 					continue
@@ -79,7 +79,7 @@
 		return slices.ContainsFunc(f.drift("").Log, func(e drift.Entry) bool { return e.Node == "n04" && slices.Contains(e.Keys, "tenant/brand") })
 	})
 	f.metric("the leader's count", f.HTTP[f.leader()], `fleet_drift_differences_total{kind="tenant",state="diverged"} 1`)
-	f.metric("the agent's own verdict", odd.agent, `fleet_agent_drift{state="diverged"} 1`)
+	f.metric("the agent's own verdict", odd.Agent, `fleet_agent_drift{state="diverged"} 1`)
 	first := f.drift("?node=n04").Verdicts[0].FirstSeenMS
 	lead := f.leader()
 	f.Kill(lead)
@@ -87,14 +87,14 @@
 		a := f.drift("?node=n04&state=" + drift.Diverged)
 		return len(a.Verdicts) == 1 && a.Verdicts[0].FirstSeenMS == first
 	})
-	odd.with(func() { odd.odd = nil })
+	odd.With(func() { odd.Odd = nil })
 	f.until("all in step again", func() bool { return f.drift("").States[drift.InStep] == 10 })
 	f.metric("the verdict's end", f.HTTP[f.leader()], `fleet_drift_seconds_count{state="diverged"} 1`)
-	f.metric("the agent's own verdict again", odd.agent, `fleet_agent_drift{state="in-step"} 1`)
+	f.metric("the agent's own verdict again", odd.Agent, `fleet_agent_drift{state="in-step"} 1`)
 
-	f.nodes[5].with(func() { f.nodes[5].silent = true })
-	f.nodes[6].with(func() {
-		f.nodes[6].odd = func(facts []fleet.Held) []fleet.Held {
+	f.nodes[5].With(func() { f.nodes[5].Silent = true })
+	f.nodes[6].With(func() {
+		f.nodes[6].Odd = func(facts []fleet.Held) []fleet.Held {
 			ban, _, _ := drift.Hold("ban/s-1", fleet.HeldBan{Out: true})
 			ban.By, ban.SinceMS = "ops", 1000
 			return append(facts, ban)
@@ -108,7 +108,7 @@
 		return over && a.States[drift.Silent] == 1 && a.States[drift.InStep] == 8
 	})
 	before := f.drift("").Revision
-	f.nodes[5].with(func() { f.nodes[5].silent = false })
+	f.nodes[5].With(func() { f.nodes[5].Silent = false })
 	f.until("a watch to tell of n05", func() bool {
 		a := f.drift("?timeout_ms=5000&since=" + strconv.FormatUint(before, 10))
 		return slices.ContainsFunc(a.Verdicts, func(v drift.Verdict) bool { return v.Node == "n05" && v.State == drift.InStep })
--- a/cmd/listd/failover_test.go
+++ b/cmd/listd/failover_test.go
@@ -37,8 +37,8 @@
 			}
 			var seen []uint64
 			for _, n := range f.nodes {
-				if in := n.look(); in.HeldMS > 0 {
-					seen = append(seen, n.serves(name))
+				if in := n.Look(); in.HeldMS > 0 {
+					seen = append(seen, n.Serves(name))
 				}
 			}
 			if len(seen) > 0 && slices.Max(seen) > slices.Min(seen)+1 {
@@ -61,31 +61,31 @@
 	defer f.watchT2("brand")()
 
 	last := f.nodes[9]
-	last.with(func() { last.slow = true })
+	last.With(func() { last.Slow = true })
 	f.mustPut("brand", 1, 200)
 	f.until("nine of ten staged", func() bool { return f.staged("brand") == 9 })
 	lead := f.leader()
 	f.Kill(lead)
-	last.with(func() { last.slow = false })
+	last.With(func() { last.Slow = false })
 	f.settled("brand", 2)
 	if err := f.Restart(lead); err != nil {
 		t.Fatal(err)
 	}
 
 	for _, n := range f.nodes {
-		n.with(func() { n.keep = true })
+		n.With(func() { n.Keep = true })
 	}
 	f.mustPut("brand", 2, 300)
 	f.until("the commit", func() bool { return f.status("brand").Phase == "applying" })
 	for _, n := range f.nodes {
-		if g := n.serves("brand"); g != 2 {
-			t.Fatalf("%s serves generation %d before the kill", n.name, g)
+		if g := n.Serves("brand"); g != 2 {
+			t.Fatalf("%s serves generation %d before the kill", n.Name, g)
 		}
 	}
 	lead = f.leader()
 	f.Kill(lead)
 	for _, n := range f.nodes {
-		n.with(func() { n.keep = false })
+		n.With(func() { n.Keep = false })
 	}
 	f.settled("brand", 3)
 	if s := f.tenant("brand"); s.RolledBack != "" || s.Committed.Spec.Quota.Rate != 300 {
@@ -105,36 +105,36 @@
 	defer f.watchT2("brand")()
 
 	last := f.nodes[9]
-	last.with(func() { last.slow = true })
+	last.With(func() { last.Slow = true })
 	f.mustPut("brand", 1, 200)
 	f.until("nine of ten staged", func() bool { return f.staged("brand") == 9 })
 	away := f.nodes[:3]
 	for _, n := range away {
-		for _, l := range n.links {
+		for _, l := range n.Links {
 			l.Set(faults.Fault{Blackhole: true})
 		}
 	}
 	lead := f.leader()
 	f.Cut(lead, faults.Fault{Blackhole: true})
-	last.with(func() { last.slow = false })
+	last.With(func() { last.Slow = false })
 	f.until("the majority's commit", func() bool {
 		for _, n := range f.nodes[3:] {
-			if n.serves("brand") != 2 {
+			if n.Serves("brand") != 2 {
 				return false
 			}
 		}
 		return f.status("brand").Phase == "settled"
 	})
 	for _, n := range away {
-		if in := n.look(); in.HeldMS > 0 || n.serves("brand") != 1 {
-			t.Errorf("%s, cut off, serves generation %d and counts %d ms of its session", n.name, n.serves("brand"), in.HeldMS)
+		if in := n.Look(); in.HeldMS > 0 || n.Serves("brand") != 1 {
+			t.Errorf("%s, cut off, serves generation %d and counts %d ms of its session", n.Name, n.Serves("brand"), in.HeldMS)
 		}
 	}
 	f.mustPut("brand", 2, 300) // another, while they are away: their generation is now two behind
 	f.until("the majority at generation 3", func() bool { return f.status("brand").Phase == "settled" })
 	f.Cut(lead, faults.Fault{})
 	for _, n := range away {
-		for _, l := range n.links {
+		for _, l := range n.Links {
 			l.Set(faults.Fault{})
 		}
 	}
@@ -221,8 +221,8 @@
 		return decode(resp, &tn) && tn.Committed != nil && tn.Committed.Number == 2
 	})
 	for _, n := range f.nodes {
-		if n.serves("brand") != 2 {
-			t.Errorf("%s serves generation %d", n.name, n.serves("brand"))
+		if n.Serves("brand") != 2 {
+			t.Errorf("%s serves generation %d", n.Name, n.Serves("brand"))
 		}
 	}
 	f.mustPut("brand", 2, 300)
--- a/cmd/listd/fleet_test.go
+++ b/cmd/listd/fleet_test.go
@@ -1,25 +1,22 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/lab/played"
 )
 
 // fleetUp is three replicas, and agents as processes, each with a node that the test plays.
 type fleetUp struct {
 	*cluster
-	nodes []*played
+	nodes []*played.Node
 }
 
 var fleetClient = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -38,11 +35,35 @@
 	return f
 }
 
+// startNode starts node i; what it saw that no agent may do fails the test at its end.
+func (f *fleetUp) startNode(i int) *played.Node {
+	f.t.Helper()
+	n, err := played.Start(f.Cluster, f.t.TempDir(), f.net, i)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		wrong := n.Close()
+		noRace(f.t, filepath.Join(n.Dir, "agent.log"))
+		for _, w := range wrong {
+			f.t.Errorf("%s: %s", n.Name, w)
+		}
+	})
+	return n
+}
+
+func (f *fleetUp) startAgent(n *played.Node) {
+	f.t.Helper()
+	if err := n.StartAgent(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // present waits until every node's session is held.
 func (f *fleetUp) present() {
 	f.t.Helper()
 	for _, n := range f.nodes {
-		f.until("the session of "+n.name, func() bool { return n.look().HeldMS > 0 })
+		f.until("the session of "+n.Name, func() bool { return n.Look().HeldMS > 0 })
 	}
 }
 
@@ -52,8 +73,8 @@
 	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(25 * time.Millisecond) {
 		if time.Now().After(end) {
 			for _, n := range f.nodes {
-				in := n.look()
-				f.t.Logf("%s: revision %d, %d items, held %d ms, age %d ms, caught up %v, last answer %s", n.name, in.Revision, len(in.Items), in.HeldMS, in.AgeMS, in.CaughtUp, n.last())
+				in := n.Look()
+				f.t.Logf("%s: revision %d, %d items, held %d ms, age %d ms, caught up %v, last answer %s", n.Name, in.Revision, len(in.Items), in.HeldMS, in.AgeMS, in.CaughtUp, n.Last())
 			}
 			f.t.Fatalf("after a minute: not yet %s", what)
 		}
@@ -70,29 +91,11 @@
 // try is api that says, too, whether an earlier try may have been carried out: its outcome was not known.
 func (f *fleetUp) try(method, path string, body any) (code int, text string, unknown bool) {
 	f.t.Helper()
-	raw, _ := json.Marshal(body)
-	to := 0
-	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		req, _ := http.NewRequest(method, "http://"+f.HTTP[to]+path, bytes.NewReader(raw))
-		resp, err := fleetClient.Do(req)
-		if err == nil {
-			text, _ := io.ReadAll(resp.Body)
-			resp.Body.Close()
-			if resp.StatusCode != http.StatusServiceUnavailable {
-				return resp.StatusCode, string(text), unknown
-			}
-			unknown = unknown || strings.Contains(string(text), "not committed")
-			if i := slices.Index(f.HTTP, resp.Header.Get("X-Leader")); i >= 0 && i != to {
-				to = i
-				continue
-			}
-		} else {
-			unknown = true
-		}
-		to = (to + 1) % len(f.HTTP)
+	code, text, unknown, err := played.Call(f.HTTP, method, path, body)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	f.t.Fatalf("%s %s: no leader answers", method, path)
-	return 0, "", false
+	return code, text, unknown
 }
 
 // put proposes a tenant's next generation. Where an earlier try may have been the one that was taken, that is looked up: the
@@ -145,7 +148,7 @@
 	f.t.Helper()
 	f.until(fmt.Sprintf("%s at generation %d on every node", name, generation), func() bool {
 		for _, n := range f.nodes {
-			if n.serves(name) != generation {
+			if n.Serves(name) != generation {
 				return false
 			}
 		}
--- a/cmd/listd/rollout_test.go
+++ b/cmd/listd/rollout_test.go
@@ -39,11 +39,10 @@
 	f.mustPut("brand", 0, 100)
 	f.settled("brand", 1)
 	for _, n := range f.nodes {
-		f.until("the share of "+n.name, func() bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			_, ok := n.held["share/"+n.name]
-			return ok && len(n.held) == 2 // and no other node's
+		f.until("the share of "+n.Name, func() bool {
+			ok := false
+			n.With(func() { _, ok = n.Held["share/"+n.Name]; ok = ok && len(n.Held) == 2 }) // and no other node's
+			return ok
 		})
 	}
 
@@ -55,10 +54,10 @@
 	}
 
 	t.Run("refused", func(t *testing.T) {
-		f.nodes[3].with(func() { f.nodes[3].refuse = "no server matches routes[0]" })
+		f.nodes[3].With(func() { f.nodes[3].Refuse = "no server matches routes[0]" })
 		f.mustPut("brand", 1, 200)
 		f.until("the rollback", func() bool { return f.status("brand").Phase == "settled" })
-		f.nodes[3].with(func() { f.nodes[3].refuse = "" })
+		f.nodes[3].With(func() { f.nodes[3].Refuse = "" })
 		if s := f.tenant("brand"); s.Committed.Number != 1 || !strings.Contains(s.RolledBack, "n03") || !strings.Contains(s.RolledBack, "no server matches") {
 			t.Errorf("after a refusal: %+v", s)
 		}
@@ -102,9 +101,9 @@
 			t.Errorf("made again: %+v, the old one was %d", s, old)
 		}
 		for _, n := range f.nodes {
-			n.with(func() {
-				if n.uids["brand"] <= old {
-					t.Errorf("%s holds the old tenant", n.name)
+			n.With(func() {
+				if n.UIDs["brand"] <= old {
+					t.Errorf("%s holds the old tenant", n.Name)
 				}
 			})
 		}
@@ -130,11 +129,11 @@
 		f.settled("lulu", 1)
 		run("n09   applied  1", true, "status", "lulu")
 		run("lulu is at generation 1 already", true, "apply", file)
-		f.nodes[2].with(func() { f.nodes[2].refuse = "routes[0]: matches no server" })
+		f.nodes[2].With(func() { f.nodes[2].Refuse = "routes[0]: matches no server" })
 		toml("name = \"lulu\"\n[quota]\nrate = 50\nburst = 4\n")
 		run("lulu: generation 2 proposed", true, "apply", file)
 		f.until("the rollback", func() bool { return f.status("lulu").Phase == "settled" })
-		f.nodes[2].with(func() { f.nodes[2].refuse = "" })
+		f.nodes[2].With(func() { f.nodes[2].Refuse = "" })
 		run("node n02: routes[0]: matches no server", true, "status", "lulu")
 		run("lulu: removal of generation 1 begun", true, "delete", "lulu")
 		f.until("the removal", func() bool { return f.status("lulu").Phase == "none" })
@@ -155,7 +154,7 @@
 		f.until("200 tenants on every node", func() bool {
 			for _, n := range f.nodes {
 				for i := range 200 {
-					if n.serves(fmt.Sprintf("many-%03d", i)) != 1 {
+					if n.Serves(fmt.Sprintf("many-%03d", i)) != 1 {
 						return false
 					}
 				}
--- a/cmd/listd/zone_test.go
+++ b/cmd/listd/zone_test.go
@@ -9,36 +9,6 @@
 	"starlingvalve/internal/fleet"
 )
 
-// world makes a node's counts of zones za, zb and zc as a node would: it keeps to the directives, and attempts at zb are lost while
-// lost says so.
-func (n *played) world(lost *atomic.Bool) func() []fleet.ZoneCount {
-	return func() []fleet.ZoneCount {
-		var out []fleet.ZoneCount
-		for _, z := range []string{"za", "zb", "zc"} {
-			tries := 8
-			if d, ok := n.directiveLocked("zone/" + z); ok {
-				tries = int(d.Share * 8)
-				switch {
-				case d.Share > 0:
-					tries = max(tries, 1)
-				case d.Phase == fleet.Probation && slices.Contains(d.Trial, n.name):
-					tries = 2
-				}
-			}
-			c := fleet.ZoneCount{Zone: z, Attempts: tries, Servers: min(tries, 4), OK: tries, Listed: 4, Sent: tries, Rate: 20}
-			if z == "zb" && lost.Load() {
-				c.Lost, c.LostServers, c.OK = c.Attempts, c.Servers, 0
-			}
-			if tries > 0 {
-				out = append(out, c)
-			} else {
-				out = append(out, fleet.ZoneCount{Zone: z, Listed: 4})
-			}
-		}
-		return out
-	}
-}
-
 // A zone is lost, and the raft leader with it: every agent hears one directive; when the zone answers again it returns by steps,
 // in order, until there is no directive.
 func TestZoneLostWithTheLeader(t *testing.T) {
@@ -46,20 +16,20 @@
 	f := startFleet(t, 10, "[cold]\ntime_ms = 1000")
 	var lost atomic.Bool
 	for _, n := range f.nodes {
-		n.with(func() { n.counts = n.world(&lost) })
+		n.With(func() { n.Counts = n.World("zb", &lost) })
 	}
 	f.present()
 	time.Sleep(2 * time.Second) // some seconds of a healthy fleet, so that rates are proved
 	for _, n := range f.nodes {
-		if d, ok := n.directive("zone/zb"); ok {
-			t.Fatalf("%s was told %+v of a zone that is well", n.name, d)
+		if d, ok := n.Directive("zone/zb"); ok {
+			t.Fatalf("%s was told %+v of a zone that is well", n.Name, d)
 		}
 	}
 	var steps []float64
 	var phases []string
 	watching := f.nodes[0]
-	watching.with(func() {
-		watching.seen = func(it fleet.Item, d fleet.Directive) {
+	watching.With(func() {
+		watching.Seen = func(it fleet.Item, d fleet.Directive) {
 			if it.Key != "zone/zb" {
 				return
 			}
@@ -77,7 +47,7 @@
 	f.Kill(lead)
 	f.until("every agent to hear that zb is left", func() bool {
 		for _, n := range f.nodes {
-			if d, ok := n.directive("zone/zb"); !ok || d.Share != 0 {
+			if d, ok := n.Directive("zone/zb"); !ok || d.Share != 0 {
 				return false
 			}
 		}
@@ -88,14 +58,14 @@
 	start = time.Now()
 	f.until("zb served again on every node", func() bool {
 		for _, n := range f.nodes {
-			if _, ok := n.directive("zone/zb"); ok {
+			if _, ok := n.Directive("zone/zb"); ok {
 				return false
 			}
 		}
 		return true
 	})
 	t.Logf("back on 10 nodes after %v, by shares %v", time.Since(start), steps)
-	watching.with(func() {
+	watching.With(func() {
 		if want := []string{fleet.Left, fleet.Probation, fleet.Returning}; !slices.Equal(phases, want) {
 			t.Errorf("phases %v", phases)
 		}
@@ -105,8 +75,8 @@
 	})
 	for _, n := range f.nodes {
 		for _, z := range []string{"zone/za", "zone/zc"} {
-			if d, ok := n.directive(z); ok {
-				t.Errorf("%s was told %+v of %s", n.name, d, z)
+			if d, ok := n.Directive(z); ok {
+				t.Errorf("%s was told %+v of %s", n.Name, d, z)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/lab/played/report.go
@@ -0,0 +1,141 @@
+package played
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+)
+
+// apply serves by what is committed, and by nothing else.
+func (n *Node) apply() {
+	if n.Keep {
+		return
+	}
+	now := map[string]fleet.Generation{}
+	for key, it := range n.Held {
+		var t fleet.Tenant
+		if name, ok := bytes.CutPrefix([]byte(key), []byte("tenant/")); ok {
+			json.Unmarshal(it.Body, &t)
+			n.UIDs[string(name)] = t.UID
+			if t.Committed != nil && !t.Removing {
+				now[string(name)] = *t.Committed
+			}
+		}
+	}
+	n.serving = now
+}
+
+// report is the node's next one; the caller holds mu.
+func (n *Node) report() fleet.Report {
+	n.seq++
+	n.apply()
+	r := fleet.Report{Member: fleet.Member{Node: n.Name, Zone: n.Zone, Incarnation: n.incarnation}, Seq: n.seq, Revision: n.revision,
+		Ready: true, WindowMS: 100}
+	if n.Counts != nil {
+		r.Zones = n.Counts()
+	}
+	for key, it := range n.Held {
+		name, ok := bytes.CutPrefix([]byte(key), []byte("tenant/"))
+		if !ok {
+			continue
+		}
+		var t fleet.Tenant
+		json.Unmarshal(it.Body, &t)
+		g := n.serving[string(name)]
+		ack := fleet.TenantAck{Name: string(name), UID: t.UID, Committed: g.Number, Digest: g.Digest}
+		switch {
+		case t.Staged == nil || n.Slow:
+		case n.Refuse != "":
+			ack.Refused = n.Refuse
+		default:
+			ack.Staged, ack.Digest = t.Staged.Number, t.Staged.Digest
+		}
+		r.Tenants = append(r.Tenants, ack)
+	}
+	items := slices.Collect(maps.Values(n.Held))
+	facts, err := drift.Expect(drift.Intended{Revision: n.revision, Items: items}, r.Member)
+	if err != nil {
+		n.wrong = append(n.wrong, err.Error())
+	}
+	if n.Odd != nil {
+		facts = n.Odd(facts)
+	}
+	drift.Fill(&r, facts, n.want)
+	n.want = nil
+	slices.SortFunc(r.Tenants, func(a, b fleet.TenantAck) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	return r
+}
+
+// post sends reports as a node does.
+func (n *Node) post() {
+	for n.rest(n.every()) {
+		n.mu.Lock()
+		if n.Silent || n.down {
+			n.mu.Unlock()
+			continue
+		}
+		raw, _ := json.Marshal(n.report())
+		n.mu.Unlock()
+		resp, err := client.Post("http://"+n.Agent+"/fleet/v1/report", "application/json", bytes.NewReader(raw))
+		if err != nil {
+			continue
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		n.mu.Lock()
+		n.answer = fmt.Sprintf("%d %s", resp.StatusCode, text)
+		var ans fleet.ReportAnswer
+		if resp.StatusCode == http.StatusOK && json.Unmarshal(text, &ans) == nil {
+			n.want, n.Out = ans.Want, ans.Out
+		}
+		n.mu.Unlock()
+	}
+}
+
+// World makes a node's counts of zones za, zb and zc as a node would: it keeps to the directives, and attempts at zone are lost while
+// lost says so.
+func (n *Node) World(zone string, lost *atomic.Bool) func() []fleet.ZoneCount {
+	return func() []fleet.ZoneCount {
+		var out []fleet.ZoneCount
+		for _, z := range []string{"za", "zb", "zc"} {
+			tries := 8
+			if d, ok := n.directiveLocked("zone/" + z); ok {
+				tries = int(d.Share * 8)
+				switch {
+				case d.Share > 0:
+					tries = max(tries, 1)
+				case d.Phase == fleet.Probation && slices.Contains(d.Trial, n.Name):
+					tries = 2
+				}
+			}
+			c := fleet.ZoneCount{Zone: z, Attempts: tries, Servers: min(tries, 4), OK: tries, Listed: 4, Sent: tries, Rate: 20}
+			if z == zone && lost.Load() {
+				c.Lost, c.LostServers, c.OK = c.Attempts, c.Servers, 0
+			}
+			if tries > 0 {
+				out = append(out, c)
+			} else {
+				out = append(out, fleet.ZoneCount{Zone: z, Listed: 4})
+			}
+		}
+		return out
+	}
+}
+
+func (n *Node) every() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Every > 0 {
+		return n.Every
+	}
+	return 150 * time.Millisecond
+}
