--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -23,6 +23,7 @@
 
 	"starlingvalve/internal/lab"
 	"starlingvalve/internal/lab/listdlab"
+	"starlingvalve/internal/lab/played"
 	"starlingvalve/internal/lab/report"
 	"starlingvalve/lab/scenarios"
 )
@@ -195,6 +196,7 @@
 func discoveryCmd() *cobra.Command {
 	var p listdlab.Plan
 	var out, binary string
+	var nodes int
 	cmd := &cobra.Command{Use: "discovery", Short: "Measure listd: writes/s, fan-out, memory per watcher, failover, catch-up",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			dir := filepath.Join(out, "discovery-"+time.Now().UTC().Format("20060102T150405"))
@@ -202,14 +204,20 @@
 				return err
 			}
 			log := slog.New(slog.NewJSONHandler(c.ErrOrStderr(), nil)).With("run", filepath.Base(dir))
-			f, err := listdlab.Experiment(binary, dir, p, log)
-			if f != nil {
-				raw, _ := json.MarshalIndent(f, "", "  ")
+			var f any
+			var err error
+			if nodes > 0 {
+				f, err = played.Measure(binary, dir, played.Plan{Nodes: nodes, Rollouts: 25, Tenants: 200, Drifts: 20, Losses: 5, Steady: 10 * time.Second}, log)
+			} else {
+				f, err = listdlab.Experiment(binary, dir, p, log)
+			}
+			if raw, _ := json.MarshalIndent(f, "", "  "); string(raw) != "null" {
 				os.WriteFile(filepath.Join(dir, "figures.json"), raw, 0o644)
 				fmt.Fprintf(c.OutOrStdout(), "%s\n", raw)
 			}
 			return err
 		}}
+	cmd.Flags().IntVar(&nodes, "fleet", 0, "measure the fleet's control plane instead, with so many agents (docs/fleet.md)")
 	cmd.Flags().IntVar(&p.Replicas, "replicas", 3, "replicas")
 	cmd.Flags().IntVar(&p.Watchers, "watchers", 300, "watchers for the fan-out")
 	cmd.Flags().IntVar(&p.Kills, "kills", 10, "leader kills for failover")
--- a/internal/lab/listdlab/listdlab.go
+++ b/internal/lab/listdlab/listdlab.go
@@ -255,6 +255,18 @@
 	return 0
 }
 
+// CPUTime is what a process has taken so far, user and system, from /proc in steps of 10 ms; 0 where there is none.
+func CPUTime(pid int) time.Duration {
+	raw, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:])) // from the third on: the second may hold spaces
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	sys, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+sys) * 10 * time.Millisecond
+}
+
 // Quantile of sorted durations, q in 0..1.
 func Quantile(d []time.Duration, q float64) time.Duration {
 	if len(d) == 0 {
