Give the drift detector's simulated fleet a package, and the lab a play of it

They are now internal/fleet/drift/play: seeded, no I/O, no clock. The checks return errors, and the tests call them; no bound or planted fault of the detector was changed. A verdict in no row of the page, a panic before, is an error of its own that does not count as a fault caught. Tests of the detector's insides stay in its package.

--- /dev/null
+++ b/internal/fleet/drift/export_test.go
@@ -0,0 +1,80 @@
+package drift
+
+import (
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
+)
+
+// Tell gives a module what is intended, as the node does: in the words of fleet.ZoneBody and fleet.TenantBody.
+func Tell(m *decide.Module, at decide.Time, in Intended, self fleet.Member) {
+	b := book{}
+	b.ingest(0, in)
+	var list []decide.Server
+	for i, s := range in.Servers {
+		if s.Gone {
+			continue
+		}
+		state := decide.Ready
+		if s.Body.State == "draining" {
+			state = decide.Draining
+		}
+		list = append(list, decide.Server{ID: decide.ServerID(i + 1), Name: s.ID, Zone: s.Body.Zone, Kind: s.Body.Kind, Cell: s.Body.Cell, Size: s.Body.Size, State: state})
+	}
+	m.Handle(at, decide.ListUpdate{Kind: decide.ListFull, Version: in.Revision, Entries: list})
+	zones := map[string]bool{}
+	for _, e := range b.zones {
+		zones[e.zone] = true
+	}
+	for zone := range zones {
+		told := decide.ZoneTold{Zone: zone, Revision: in.Revision, Intent: in.Revision, Serving: true}
+		if d, rev := b.directive(zone, in.Revision, self); d != nil {
+			h := fleet.ZoneBody(rev, *d, self.Node)
+			told = decide.ZoneTold{Zone: zone, Revision: rev, Intent: in.Revision, Share: h.Share, Floor: h.Floor, Rate: h.Rate, Trial: h.Trial, Valid: time.Duration(h.ValidMS) * time.Millisecond}
+		}
+		m.Handle(at, told)
+	}
+	for _, e := range b.tenants {
+		v := e.last()
+		told := decide.TenantTold{Name: e.key[len(fleet.KeyTenant):], Revision: v.rev, Gone: v.gone}
+		if !v.gone {
+			told.UID, told.Removing, told.QuotaGone = v.tenant.UID, v.tenant.Removing, v.tenant.QuotaGone
+			if r := fleet.TenantBody(v.rev, *v.tenant).Committed; r != nil {
+				told.Committed = &decide.TenantRules{Generation: r.Generation, Digest: r.Digest, Classes: r.Classes, Rate: r.Rate, Burst: r.Burst, ClassRates: r.ClassRates, RefuseElse: r.RefuseElse}
+				for _, x := range r.Routes {
+					told.Committed.Routes = append(told.Committed.Routes, decide.TenantRoute{Zone: x.Zone, Kind: x.Kind, ID: x.ID, Weight: x.Weight})
+				}
+			}
+		}
+		m.Handle(at, told)
+	}
+	if s := b.shares[self.Node].last().shares; s != nil {
+		m.Handle(at, decide.ShareTold{Epoch: s.Epoch, Slots: s.Slots, Rates: s.Rates, Valid: time.Hour})
+	}
+}
+
+// Book is the judge's book, for the tests from outside that play what is intended.
+type Book struct{ b book }
+
+func (b *Book) Ingest(in Intended) { b.b.ingest(0, in) }
+
+func (b *Book) Expect(rev uint64, self fleet.Member) ([]fleet.Held, bool) {
+	return b.b.expect(rev, self)
+}
+
+// Node is what the judge has of a node.
+type Node struct{ n node }
+
+func Compared(r fleet.Report) *Node { return &Node{node{Member: r.Member, heard: true, report: r}} }
+
+func (n *Node) Compare(b *Book) { n.n.compare(0, &b.b) }
+func (n *Node) Redo() bool      { return n.n.redo }
+func (n *Node) Judged() bool    { return n.n.judged() }
+func (n *Node) Asks() bool      { return len(n.n.trees[1].ask) > 0 }
+func (n *Node) Same() bool      { return n.n.trees[0].same && n.n.trees[1].same }
+
+var (
+	BodyOf  = bodyOf
+	IsLocal = isLocal
+)
--- /dev/null
+++ b/internal/fleet/drift/intent_test.go
@@ -0,0 +1,139 @@
+package drift_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"starlingvalve/internal/fleet"
+	. "starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/fleet/drift/play"
+)
+
+func TestExpectAndDifferences(t *testing.T) {
+	c := play.Seed(2)
+	c.Put("zone/z2@z1", play.Left(0)) // tie: that for every node holds
+	c.Put("zone/z2@z3", fleet.Directive{Phase: fleet.Left, Share: 0, ValidMS: 1})
+	c.Put("zone/z3", fleet.Directive{Phase: fleet.Returning, Share: 0.6, Floor: 0.2, Budget: 30, Slots: 10, Trial: []string{"n000"}, ValidMS: 5000})
+	c.Put("zone/a", fleet.Directive{Phase: fleet.Serving, Share: 1})
+	c.Put("zone/a-b", play.Left(0.25))
+	c.Put("later/x", []int{1})
+	c.Serve("s3", "gone")
+	c.Drop("tenant/t4")
+	held, err := Expect(c.In, fleet.Member{Node: "n000", Zone: "z1"})
+	must(t, err == nil, "%v", err)
+	got := map[string]string{}
+	for _, h := range held {
+		got[h.Key] = string(h.Body)
+	}
+	must(t, got["zone/z2"] == `{"rev":1,"valid_ms":5000}`, "%s", got["zone/z2"])
+	must(t, got["zone/z3"] == `{"rev":2,"share":0.5,"valid_ms":5000}`, "%s", got["zone/z3"])
+	must(t, got["zone/a-b"] != "" && got["zone/a"] == "" && got["later/x"] == "" && got["server/s3"] == "" && got["tenant/t4"] == "", "%v", got)
+	must(t, got["share"] == `{"epoch":1,"rates":{"t0":1,"t1":2},"slots":2}`, "%s", got["share"])
+	must(t, len(got) == 3+4+1+11, "%d facts: %v", len(got), slices.Sorted(maps.Keys(got)))
+	other, _ := Expect(c.In, fleet.Member{Node: "n000", Zone: "z9"})
+	must(t, string(BodyOf(other, "zone/z3")) == fmt.Sprintf(`{"floor":0.2,"rate":3,"rev":%d,"share":0.6,"trial":true,"valid_ms":5000}`, play.ItemRev(c, "zone/z3")), "%s", BodyOf(other, "zone/z3"))
+
+	d := Differences("k", json.RawMessage(`{"a":{"b":[1,{"c":2}]},"d":"x"}`), json.RawMessage(`{"a":{"b":[1,{"c":3},4]},"e":true}`))
+	want := []Difference{{"k", "a.b[1].c", "2", "3"}, {"k", "a.b[2]", "null", "4"}, {"k", "d", `"x"`, "null"}, {"k", "e", "null", "true"}}
+	must(t, cmp.Equal(d, want), "%s", cmp.Diff(want, d))
+	c.Set(fleet.Item{Key: "tenant/t1", Rev: c.In.Revision, Body: json.RawMessage(`{"uid":-1}`)})
+	if _, err := Expect(c.In, fleet.Member{Node: "n000"}); !errors.Is(err, fleet.ErrInvalid) {
+		t.Errorf("a bad item: %v", err)
+	}
+}
+
+// What was changed twice between two looks, or went without a word, is not known for the revisions between; before
+// and after, it is.
+func TestBookBetweenLooks(t *testing.T) {
+	for key, change := range map[string]func(*play.Intent){
+		"zone/z2": func(c *play.Intent) {
+			c.Put("zone/z2", play.Left(0.5))
+			c.Drop("zone/z2")
+			c.Put("zone/z9", play.Left(0.5))
+		},
+		"tenant/t1": func(c *play.Intent) {
+			c.In.Items = slices.DeleteFunc(c.In.Items, func(it fleet.Item) bool { return it.Key == "tenant/t1" })
+			c.Put("zone/z9", play.Left(0.5))
+			c.In.Revision += 2
+		}} {
+		c, b, self := play.Seed(1), Book{}, fleet.Member{Node: "n000", Zone: "z2"}
+		b.Ingest(c.In)
+		first := c.In.Revision
+		change(c)
+		b.Ingest(c.In)
+		for n, want := range map[uint64]bool{0: false, first: true, first + 1: false, first + 3: true} {
+			held, whole := b.Expect(n, self)
+			must(t, whole == want, "%s at %d of %d: %v, %v", key, n, first, whole, held)
+			must(t, !whole || (BodyOf(held, key) != nil) == (n == first), "%s at %d: %v", key, n, held)
+			must(t, !whole || (BodyOf(held, "zone/z9") != nil) == (n > first), "%s at %d: %v", key, n, held)
+		}
+	}
+}
+
+// A node may hear of the list from a replica before the judge has looked again: it is compared once the judge knows that version.
+func TestListNewerThanTheJudge(t *testing.T) {
+	c, b := play.Seed(1), Book{}
+	b.Ingest(c.In)
+	before := c.In.Revision
+	c.Serve("s99", "ready")
+	c.In.Revision = before // as the control plane has it: no item has changed
+	m := play.Module{Member: fleet.Member{Node: "n000", Zone: "z2"}}
+	m.Hear(c.In)
+	m.List++
+	n := Compared(m.Report())
+	n.Compare(&b)
+	must(t, n.Redo() && !n.Judged() && !n.Asks(), "compared with a list that was not known")
+	b.Ingest(c.In)
+	n.Compare(&b)
+	must(t, !n.Redo() && n.Judged() && n.Same(), "after the judge has looked")
+}
+
+// An agent that is cut off from the control plane still finds that its node holds something else, and has it sent
+// again; a copy older than what the node holds makes no alarm until a replica has answered.
+func TestLocal(t *testing.T) {
+	c, m := play.Seed(1), &play.Module{Member: fleet.Member{Node: "n000", Zone: "z1", Incarnation: 5}}
+	l, now := NewLocal(Defaults()), fleet.Time(0)
+	m.Hear(c.In)
+	old := c.In
+	run := func(in Intended, caughtUp bool, want string) Verdict {
+		t.Helper()
+		var resent []string
+		for range 70 {
+			now += 100 * time.Millisecond
+			must(t, l.Observe(now, m.Report()) == nil, "refused")
+			var again []string
+			again, m.Want = l.Answer(m.Node)
+			resent = append(resent, again...)
+			l.Step(now, in, m.Member, caughtUp)
+		}
+		v, ok := l.Verdict(now, 0, m.Node)
+		must(t, ok && v.State == want, "%+v, want %s", v, want)
+		must(t, (len(resent) > 0) == Drifts(want), "re-sent %v", resent)
+		return v
+	}
+	run(c.In, false, InStep)
+	m.Plant = play.Plant("tenant/t2", nil)
+	must(t, play.Has(run(c.In, false, Diverged).Items, "tenant/t2", ""), "not named")
+	m.Plant = nil
+	run(c.In, false, InStep)
+	c.Put("zone/z2", play.Left(0.9))
+	m.Hear(c.In)
+	run(old, false, InStep)
+	run(old, true, Ahead)
+	run(c.In, true, InStep)
+}
+
+func must(t rapid.TB, ok bool, format string, args ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -163,7 +163,7 @@
 		j.settings(n, st)
 		j.show(now, n, n.find(now, j.office, &j.bounds, &j.book))
 		if here[name] {
-			if drifts(n.shown.state) {
+			if Drifts(n.shown.state) {
 				drifting++
 			}
 			if n.repair.Step == Out {
--- /dev/null
+++ b/internal/fleet/drift/play/play.go
@@ -0,0 +1,60 @@
+// Package play is a fleet in simulated time around the core of the drift detector: nodes that hold what they were told
+// or something else that is planted, a network that loses, doubles and delays, and leaders that change. All of a play
+// comes of its seed, so it can be played again. It does no I/O and reads no clock. The detector's tests and the lab's
+// simulate command are played on it (docs/drift.md).
+package play
+
+import (
+	"fmt"
+	"time"
+
+	"starlingvalve/internal/fleet/drift"
+)
+
+// Outcome is what a play came to.
+type Outcome struct {
+	Seed    uint64
+	Planted string        // the drift that was planted, in words
+	Stuck   bool          // it shows as an item that is outstanding past its bound
+	Found   bool          // it was named, by state, item and field
+	Took    time.Duration // from the plant to its being named; of no meaning where it was missed
+	Alarm   error         // a false alarm, or a repair of what was right; nil: none
+	Missed  error         // nil: found, and in time
+}
+
+// slack is what loss may add to the time in which a plant is named.
+const slack = 3 * time.Second
+
+// One plays a seed: first a fleet that is right through a rolling restart with loss, pauses, failovers and changes for
+// d, then the seed's plant in one node of such a fleet at rest but for the loss. Loss is a share of the messages.
+func One(seed uint64, nodes int, loss float64, d time.Duration, r Rules) Outcome {
+	p := Plants[seed%uint64(len(Plants))]
+	o := Outcome{Seed: seed, Planted: p.name, Stuck: p.state == drift.Stuck, Alarm: Storm(nodes, seed, loss, r, d)}
+	most := r.Bounds.CatchUp
+	if loss > 0 {
+		most += slack
+	}
+	if o.Stuck {
+		most += 1500 * ms // the first report after the bound
+	}
+	w := newWorld(nodes, seed, loss, r)
+	w.run(8 * time.Second)
+	n := w.nodes[seed/uint64(len(Plants))%uint64(nodes)]
+	p.plant(w, n)
+	took, last := w.found(n, p.state, p.key, p.field, most)
+	if o.Took, o.Found = took, took <= most; !o.Found {
+		o.Missed = fmt.Errorf("seed %d: %s: not named in %v: %+v", seed, p.name, most, last)
+	}
+	for _, v := range w.j.Verdicts(w.now+w.skew, 0, w.st) {
+		if o.Alarm == nil && v.Node != n.Node && drift.Drifts(v.State) {
+			o.Alarm = fmt.Errorf("%s: another node than the one planted: %+v", p.name, v)
+		}
+	}
+	if o.Alarm == nil {
+		o.Alarm = w.breach
+	}
+	if o.Alarm != nil {
+		o.Alarm = fmt.Errorf("seed %d: %w", seed, o.Alarm)
+	}
+	return o
+}
--- a/internal/fleet/drift/table_test.go
+++ b/internal/fleet/drift/play/table_test.go
@@ -1,4 +1,4 @@
-package drift
+package play
 
 import (
 	"errors"
@@ -10,10 +10,11 @@
 	"time"
 
 	"starlingvalve/internal/fleet"
+	. "starlingvalve/internal/fleet/drift"
 	"starlingvalve/internal/fleet/page"
 )
 
-const drift = "../../../docs/drift.md"
+const driftPage = "../../../../docs/drift.md"
 
 // starts bring the first node of a rig into a state, by what a node can do.
 var starts = map[string]func(*rig){
@@ -21,23 +22,23 @@
 	InStep:     func(r *rig) {},
 	CatchingUp: func(r *rig) { r.behind(); r.run(time.Second) },
 	Stuck:      func(r *rig) { r.behind(); r.run(4 * time.Second) },
-	Diverged:   func(r *rig) { r.nodes[0].plant = change("zone/z2", nil); r.run(time.Second) },
-	Ahead:      func(r *rig) { r.nodes[0].plant = above; r.run(time.Second) },
+	Diverged:   func(r *rig) { r.nodes[0].Plant = Plant("zone/z2", nil); r.run(time.Second) },
+	Ahead:      func(r *rig) { r.nodes[0].Plant = above; r.run(time.Second) },
 	Overridden: func(r *rig) { r.ban(); r.run(time.Second) },
 	Silent:     func(r *rig) { r.quiet = true; r.run(2500 * ms) },
 }
 
-var above = change("zone/z2", fleet.HeldZone{Rev: 1 << 40})
+var above = Plant("zone/z2", fleet.HeldZone{Rev: 1 << 40})
 
 // behind has something new intended that the first node does not hear.
 func (r *rig) behind() {
 	r.nodes[0].deaf = true
-	r.put("zone/z3@z1", left(0.1))
+	r.Put("zone/z3@z1", Left(0.1))
 	r.hear()
 }
 
 func (r *rig) ban() {
-	b := hold("ban/s3", fleet.HeldBan{Out: true})
+	b := Fact("ban/s3", fleet.HeldBan{Out: true})
 	b.By, b.SinceMS = "door", 99
 	r.nodes[0].local = append(r.nodes[0].local, b)
 }
@@ -48,7 +49,7 @@
 	"report|a ban":           func(r *rig) error { return r.then(time.Second, r.ban) },
 	"report|other settings than the fleet's": func(r *rig) error {
 		r.then(time.Second, func() { r.nodes[0].local = []fleet.Held{settings(77)} })
-		if o := r.verdict(0).Overrides; len(o) != 1 || o[0].By != "SIGHUP" || o[0].SinceMS != 17 || !has(o[0].Fields, "settings", "nodes") {
+		if o := r.verdict(0).Overrides; len(o) != 1 || o[0].By != "SIGHUP" || o[0].SinceMS != 17 || !Has(o[0].Fields, "settings", "nodes") {
 			return fmt.Errorf("overrides %+v", o)
 		}
 		return nil
@@ -63,16 +64,16 @@
 		return r.names("tenant/t", "applied")
 	},
 	"report|other content, being named": func(r *rig) error {
-		return r.then(2500*ms, func() { r.nodes[0].plant, r.nodes[0].mute = change("zone/z2", nil), true })
+		return r.then(2500*ms, func() { r.nodes[0].Plant, r.nodes[0].mute = Plant("zone/z2", nil), true })
 	},
 	"report|other content, named": func(r *rig) error {
 		r.then(time.Second, func() {
-			r.nodes[0].plant = change("server/s3", fleet.HeldServer{Zone: "z9", Kind: "k", State: "ready", Size: 1})
+			r.nodes[0].Plant = Plant("server/s3", fleet.HeldServer{Zone: "z9", Kind: "k", State: "ready", Size: 1})
 		})
 		return r.names("server/s3", "zone")
 	},
 	"report|other content, not named within the bound": func(r *rig) error {
-		r.then(3900*ms, func() { r.nodes[0].plant, r.nodes[0].mute = change("zone/z2", nil), true })
+		r.then(3900*ms, func() { r.nodes[0].Plant, r.nodes[0].mute = Plant("zone/z2", nil), true })
 		return r.names("*", "root")
 	},
 	"report|behaviour, two reports running": func(r *rig) error {
@@ -93,7 +94,7 @@
 		return r.names("*", "revision")
 	},
 	"report|item above the committed one": func(r *rig) error {
-		r.then(time.Second, func() { r.nodes[0].plant = above })
+		r.then(time.Second, func() { r.nodes[0].Plant = above })
 		return r.names("zone/z2", "rev")
 	},
 	"report|not comparable yet": func(r *rig) error {
@@ -151,13 +152,13 @@
 }
 
 func (r *rig) names(key, field string) error {
-	if v := r.verdict(0); !has(v.Items, key, field) {
+	if v := r.verdict(0); !Has(v.Items, key, field) {
 		return fmt.Errorf("%+v names no %s %s", v, key, field)
 	}
 	return nil
 }
 
-func (r *rig) refuses(m *module) error {
+func (r *rig) refuses(m *Module) error {
 	r.refused = nil
 	r.send(m)
 	r.step()
@@ -177,19 +178,9 @@
 	must(t, r.verdict(0).State == Stuck && r.names("zone/z3@z1", "rev") == nil && len(r.j.Log(0)) == 0, "%+v", r.verdict(0))
 }
 
-// sent has the reports from the first to the last count attempts to a zone that is left.
-func sent(first, last int) func(*fleet.Report) {
-	n := 0
-	return func(r *fleet.Report) {
-		if n++; n >= first && n <= last {
-			r.Zones = []fleet.ZoneCount{{Zone: "z2", Sent: 4, Listed: 2}}
-		}
-	}
-}
-
 // paged are the page's rows by next state and condition: what the judge may say, on which evidence.
 var paged = sync.OnceValue(func() map[string]bool {
-	rows, _ := page.Table(drift, "Verdicts")
+	rows, _ := page.Table(driftPage, "Verdicts")
 	said := map[string]bool{}
 	for _, row := range rows {
 		said[row.Next+"|"+row.Condition] = true
@@ -199,7 +190,7 @@
 
 // Every row of the page is run against the judge, from every state that it names, on a fleet of twelve.
 func TestVerdictTable(t *testing.T) {
-	rows, err := page.Table(drift, "Verdicts")
+	rows, err := page.Table(driftPage, "Verdicts")
 	must(t, err == nil, "%v", err)
 	for _, row := range rows {
 		event := events[row.Event+"|"+row.Condition]
@@ -237,109 +228,3 @@
 		}
 	}
 }
-
-// repairCase is all that a repair's step depends on.
-type repairCase struct {
-	step                               string
-	tries                              int
-	shown                              string
-	over, relapsed, rate, room, doubts bool
-	absent, waiting                    bool // waiting: its first wait has begun
-}
-
-func (c repairCase) run() (next, act string) {
-	j, now := NewJudge(Defaults()), fleet.Time(time.Hour)
-	n := j.meet(now-time.Hour, fleet.Member{Node: "n"})
-	n.shown.state, n.shown.items = c.shown, []Difference{{Key: "zone/z"}}
-	n.repair.Step, n.repair.Tries, n.repair.until = c.step, c.tries, now+1
-	if c.over {
-		n.repair.until = now
-	}
-	n.repair.waiting = c.waiting
-	if c.relapsed {
-		n.repair.mended = now - time.Second
-	}
-	if !c.rate {
-		j.resends.next, j.strong.next = now+time.Hour, now+time.Hour
-	}
-	j.doubting = c.doubts
-	outs, room := 1, 1
-	if c.room {
-		room = 2
-	}
-	if c.absent {
-		n.repair.leave()
-	} else {
-		act = j.repairStep(now, n, &outs, room)
-	}
-	if next = n.repair.Step; next == Idle {
-		next = "idle"
-	}
-	return next, act
-}
-
-// Every row of the repair's table is run; and of all combinations of what a step depends on, none gives a
-// transition that is in no row.
-func TestRepairTable(t *testing.T) {
-	rows, err := page.Table(drift, "Repair")
-	must(t, err == nil, "%v", err)
-	conditions := map[string]func(*repairCase){
-		"":                                func(c *repairCase) {},
-		"room in the rate":                func(c *repairCase) {},
-		"no room in the rate":             func(c *repairCase) { c.rate = false },
-		"first wait not over":             func(c *repairCase) { c.over = false },
-		"relapsed, first wait not over":   func(c *repairCase) { c.relapsed, c.waiting = true, false },
-		"the detector suspects itself":    func(c *repairCase) { c.doubts = true },
-		"wait not over":                   func(c *repairCase) { c.over = false },
-		"wait over, under 3 tries":        func(c *repairCase) { c.tries = 2 },
-		"wait over, 3 tries":              func(c *repairCase) {},
-		"wait over, room among those out": func(c *repairCase) {},
-		"wait over, no room":              func(c *repairCase) { c.room = false },
-		"in step for less than its wait":  func(c *repairCase) { c.over = false },
-		"in step for its wait":            func(c *repairCase) {},
-	}
-	acts := map[string]string{"items re-sent": ActResend, "items re-sent, wait doubled": ActResend, "agent restarts": ActRestart,
-		"not ready": ActOut, "in front again": ActBack, "relapse counted if it drifts again": ActMended}
-	known := map[string]bool{}
-	for _, row := range rows {
-		set := conditions[row.Condition]
-		must(t, set != nil, "%v: no test makes this so", row)
-		from := []string{row.State}
-		if row.State == "any" {
-			from = []string{"idle", Resending, Restarting, Out}
-		}
-		for _, step := range from {
-			for _, shown := range map[string][]string{"drifts": {Stuck, Diverged, Ahead}, "mends": {InStep, Overridden}, "left": {Silent}}[row.Event] {
-				c := repairCase{step: step, tries: 3, shown: shown, over: true, rate: true, room: true, absent: row.Event == "left", waiting: true}
-				if c.step == "idle" {
-					c.step = Idle
-				}
-				set(&c)
-				if next, act := c.run(); next != row.Next || act != acts[row.Effect] {
-					t.Errorf("%v: %+v gives %s, %q", row, c, next, act)
-				}
-			}
-			known[step+"|"+row.Event+"|"+row.Next] = true
-		}
-	}
-	bits := []bool{false, true}
-	for _, step := range []string{Idle, Resending, Restarting, Out} {
-		for _, shown := range []string{Stuck, Diverged, Ahead, InStep, Overridden, CatchingUp, Silent} {
-			for i := range 128 {
-				c := repairCase{step, 1 + i%4, shown, bits[i>>1&1], bits[i>>2&1], bits[i>>3&1], bits[i>>4&1], bits[i>>5&1], false, bits[i>>6&1]}
-				next, _ := c.run()
-				from, event := step, "mends"
-				if from == Idle {
-					from = "idle"
-				}
-				if drifts(shown) {
-					event = "drifts"
-				}
-				if next != from && !known[from+"|"+event+"|"+next] {
-					t.Errorf("%+v gives %s: no row", c, next)
-				}
-				must(t, next == from || !slices.Contains([]string{CatchingUp, Silent}, shown), "%+v moves", c)
-			}
-		}
-	}
-}
--- a/internal/fleet/drift/sim_test.go
+++ b/internal/fleet/drift/play/world.go
@@ -1,39 +1,51 @@
-package drift
+package play
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
 )
 
+// Rules are what a play holds the judge to.
+type Rules struct {
+	Bounds drift.Bounds
+	Rows   map[string]bool // "state|evidence" of every verdict that may be said; nil: any
+}
+
+var errRow = errors.New("in no row of the page")
+
 // world is a fleet on a network that drops, delays, doubles and reorders, in simulated time. The leader's clock is
 // off from the world's by skew. Nodes stamp incarnations with clocks that are off by up to 2 s.
 type world struct {
-	*intent
+	*Intent
 	rng            *rand.Rand
 	now, skew      fleet.Time
-	j              *Judge
-	st             *State
+	j              *drift.Judge
+	st             *drift.State
 	rev            uint64
 	nodes          []*simNode
 	queue          []event_ // by time
 	loss           float64
 	paused         fleet.Time // the leader, till then
 	stepAt         fleet.Time
-	commands       []Command // proposed, not yet applied
-	judged         func(v Verdict)
+	commands       []drift.Command // proposed, not yet applied
+	judged         func(v drift.Verdict)
 	resent, outMax int
 	old            []fleet.Report // some reports, for replays
-	applied        Intended       // what the leader's own state machine has come to
+	applied        drift.Intended // what the leader's own state machine has come to
 	appliedAt      fleet.Time
+	rules          Rules
+	breach         error // the first verdict in no row
 }
 
 type simNode struct {
-	module
+	Module
 	up       bool
 	paused   fleet.Time // till then
 	session  fleet.Time // when the leader last heard of it, in the world's time
@@ -49,10 +61,10 @@
 	run func()
 }
 
-func newWorld(nodes int, seedOf uint64, loss float64, b Bounds) *world {
-	w := &world{intent: seed(nodes), rng: rand.New(rand.NewPCG(seedOf, 1)), now: time.Hour, j: NewJudge(b), st: &State{}, loss: loss}
+func newWorld(nodes int, seedOf uint64, loss float64, r Rules) *world {
+	w := &world{Intent: Seed(nodes), rng: rand.New(rand.NewPCG(seedOf, 1)), now: time.Hour, j: drift.NewJudge(r.Bounds), st: &drift.State{}, loss: loss, rules: r}
 	for i := range nodes {
-		n := &simNode{module: module{Member: fleet.Member{Node: nodeName(i), Zone: fmt.Sprintf("z%d", 1+i%3)}}}
+		n := &simNode{Module: Module{Member: fleet.Member{Node: nodeName(i), Zone: fmt.Sprintf("z%d", 1+i%3)}}}
 		w.nodes = append(w.nodes, n)
 		w.start(n)
 	}
@@ -83,7 +95,7 @@
 	n.life++
 	skew := time.Duration(w.rng.IntN(4000)-2000) * ms
 	n.Incarnation = max(n.Incarnation+1, uint64(w.now+10*time.Second+skew))
-	n.module = module{Member: n.Member, local: []fleet.Held{settings(50)}, plant: n.plant}
+	n.Module = Module{Member: n.Member, local: []fleet.Held{settings(50)}, Plant: n.Plant}
 	n.up, n.paused, n.fetching, n.reportAt = true, 0, false, w.now+time.Duration(w.rng.IntN(500))*ms
 	w.fetch(n)
 }
@@ -100,18 +112,18 @@
 		return
 	}
 	n.fetching = true
-	life, in := n.life, w.in
+	life, in := n.life, w.In
 	w.after(500*ms, func() { n.fetching = n.fetching && n.life != life })
 	w.deliver(func() {
 		if n.life == life && n.up && w.now >= n.paused && in.Revision > n.rev {
-			n.hear(in)
+			n.Hear(in)
 			n.fetching = false
 		}
 	})
 }
 
 func (w *world) send(n *simNode) {
-	r := n.report()
+	r := n.Report()
 	n.reportAt = w.now + time.Duration(500+w.rng.IntN(500))*ms
 	if w.rng.IntN(50) == 0 {
 		w.old = append(w.old, r)
@@ -138,11 +150,11 @@
 		if n.life != life || !n.up {
 			return
 		}
-		if n.want = want; len(want) > 0 {
+		if n.Want = want; len(want) > 0 {
 			n.reportAt = min(n.reportAt, w.now+50*ms)
 		}
 		if len(resend) > 0 && !n.frozen {
-			n.hear(w.in)
+			n.Hear(w.In)
 		}
 	})
 }
@@ -159,7 +171,7 @@
 		if !n.up || w.now < n.paused {
 			continue
 		}
-		if n.rev < w.in.Revision {
+		if n.rev < w.In.Revision {
 			w.fetch(n)
 		}
 		if w.now >= n.reportAt && n.rev > 0 {
@@ -175,7 +187,7 @@
 
 func (w *world) step() {
 	if w.now-w.appliedAt >= 300*ms {
-		w.applied, w.appliedAt = w.in, w.now
+		w.applied, w.appliedAt = w.In, w.now
 	}
 	var present []fleet.Member
 	for _, n := range w.nodes {
@@ -193,11 +205,11 @@
 	w.commands = append(w.commands, w.j.Step(w.now+w.skew, w.st, w.applied, present)...)
 	outs := 0
 	for _, v := range w.j.Verdicts(w.now+w.skew, int64(w.now/ms), w.st) {
-		if v.Repair.Step == Out {
+		if v.Repair.Step == drift.Out {
 			outs++
 		}
-		if !paged()[v.State+"|"+v.Evidence] {
-			panic(fmt.Sprintf("in no row of the page: %+v", v))
+		if w.rules.Rows != nil && !w.rules.Rows[v.State+"|"+v.Evidence] {
+			w.breach = cmp.Or(w.breach, fmt.Errorf("%w: %+v", errRow, v))
 		}
 		if w.judged != nil {
 			w.judged(v)
@@ -219,7 +231,7 @@
 		return slices.ContainsFunc(w.nodes, func(n *simNode) bool { return n.Member == r.Member })
 	})
 	w.skew = time.Duration(w.rng.IntN(4000)-2000) * ms
-	w.j = NewJudge(w.j.bounds)
+	w.j = drift.NewJudge(w.rules.Bounds)
 	w.j.Office(w.now+w.skew, w.st)
 }
 
@@ -231,28 +243,28 @@
 func (w *world) churn() {
 	switch w.rng.IntN(6) {
 	case 0:
-		w.put("zone/z2", left(float64(w.rng.IntN(10))/10))
+		w.Put("zone/z2", Left(float64(w.rng.IntN(10))/10))
 	case 1:
-		w.put("zone/z1@z3", left(float64(w.rng.IntN(10))/10))
+		w.Put("zone/z1@z3", Left(float64(w.rng.IntN(10))/10))
 	case 2:
-		w.drop("zone/z2")
+		w.Drop("zone/z2")
 	case 3:
-		w.put(fmt.Sprintf("tenant/t%d", w.rng.IntN(5)), brand(1+w.rng.Uint64N(w.in.Revision), 2, 50))
+		w.Put(fmt.Sprintf("tenant/t%d", w.rng.IntN(5)), Brand(1+w.rng.Uint64N(w.In.Revision), 2, 50))
 	case 4:
-		w.serve(fmt.Sprintf("s%d", w.rng.IntN(12)), []string{"ready", "draining", "gone"}[w.rng.IntN(3)])
+		w.Serve(fmt.Sprintf("s%d", w.rng.IntN(12)), []string{"ready", "draining", "gone"}[w.rng.IntN(3)])
 	case 5:
 		n := w.nodes[w.rng.IntN(len(w.nodes))]
-		w.put("share/"+n.Node, fleet.Shares{Epoch: w.in.Revision, Slots: len(w.nodes), Rates: map[string]float64{"t0": w.rng.Float64()}})
+		w.Put("share/"+n.Node, fleet.Shares{Epoch: w.In.Revision, Slots: len(w.nodes), Rates: map[string]float64{"t0": w.rng.Float64()}})
 	}
 }
 
 // calm fails the test where a verdict says drift, or in step of a node that has not been heard.
-func (w *world) calm(fail func(string, ...any)) func(Verdict) {
-	return func(v Verdict) {
-		if drifts(v.State) {
+func (w *world) calm(fail func(string, ...any)) func(drift.Verdict) {
+	return func(v drift.Verdict) {
+		if drift.Drifts(v.State) {
 			fail("at %v: %+v", w.now-time.Hour, v)
 		}
-		if n := w.node(v.Node); v.State == InStep && w.now-n.heardAt > 2200*ms {
+		if n := w.node(v.Node); v.State == drift.InStep && w.now-n.heardAt > 2200*ms {
 			fail("at %v: in step, last heard %v ago: %+v", w.now-time.Hour, w.now-n.heardAt, v)
 		}
 	}
@@ -267,78 +279,3 @@
 		})
 	}
 }
-
-// plants are the ways in which one node can drift for real, with the key and field that must be named.
-var plants = []struct {
-	name, key, field, state string
-	plant                   func(w *world, n *simNode)
-}{
-	{"a zone lost on the way", "zone/z2", "", Diverged, func(w *world, n *simNode) { n.plant = change("zone/z2", nil) }},
-	{"a truncated update", "tenant/t3", "committed.rate", Diverged, func(w *world, n *simNode) {
-		n.plant = change("tenant/t3", fleet.TenantBody(itemRev(w, "tenant/t3"), brand(itemRev(w, "tenant/t3"), 1, 70)))
-	}},
-	{"an old binary that knows no floor", "zone/z2", "floor", Diverged, func(w *world, n *simNode) {
-		rev := w.put("zone/z2", fleet.Directive{Phase: fleet.Left, Share: 0.5, Floor: 0.25, ValidMS: 5000})
-		n.plant = change("zone/z2", fleet.HeldZone{Rev: rev, Share: 0.5, ValidMS: 5000})
-	}},
-	{"a server kept that is gone", "server/s99", "", Diverged, func(w *world, n *simNode) {
-		n.plant = change("server/s99", fleet.HeldServer{Zone: "z1", Kind: "k", State: "ready", Size: 1})
-	}},
-	{"an old copy of the agent", "zone/z2", "rev", Stuck, func(w *world, n *simNode) { n.frozen = true; w.put("zone/z2", left(0.9)) }},
-	{"a replica from an old snapshot", "zone/z2", "rev", Stuck, func(w *world, n *simNode) {
-		old := w.in
-		w.put("zone/z2", left(0.9))
-		n.hear(old)
-		n.frozen = true
-	}},
-	{"a generation that was never committed", "tenant/t1", "committed.generation", Ahead, func(w *world, n *simNode) {
-		n.plant = change("tenant/t1", fleet.TenantBody(itemRev(w, "tenant/t1"), brand(itemRev(w, "tenant/t1"), 2, 100)))
-	}},
-	{"another file by SIGHUP", "settings", "nodes", Overridden, func(w *world, n *simNode) { n.local = []fleet.Held{settings(7)} }},
-	{"a ban by the operators", "ban/s1", "", Overridden, func(w *world, n *simNode) {
-		n.local = append(slices.Clone(n.local), hold("ban/s1", fleet.HeldBan{Out: true}))
-	}},
-	{"attempts to a zone that is left", "zone/z2", "sent", Diverged, func(w *world, n *simNode) { n.counts = sent(1, 1<<30) }},
-	{"more admitted than its share", "tenant/t0", "admitted", Diverged, func(w *world, n *simNode) {
-		n.counts = func(r *fleet.Report) {
-			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Admitted: 30, Rate: 1.5}}
-		}
-	}},
-	{"requests of a tenant that is removed", "tenant/t0", "admitted", Diverged, func(w *world, n *simNode) {
-		uid := itemRev(w, "tenant/t0")
-		w.drop("tenant/t0")
-		n.counts = func(r *fleet.Report) {
-			if n.rev >= w.in.Revision {
-				r.Tenants = []fleet.TenantAck{{Name: "t0", UID: uid, Admitted: 1}}
-			}
-		}
-	}},
-	{"a share above what was leased", "tenant/t0", "rate", Diverged, func(w *world, n *simNode) {
-		n.counts = func(r *fleet.Report) {
-			r.Tenants = []fleet.TenantAck{{Name: "t0", UID: itemRev(w, "tenant/t0"), Committed: 1, Rate: 5}}
-		}
-	}},
-}
-
-func itemRev(w *world, key string) uint64 {
-	return w.in.Items[slices.IndexFunc(w.in.Items, func(it fleet.Item) bool { return it.Key == key })].Rev
-}
-
-// found runs the world until the node's verdict has the state and names the item; it gives how long that took.
-func (w *world) found(n *simNode, state, key, field string, most time.Duration) (time.Duration, Verdict) {
-	start, last := w.now, Verdict{}
-	for w.now-start < most {
-		w.tick()
-		for _, v := range w.j.Verdicts(w.now+w.skew, 0, w.st) {
-			if v.Node != n.Node {
-				continue
-			}
-			last = v
-			local := slices.ContainsFunc(v.Overrides, func(o Override) bool { return o.Key == key && (field == "" || has(o.Fields, key, field)) })
-			if v.State == state && (has(v.Items, key, field) || local) {
-				return w.now - start, v
-			}
-		}
-	}
-	return most + 1, last
-}
--- a/internal/fleet/drift/repair.go
+++ b/internal/fleet/drift/repair.go
@@ -48,7 +48,7 @@
 // repairStep moves one present node's repair on. It gives what was done, or "".
 func (j *Judge) repairStep(now fleet.Time, n *node, outs *int, room int) string {
 	r, b := &n.repair, &j.bounds
-	if r.Step == Idle && r.Relapse > 0 && !drifts(n.shown.state) && now-r.eased >= b.Damp {
+	if r.Step == Idle && r.Relapse > 0 && !Drifts(n.shown.state) && now-r.eased >= b.Damp {
 		r.Relapse--
 		r.eased = now
 	}
--- a/internal/fleet/drift/state.go
+++ b/internal/fleet/drift/state.go
@@ -20,8 +20,8 @@
 	Silent     = "silent"
 )
 
-// drifts says that a state is one that repair is for.
-func drifts(state string) bool { return state == Stuck || state == Diverged || state == Ahead }
+// Drifts says whether a node of that state holds what it should not: a state that is repaired.
+func Drifts(state string) bool { return state == Stuck || state == Diverged || state == Ahead }
 
 // Steps of a node's repair.
 const (
--- a/internal/fleet/drift/tally.go
+++ b/internal/fleet/drift/tally.go
@@ -19,7 +19,7 @@
 // Tally gives what a command means beside the state as it is before the command. It is for people: nothing is decided by it.
 func (c Command) Tally(st *State) (out []Tally) {
 	end := func(t *Tally, old *Verdict) {
-		if old != nil && drifts(old.State) && old.State != t.State {
+		if old != nil && Drifts(old.State) && old.State != t.State {
 			t.Ended, t.ForMS = old.State, max(0, c.AtMS-old.FirstSeenMS)
 		}
 	}
@@ -29,7 +29,7 @@
 		t := Tally{Member: v.Member, State: v.State, Found: map[string]int{}}
 		end(&t, old)
 		for _, d := range v.Items {
-			if drifts(v.State) && (old == nil || !slices.ContainsFunc(old.Items, func(o Difference) bool { return o.Key == d.Key && o.Field == d.Field })) {
+			if Drifts(v.State) && (old == nil || !slices.ContainsFunc(old.Items, func(o Difference) bool { return o.Key == d.Key && o.Field == d.Field })) {
 				kind, _, _ := strings.Cut(d.Key, "/")
 				t.Found[kind]++
 			}
@@ -40,7 +40,7 @@
 	}
 	for node := range c.Forget {
 		if old := st.Verdicts[node]; old != nil {
-			if t := (Tally{Member: old.Member}); drifts(old.State) {
+			if t := (Tally{Member: old.Member}); Drifts(old.State) {
 				end(&t, old)
 				out = append(out, t)
 			}
--- a/internal/fleet/drift/unit_test.go
+++ b/internal/fleet/drift/unit_test.go
@@ -4,11 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"starlingvalve/internal/fleet"
@@ -111,83 +109,6 @@
 	must(t, len(out) <= fleet.ReportLimit && len(r.Held) > 500, "%d bytes, %d facts", len(out), len(r.Held))
 }
 
-func TestExpectAndDifferences(t *testing.T) {
-	c := seed(2)
-	c.put("zone/z2@z1", left(0)) // tie: that for every node holds
-	c.put("zone/z2@z3", fleet.Directive{Phase: fleet.Left, Share: 0, ValidMS: 1})
-	c.put("zone/z3", fleet.Directive{Phase: fleet.Returning, Share: 0.6, Floor: 0.2, Budget: 30, Slots: 10, Trial: []string{"n000"}, ValidMS: 5000})
-	c.put("zone/a", fleet.Directive{Phase: fleet.Serving, Share: 1})
-	c.put("zone/a-b", left(0.25))
-	c.put("later/x", []int{1})
-	c.serve("s3", "gone")
-	c.drop("tenant/t4")
-	held, err := Expect(c.in, fleet.Member{Node: "n000", Zone: "z1"})
-	must(t, err == nil, "%v", err)
-	got := map[string]string{}
-	for _, h := range held {
-		got[h.Key] = string(h.Body)
-	}
-	must(t, got["zone/z2"] == `{"rev":1,"valid_ms":5000}`, "%s", got["zone/z2"])
-	must(t, got["zone/z3"] == `{"rev":2,"share":0.5,"valid_ms":5000}`, "%s", got["zone/z3"])
-	must(t, got["zone/a-b"] != "" && got["zone/a"] == "" && got["later/x"] == "" && got["server/s3"] == "" && got["tenant/t4"] == "", "%v", got)
-	must(t, got["share"] == `{"epoch":1,"rates":{"t0":1,"t1":2},"slots":2}`, "%s", got["share"])
-	must(t, len(got) == 3+4+1+11, "%d facts: %v", len(got), slices.Sorted(maps.Keys(got)))
-	other, _ := Expect(c.in, fleet.Member{Node: "n000", Zone: "z9"})
-	must(t, string(bodyOf(other, "zone/z3")) == fmt.Sprintf(`{"floor":0.2,"rate":3,"rev":%d,"share":0.6,"trial":true,"valid_ms":5000}`, itemRevOf(c, "zone/z3")), "%s", bodyOf(other, "zone/z3"))
-
-	d := Differences("k", json.RawMessage(`{"a":{"b":[1,{"c":2}]},"d":"x"}`), json.RawMessage(`{"a":{"b":[1,{"c":3},4]},"e":true}`))
-	want := []Difference{{"k", "a.b[1].c", "2", "3"}, {"k", "a.b[2]", "null", "4"}, {"k", "d", `"x"`, "null"}, {"k", "e", "null", "true"}}
-	must(t, cmp.Equal(d, want), "%s", cmp.Diff(want, d))
-	c.set(fleet.Item{Key: "tenant/t1", Rev: c.in.Revision, Body: json.RawMessage(`{"uid":-1}`)})
-	if _, err := Expect(c.in, fleet.Member{Node: "n000"}); !errors.Is(err, fleet.ErrInvalid) {
-		t.Errorf("a bad item: %v", err)
-	}
-}
-
-// What was changed twice between two looks, or went without a word, is not known for the revisions between; before
-// and after, it is.
-func TestBookBetweenLooks(t *testing.T) {
-	for key, change := range map[string]func(*intent){
-		"zone/z2": func(c *intent) { c.put("zone/z2", left(0.5)); c.drop("zone/z2"); c.put("zone/z9", left(0.5)) },
-		"tenant/t1": func(c *intent) {
-			c.in.Items = slices.DeleteFunc(c.in.Items, func(it fleet.Item) bool { return it.Key == "tenant/t1" })
-			c.put("zone/z9", left(0.5))
-			c.in.Revision += 2
-		}} {
-		c, b, self := seed(1), book{}, fleet.Member{Node: "n000", Zone: "z2"}
-		b.ingest(0, c.in)
-		first := c.in.Revision
-		change(c)
-		b.ingest(0, c.in)
-		for n, want := range map[uint64]bool{0: false, first: true, first + 1: false, first + 3: true} {
-			held, whole := b.expect(n, self)
-			must(t, whole == want, "%s at %d of %d: %v, %v", key, n, first, whole, held)
-			must(t, !whole || (bodyOf(held, key) != nil) == (n == first), "%s at %d: %v", key, n, held)
-			must(t, !whole || (bodyOf(held, "zone/z9") != nil) == (n > first), "%s at %d: %v", key, n, held)
-		}
-	}
-}
-
-// A node may hear of the list from a replica before the judge has looked again: it is compared once the judge knows that version.
-func TestListNewerThanTheJudge(t *testing.T) {
-	c, b := seed(1), book{}
-	b.ingest(0, c.in)
-	before := c.in.Revision
-	c.serve("s99", "ready")
-	c.in.Revision = before // as the control plane has it: no item has changed
-	m := module{Member: fleet.Member{Node: "n000", Zone: "z2"}}
-	m.hear(c.in)
-	m.list++
-	n := &node{Member: m.Member, heard: true, report: m.report()}
-	n.compare(0, &b)
-	must(t, n.redo && !n.judged() && len(n.trees[1].ask) == 0, "compared with a list that was not known: %+v", n.trees[1])
-	b.ingest(0, c.in)
-	n.compare(0, &b)
-	must(t, !n.redo && n.judged() && n.trees[0].same && n.trees[1].same, "after the judge has looked: %+v", n.trees)
-}
-
-func itemRevOf(c *intent, key string) uint64 { return itemRev(&world{intent: c}, key) }
-
 func TestStateRefuses(t *testing.T) {
 	s, rev := &State{}, uint64(10)
 	next := func() uint64 { rev++; return rev }
@@ -209,37 +130,17 @@
 	must(t, errors.Is(put(8, 0, Stuck), fleet.ErrFenced) && put(9, 0, Stuck) == nil, "a forgotten run came back")
 }
 
-// An agent that is cut off from the control plane still finds that its node holds something else, and has it sent
-// again; a copy older than what the node holds makes no alarm until a replica has answered.
-func TestLocal(t *testing.T) {
-	c, m := seed(1), &module{Member: fleet.Member{Node: "n000", Zone: "z1", Incarnation: 5}}
-	l, now := NewLocal(Defaults()), fleet.Time(0)
-	m.hear(c.in)
-	old := c.in
-	run := func(in Intended, caughtUp bool, want string) Verdict {
-		t.Helper()
-		var resent []string
-		for range 70 {
-			now += 100 * ms
-			must(t, l.Observe(now, m.report()) == nil, "refused")
-			var again []string
-			again, m.want = l.Answer(m.Node)
-			resent = append(resent, again...)
-			l.Step(now, in, m.Member, caughtUp)
-		}
-		v, ok := l.Verdict(now, 0, m.Node)
-		must(t, ok && v.State == want, "%+v, want %s", v, want)
-		must(t, (len(resent) > 0) == drifts(want), "re-sent %v", resent)
-		return v
+func hold(key string, v any) fleet.Held {
+	h, _, err := Hold(key, v)
+	if err != nil {
+		panic(err)
+	}
+	return h
+}
+
+func must(t rapid.TB, ok bool, format string, args ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, args...)
 	}
-	run(c.in, false, InStep)
-	m.plant = change("tenant/t2", nil)
-	must(t, has(run(c.in, false, Diverged).Items, "tenant/t2", ""), "not named")
-	m.plant = nil
-	run(c.in, false, InStep)
-	c.put("zone/z2", left(0.9))
-	m.hear(c.in)
-	run(old, false, InStep)
-	run(old, true, Ahead)
-	run(c.in, true, InStep)
 }
