Give the zones' simulated fleet and the observer of Z1 to Z5 a package of their own

Both lived in test files. The tests that play it moved with it; they draw the same schedules as before, and no rule, bound or planted fault was changed. The observer now reckons shares and lone nodes by itself, where it used the core's own functions.

--- a/internal/fleet/zones/judge_test.go
+++ b/internal/fleet/zones/play/judge_test.go
@@ -1,12 +1,12 @@
-package zones
+package play
 
 import (
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"starlingvalve/internal/fleet"
+	. "starlingvalve/internal/fleet/zones"
 )
 
 // TestHardCases plays the cases that docs/fleet.md names; each is judged by what is left and for whom.
@@ -18,8 +18,8 @@
 			w.run(600*time.Millisecond, nil)
 			w.kill("a", "b")
 			w.run(8*sec, nil)
-			p := plan(w.s.Directives)
-			if moved := 2 - p.share("a", "") - p.share("b", ""); moved < 0.5 || moved > 1.3 || p.share("c", "") != 1 {
+			d := w.s.Directives
+			if moved := 2 - share(d, "a", "") - share(d, "b", ""); moved < 0.5 || moved > 1.3 || share(d, "c", "") != 1 {
 				t.Errorf("%g zones moved: %v", moved, w.steps)
 			}
 		},
@@ -135,7 +135,7 @@
 // TestPart: a node's portion of a directive, and of two on one zone.
 func TestPart(t *testing.T) {
 	probation := fleet.Directive{Phase: fleet.Probation, Budget: 6, Slots: 3, Trial: []string{"x", "y", "z"}}
-	if got := Part(probation, "x", false); got != (Portion{0, 2, true}) {
+	if got := Part(probation, "x", false); got != (Portion{Rate: 2, Trial: true}) {
 		t.Errorf("trial: %+v", got)
 	}
 	if Part(probation, "other", false).Trial || Part(probation, "x", true).Trial {
@@ -145,10 +145,7 @@
 	if p := Part(d, "x", true); p.Share != 0.1 || p.Rate != 1 {
 		t.Errorf("past its validity: %+v", p)
 	}
-	if got := Merge(Portion{Share: 0, Rate: 2, Trial: true}, Portion{Share: 1}); got != (Portion{0, 2, true}) {
+	if got := Merge(Portion{Share: 0, Rate: 2, Trial: true}, Portion{Share: 1}); got != (Portion{Rate: 2, Trial: true}) {
 		t.Errorf("merged: %+v", got)
 	}
-	if !slices.Equal(Table(), table) {
-		t.Error("Table gives another")
-	}
 }
--- a/internal/fleet/zones/page_test.go
+++ b/internal/fleet/zones/play/page_test.go
@@ -1,4 +1,4 @@
-package zones
+package play
 
 import (
 	"errors"
@@ -9,19 +9,20 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/page"
+	. "starlingvalve/internal/fleet/zones"
 )
 
 const sec = time.Second
 
 // TestPage runs every row of the page's state table against the core, and finds the core's table in the page's rows.
 func TestPage(t *testing.T) {
-	rows, err := page.Table("../../../docs/fleet.md", "Zones")
+	rows, err := page.Table("../../../../docs/fleet.md", "Zones")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var said []Transition
 	for _, r := range rows {
-		said = append(said, Transition{r.State, r.Event, r.Condition, r.Next, strings.Contains(r.Effect, "relapse + 1")})
+		said = append(said, Transition{From: r.State, Event: r.Event, Condition: r.Condition, To: r.Next, Back: strings.Contains(r.Effect, "relapse + 1")})
 		t.Run(r.String(), func(t *testing.T) {
 			run, ok := scenes[r.State+" "+r.Event+" "+r.Condition]
 			if !ok {
@@ -69,7 +70,7 @@
 				}
 				c := Change{Key: "zone/a", IfRev: 1, Event: event, Gone: to == fleet.Serving, Entry: entry[to]}
 				_, err := s.Apply(Command{IfState: 1, Items: []Change{c}}, func() uint64 { return 2 })
-				row := slices.ContainsFunc(table, func(x Transition) bool { return x.From == from && x.Event == event && x.To == to })
+				row := slices.ContainsFunc(Table(), func(x Transition) bool { return x.From == from && x.Event == event && x.To == to })
 				if err == nil && !row || err != nil && !errors.Is(err, ErrIllegal) {
 					t.Errorf("%s, %s -> %s: %v, in the table: %v", from, event, to, err, row)
 				}
--- a/internal/fleet/zones/world_test.go
+++ b/internal/fleet/zones/play/world.go
@@ -1,4 +1,7 @@
-package zones
+// Package play is a fleet in simulated time around the core that leaves zones and comes back to them: nodes that keep
+// to what they heard and report what they saw, a seeded schedule of faults and liars, and the rules Z1 to Z5 as an
+// observer sees them who knows the world's truth (docs/fleet.md). It does no I/O and reads no clock.
+package play
 
 import (
 	"errors"
@@ -6,10 +9,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/zones"
 )
 
 const (
@@ -20,9 +23,9 @@
 // world is a fleet of nodes that keep to what they heard and report what they saw, before one judge.
 type world struct {
 	t     interface{ Fatalf(string, ...any) }
-	set   Settings
-	j     *Judge
-	s     State
+	set   zones.Settings
+	j     *zones.Judge
+	s     zones.State
 	now   fleet.Time
 	rev   uint64
 	rng   *rand.Rand
@@ -38,7 +41,7 @@
 	twist  func(n *wnode, v *fleet.NodeView) // what a liar makes of a report
 	drop   func(n *wnode) bool               // reports lost
 	steps  []step
-	apply  func(Command) Command // what becomes of a command on its way; nil items: lost
+	apply  func(zones.Command) zones.Command // what becomes of a command on its way; nil items: lost
 	check  func()
 }
 
@@ -47,7 +50,7 @@
 	at              fleet.Time
 	key, from, to   string
 	event           string
-	before, after   Entry
+	before, after   zones.Entry
 	hadPast, region bool
 }
 
@@ -67,15 +70,15 @@
 }
 
 type held struct {
-	e  Entry
+	e  zones.Entry
 	at fleet.Time // when last confirmed
 }
 
-func newWorld(t interface{ Fatalf(string, ...any) }, seed uint64, perZone int, zones ...string) *world {
-	w := &world{t: t, set: Default(perZone * len(zones)), rng: rand.New(rand.NewPCG(seed, 1)), zones: zones, rate: 4,
+func newWorld(t interface{ Fatalf(string, ...any) }, seed uint64, perZone int, names ...string) *world {
+	w := &world{t: t, set: zones.Default(perZone * len(names)), rng: rand.New(rand.NewPCG(seed, 1)), zones: names, rate: 4,
 		lose: func(*wnode, string) float64 { return 0 }, full: map[string]bool{}, listed: map[string]int{}, bad: map[string]int{}}
-	w.j = NewJudge(w.set)
-	for _, z := range zones {
+	w.j = zones.NewJudge(w.set)
+	for _, z := range names {
 		w.listed[z] = perWS
 		for i := range perZone {
 			w.add(fmt.Sprintf("%s%d", z, i), z)
@@ -106,12 +109,12 @@
 }
 
 // portion is what a node may do at a zone by what it holds.
-func (w *world) portion(n *wnode, y string) Portion {
-	p := Portion{Share: 1}
-	for _, key := range []string{Key(y, ""), Key(y, n.Zone)} {
+func (w *world) portion(n *wnode, y string) zones.Portion {
+	p := zones.Portion{Share: 1}
+	for _, key := range []string{zones.Key(y, ""), zones.Key(y, n.Zone)} {
 		if h, ok := n.holds[key]; ok {
 			past := w.now-h.at > fleet.Time(h.e.ValidMS)*time.Millisecond
-			p = Merge(Part(h.e.Directive, n.Node, past), p)
+			p = zones.Merge(zones.Part(h.e.Directive, n.Node, past), p)
 		}
 	}
 	return p
@@ -143,21 +146,21 @@
 	return false
 }
 
-func (w *world) put(c Command) {
+func (w *world) put(c zones.Command) {
 	if w.apply != nil {
 		c = w.apply(c)
 	}
 	if c.Items == nil {
 		return
 	}
-	old := map[string]Entry{}
+	old := map[string]zones.Entry{}
 	past := map[string]bool{}
 	for _, ch := range c.Items {
 		old[ch.Key] = w.s.Directives[ch.Key]
 		_, past[ch.Key] = w.s.Past[ch.Key]
 	}
 	if _, err := w.s.Apply(c, func() uint64 { w.rev++; return w.rev }); err != nil {
-		if !errors.Is(err, ErrChanged) {
+		if !errors.Is(err, zones.ErrChanged) {
 			w.t.Fatalf("%v: %v of %+v", w.now, err, c)
 		}
 		return
@@ -273,9 +276,9 @@
 }
 
 // kill takes a zone away: its attempts are lost, and its nodes see all others fail if they are cut off with it.
-func (w *world) kill(zones ...string) {
+func (w *world) kill(names ...string) {
 	w.lose = func(_ *wnode, y string) float64 {
-		if slices.Contains(zones, y) {
+		if slices.Contains(names, y) {
 			return 1
 		}
 		return 0
@@ -286,7 +289,7 @@
 
 // until runs until the condition, and fails the test where it does not come.
 func (w *world) until(what string, d fleet.Time, done func() bool) {
-	if t, ok := w.t.(*testing.T); ok {
+	if t, ok := w.t.(interface{ Helper() }); ok {
 		t.Helper()
 	}
 	if !w.run(d, done) {
--- a/internal/fleet/zones/thin_test.go
+++ b/internal/fleet/zones/thin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +60,9 @@
 		})
 	}
 }
+
+func TestTable(t *testing.T) {
+	if !slices.Equal(Table(), table) {
+		t.Error("Table gives another")
+	}
+}
