--- a/cmd/fleetlab/simulate.go
+++ b/cmd/fleetlab/simulate.go
@@ -29,20 +29,19 @@
 				"any":    func(s uint64) sim.Plan { return sim.Draw(s, nodes) },
 				"calm":   func(s uint64) sim.Plan { return sim.Calm(s, nodes) },
 				"unrest": func(s uint64) sim.Plan { return sim.Unrest(s, nodes, length) },
-				"drift":  nil, // their own worlds: simulateDrift, simulateZones
-				"zones":  nil,
+				"drift":  nil, "zones": nil, "tenants": nil, // their own worlds: simulateDrift, simulateCore
 			}
 			draw, ok := plans[kind]
 			if !ok || nodes < 6 || seeds < 1 || length <= 0 {
-				return fmt.Errorf("needs --kind any, calm, unrest, drift or zones, 6 nodes, 1 seed and a length above 0 at least")
+				return fmt.Errorf("needs --kind any, calm, unrest, drift, zones or tenants, 6 nodes, 1 seed and a length above 0 at least")
 			}
 			debug.SetGCPercent(400)
 			began := time.Now()
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			switch kind {
-			case "zones":
-				return simulateZones(ctx, c.OutOrStdout(), first, seeds, workers)
+			case "zones", "tenants":
+				return simulateCore(ctx, c.OutOrStdout(), kind, first, seeds, workers)
 			case "drift":
 				return simulateDrift(ctx, c.OutOrStdout(), first, seeds, nodes, workers, length)
 			}
@@ -67,7 +66,7 @@
 	cmd.Flags().Uint64Var(&first, "seed", 1, "the first play's seed; the others follow")
 	cmd.Flags().IntVar(&nodes, "nodes", 100, "nodes of each play")
 	cmd.Flags().IntVar(&workers, "workers", runtime.NumCPU(), "plays at a time")
-	cmd.Flags().StringVar(&kind, "kind", "any", "any: random faults; calm: a zone's loss alone; unrest: lost messages and rolling restarts alone; drift: the drift detector with planted drift; zones: the zones' core with liars")
+	cmd.Flags().StringVar(&kind, "kind", "any", "any: random faults; calm: a zone's loss alone; unrest: lost messages and rolling restarts alone; drift: the drift detector with planted drift; zones: the zones' core with liars; tenants: the tenants' core")
 	cmd.Flags().BoolVar(&alone, "alone", false, "without directives: each node judges for itself")
 	cmd.Flags().BoolVar(&module, "module", false, "requests are decided by the module, far slower")
 	cmd.Flags().DurationVar(&length, "length", 10*time.Minute, "fleet time of a play of unrest or drift")
--- /dev/null
+++ b/cmd/fleetlab/simulate_cores.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	tenantsplay "starlingvalve/internal/fleet/tenants/play"
+	zonesplay "starlingvalve/internal/fleet/zones/play"
+)
+
+// corePlays are the plays of one core by kind. How many nodes there are, and for how long, is the play's own choice.
+var corePlays = map[string]func(seed uint64) error{
+	"zones":   func(s uint64) error { return zonesplay.Play(zonesplay.Draw(s)) },
+	"tenants": func(s uint64) error { return tenantsplay.Play(int64(s), 40) },
+}
+
+// simulateCore plays seeds of a kind of corePlays. The error is the breach of the lowest seed.
+func simulateCore(ctx context.Context, out io.Writer, kind string, first uint64, seeds, workers int) error {
+	began, next := time.Now(), 0
+	var lock sync.Mutex
+	broken, plays := map[uint64]error{}, 0
+	var wg sync.WaitGroup
+	for range max(workers, 1) {
+		wg.Go(func() {
+			for {
+				lock.Lock()
+				s := first + uint64(next)
+				next++
+				over := next > seeds || ctx.Err() != nil
+				lock.Unlock()
+				if over {
+					return
+				}
+				err := corePlays[kind](s)
+				lock.Lock()
+				if plays++; err != nil {
+					broken[s] = err
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	fmt.Fprintf(out, "%d plays in %v: %d broke a rule\n", plays, time.Since(began).Round(time.Second), len(broken))
+	for i := range seeds {
+		if s := first + uint64(i); broken[s] != nil {
+			return fmt.Errorf("%w; again: fleetlab simulate --kind %s --seed %d --seeds 1", broken[s], kind, s)
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/fleet/tenants/play/act.go
@@ -0,0 +1,115 @@
+package play
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+var modelRates = []float64{5, 40, 100, 200}
+
+// act does one thing at random to the fleet and lets some time go.
+func (m *model) act() {
+	name := modelNames[m.pick(len(modelNames))]
+	var at uint64
+	if e := m.s.Tenants[name]; e != nil && e.Committed != nil {
+		at = e.Committed.Number
+	}
+	r := m.runs[m.pick(len(m.runs))]
+	switch m.pick(12) {
+	case 0, 1, 2, 3:
+		spec := fleet.Spec{Name: name, Quota: fleet.Quota{Rate: modelRates[m.pick(len(modelRates))]}}
+		m.apply(tenants.Command{Op: tenants.Put, Name: name, Generation: at, Spec: &spec})
+	case 4:
+		m.apply(tenants.Command{Op: tenants.Delete, Name: name, Generation: at})
+	case 5:
+		r.load = float64(m.pick(150))
+	case 6:
+		r.cut = !r.cut
+	case 7: // crash, and back from the disk
+		if !r.dead && !r.zombie {
+			r.dead = true
+			m.start(r.name, r.disk)
+		}
+	case 8: // a successor beside a run that goes on, cut off or not
+		if !r.dead && !r.zombie {
+			r.zombie, r.cut = true, m.pick(2) == 0
+			m.start(r.name, r.disk)
+		}
+	case 9:
+		r.refuses = !r.refuses
+	case 10: // another leader, from a snapshot
+		raw, _ := json.Marshal(m.s)
+		m.s = &tenants.State{}
+		json.Unmarshal(raw, m.s)
+		m.office = m.now
+		m.j.Office(m.now)
+	}
+	for n := m.pick(25); n >= 0 && m.breach == ""; n-- {
+		m.tick()
+	}
+}
+
+// heal ends every fault; the fleet must come to rest with every tenant settled, applied and lent out.
+func (m *model) heal() {
+	for _, r := range m.runs {
+		r.cut, r.refuses = false, false
+	}
+	for i := 0; i < 500 && m.breach == ""; i++ {
+		m.tick()
+	}
+	for name, e := range m.s.Tenants {
+		if p := m.s.Phase(name); p != tenants.PhaseSettled {
+			m.fail("%s rests in %s", name, p)
+			return
+		}
+		if pool, most := m.s.Pool(name), most(m.s, name); most < 0.95*pool || pool < 0.79*e.Committed.Spec.Quota.Rate {
+			m.fail("%s rests with %g leased of %g, quota %g", name, most, pool, e.Committed.Spec.Quota.Rate)
+		}
+		for _, r := range m.runs {
+			if t := r.held.tenants[name]; !r.dead && (t.UID != e.UID || t.Committed.Number != e.Committed.Number) {
+				m.fail("%s rests at %s with another generation", name, r.name)
+			}
+		}
+	}
+	a, _ := json.Marshal(m.s)
+	b, _ := json.Marshal(m.twin)
+	if string(a) != string(b) {
+		m.fail("replicas differ: %s, and %s", a, b)
+	}
+}
+
+func play(pick func(int) int, fault string, acts int) string {
+	m := newModel(pick, fault)
+	for i := 0; i < acts && m.breach == ""; i++ {
+		m.act()
+	}
+	if m.breach == "" && fault == "" {
+		m.heal()
+	}
+	return m.breach
+}
+
+// most is what the runs of a state may hold of a tenant, those that are gone counted in.
+func most(s *tenants.State, name string) float64 {
+	sum := 0.0
+	for _, l := range s.Runs {
+		sum += l.Most[name]
+	}
+	for _, g := range s.Ghosts {
+		sum += g.Most[name]
+	}
+	return sum
+}
+
+// Play does acts at random things to a fleet, all of the seed's choice, heals it, and lets it come to rest. The error names
+// the first rule of T1, T2, T3, T5 and T6 that was broken.
+func Play(seed int64, acts int) error {
+	if b := play(rand.New(rand.NewSource(seed)).Intn, "", acts); b != "" {
+		return errors.New(b)
+	}
+	return nil
+}
--- a/internal/fleet/tenants/model_test.go
+++ b/internal/fleet/tenants/play/model.go
@@ -1,4 +1,7 @@
-package tenants
+// Package play is a small fleet in simulated time around the core of tenants: replicas, a leader that changes, and runs of
+// nodes that hear late, are cut off, crash and are outlived, with the rules T1, T2, T3, T5 and T6 held at every step
+// (docs/fleet.md). It does no I/O and reads no clock.
+package play
 
 import (
 	"encoding/json"
@@ -7,6 +10,7 @@
 	"time"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
 )
 
 // model is a small fleet in one process: a replicated state, a leader that changes, and runs of nodes that hear late,
@@ -16,9 +20,9 @@
 	pick       func(n int) int
 	fault      string
 	now        fleet.Time
-	s, twin    *State // the twin replica is given the same commands
+	s, twin    *tenants.State // the twin replica is given the same commands
 	rev, epoch uint64
-	j          *Judge
+	j          *tenants.Judge
 	sess       map[string]*session
 	runs       []*run
 	queue      []event
@@ -72,9 +76,9 @@
 var modelNames = []string{"amouage", "lulu"}
 
 func newModel(pick func(int) int, fault string) *model {
-	m := &model{pick: pick, fault: fault, s: &State{}, twin: &State{}, sess: map[string]*session{},
+	m := &model{pick: pick, fault: fault, s: &tenants.State{}, twin: &tenants.State{}, sess: map[string]*session{},
 		committed: map[uint64]map[uint64]string{}, staging: map[string]fleet.Time{}, answers: map[string]copyOf{},
-		j: NewJudge(Config{Slots: modelSlots, TTL: modelTTL}), nodes: []string{"n1", "n2", "n3", "n4"}}
+		j: tenants.NewJudge(tenants.Config{Slots: modelSlots, TTL: modelTTL}), nodes: []string{"n1", "n2", "n3", "n4"}}
 	for _, n := range m.nodes {
 		m.start(n, copyOf{})
 	}
@@ -98,16 +102,16 @@
 }
 
 // apply carries a command out on both replicas, as raft would.
-func (m *model) apply(c Command) error {
+func (m *model) apply(c tenants.Command) error {
 	if m.fault == "epoch" {
 		c.Epoch = m.epoch
 	}
-	if c.Op == Divide && m.fault == "held" {
+	if c.Op == tenants.Divide && m.fault == "held" {
 		for n, l := range m.s.Runs {
-			c.Division.Held = append(c.Division.Held, Held{Run{n, l.Incarnation}, m.rev, false})
+			c.Division.Held = append(c.Division.Held, tenants.Held{Run: tenants.Run{Node: n, Incarnation: l.Incarnation}, Revision: m.rev})
 		}
 	}
-	if c.Op == Divide && m.fault == "over" {
+	if c.Op == tenants.Divide && m.fault == "over" {
 		for _, g := range m.s.Ghosts {
 			c.Division.Over = append(c.Division.Over, g.Run)
 		}
@@ -127,7 +131,7 @@
 		return err
 	}
 	switch e := m.s.Tenants[c.Name]; c.Op {
-	case Commit:
+	case tenants.Commit:
 		if m.committed[e.UID] == nil {
 			m.committed[e.UID] = map[uint64]string{}
 		}
@@ -137,8 +141,8 @@
 				m.fail("T5: %s is committed at %d, and %s has not staged it", c.Name, was.Number, r.name)
 			}
 		}
-	case Rollback:
-		if before != PhaseStaging || c.Node == "" || c.Reason == "" {
+	case tenants.Rollback:
+		if before != tenants.PhaseStaging || c.Node == "" || c.Reason == "" {
 			m.fail("T5: rolled back from %s by %q for %q", before, c.Node, c.Reason)
 		}
 	}
@@ -208,12 +212,12 @@
 	for _, it := range m.s.ItemsFor(node) {
 		switch {
 		case it.Gone:
-		case it.Key == keyShare+node:
+		case it.Key == "share/"+node:
 			json.Unmarshal(it.Body, &c.share)
 		default:
 			var t fleet.Tenant
 			json.Unmarshal(it.Body, &t)
-			c.tenants[it.Key[len(keyTenant):]] = t
+			c.tenants[it.Key[len("tenant/"):]] = t
 		}
 	}
 	m.answers[node] = c
@@ -279,8 +283,8 @@
 		return
 	}
 	if s == nil || rep.Incarnation > s.inc || !s.present {
-		share, _ := m.s.Item(keyShare + r.name)
-		if (!CaughtUp(m.s, rep) || rep.Revision < share.Rev) && m.fault != "ready" {
+		share, _ := m.s.Item("share/" + r.name)
+		if (!tenants.CaughtUp(m.s, rep) || rep.Revision < share.Rev) && m.fault != "ready" {
 			m.after(m.pick(4), func() { r.ready = r.ready && (r.cut || r.inc != rep.Incarnation) })
 			return
 		}
@@ -325,7 +329,7 @@
 			if g == nil || t.Removing {
 				continue
 			}
-			if m.committed[t.UID][g.Number] != g.Digest || Digest(g.Spec) != g.Digest {
+			if m.committed[t.UID][g.Number] != g.Digest || tenants.Digest(g.Spec) != g.Digest {
 				m.fail("T1: %s serves %s by generation %d of %d, never committed", r.name, name, g.Number, t.UID)
 			}
 			if e == nil || t.UID != e.UID {
@@ -361,7 +365,7 @@
 		if _, ok := m.staging[key]; !ok {
 			m.staging[key] = m.now
 		}
-		if d := m.now - max(m.staging[key], m.office); d > StageTimeout+modelTTL {
+		if d := m.now - max(m.staging[key], m.office); d > tenants.StageTimeout+modelTTL {
 			m.fail("T5: %s is being staged for %v", name, d)
 		}
 	}
