Give a request the context that ends as its client goes or it is over

Need: an attempt that still connects learns by nothing but its cancelling that the request has ended, and cancelling may be off. Result: the package's tests pass; no change of behaviour.

--- a/internal/node/actions_test.go
+++ b/internal/node/actions_test.go
@@ -120,6 +120,7 @@
 	}
 	r := &request{arrived: decide.RequestArrived{ID: "q", Class: "order"}, deadline: time.Now().Add(patient), method: "POST",
 		class: decide.Class{Name: "order"}, rules: l.rules.Load(), url: &url.URL{Path: "/order", Host: "h"}, answer: make(chan answer, 1)}
+	r.life, r.end = context.WithCancel(t.Context())
 	l.post(func() { l.arrive(r) })
 	expect("/order")
 	act(decide.CancelAttempt{ID: "q", Attempt: 0})
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -22,6 +22,10 @@
 	body     []byte
 	upload   *upload     // what follows on a long body's beginning, or nil
 	answer   chan answer // holds one: the final answer
+	// life ends as the client goes or the request is over, whichever the node sees first: from then on no attempt is
+	// begun. end is what ends it; the loop calls it as the request gets its final answer.
+	life context.Context
+	end  context.CancelFunc
 
 	// The rest belongs to the loop.
 	over     bool
@@ -87,6 +91,7 @@
 // close marks a request as over and forgets it once its attempts are in.
 func (l *loop) close(r *request) {
 	r.over = true
+	r.end()
 	if r.out == 0 {
 		delete(l.requests, r.arrived.ID)
 	}
@@ -108,7 +113,7 @@
 		l.ended(a, n, result{code: decide.Moot})
 		return
 	}
-	x := &exchange{method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
+	x := &exchange{life: r.life, method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
 	x.sealed = func() { l.post(func() { l.handle(decide.BodyStarted{ID: a.ID, Attempt: n}) }) }
 	x.begin = func(resp *http.Response, held []byte, rest *io.PipeReader) {
 		l.post(func() {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -19,6 +19,7 @@
 
 // exchange is one request to a backend.
 type exchange struct {
+	life     context.Context // once it has ended, nothing is written; nil: it does not end
 	method   string
 	url      *url.URL
 	header   http.Header
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -132,6 +132,12 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
 	}
+	life := r.Context()
+	if req.upload != nil {
+		life = context.WithoutCancel(life) // a body that is no longer read ends the context too
+	}
+	req.life, req.end = context.WithCancel(life)
+	defer req.end()
 	if !f.loop.post(func() { f.loop.arrive(req) }) {
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
