Follow the list 6 s after discovery can be reached, whatever failed before

A change counts as told 6 s after discovery had it and could be reached, and 4 s after SIGHUP. Read and confirmed by tests: pushed lists: follow waited up to 1.5 x 5 s (retryLast) after a first call of 3 s (callSlack), 10.5 s in all. Lists that are asked for: the module's askWait began at askFirst (5 s with 300 nodes, also after a watch that fell silent, noticed after 4 s, and after SIGHUP) and doubled to 10 s, jittered by 1.5. Now: retryLast 0.5 s; a first call is given up after 1.5 s where an agent pushes and after 2.5 s where it may wait its turn of 2 s; a dial after 1 s (a lost SYN comes again at 1, 3 and 7 s); a further call is asked for after 0.8 s, jittered, at most; the turns of a start take 3.2 s at most.

TestListIsToldInTime plays node, module and http.Client on a fake clock: discovery returns just as its last failing call has begun, five ways to fail, 0 to 6 calls, at a start without a list (readiness), with an open watch, with SIGHUP. With the old constants of the node 13 of its 20 pushed cases and with the old waits of the module 11 of 20 asked ones fail ("not told 6.0 s after discovery's return", "watch: not told 4.05 s" at SIGHUP). TestListIsAskedForAgainInTime: 4, 20 and 80 nodes at one discovery that serves 17 calls a second, 300 with an agent each; on the old waits 20, 80 and 300 nodes fail.

--- a/decide/servers.go
+++ b/decide/servers.go
@@ -11,6 +11,7 @@
 
 const (
 	askTurn     = 50 * time.Millisecond // s; of discovery for each node's call: they share one queue
+	askLast     = 16 * askTurn          // before a further call, at most; 1.5 times that with jitter
 	subsetTime  = 0.5                   // s; a subset's server is sent to so often: own counts tell
 	subsetLeast = 8.0                   // servers; fewer leave no choice once a part of them is in trouble
 	leastShare  = 8.0                   // nodes that share a server, at least: fewer load it unevenly
@@ -20,8 +21,8 @@
 
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
-		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(m.askWait)
-		m.askWait = min(2*m.askWait, max(2*m.askFirst(), m.set.AskWithin/4))
+		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(min(m.askWait, askLast))
+		m.askWait = min(2*m.askWait, askLast)
 		return
 	}
 	if e.Kind != ListCached && m.asking {
@@ -107,18 +108,17 @@
 	m.makeUp(start)
 }
 
-// askFirst is the time in which all nodes together ask once, and what a node waits after its first failure.
-// Where the queue is longer than discovery lets a call wait, none gets its turn and all come again.
+// askFirst is the time in which all nodes ask once: a queue longer than discovery lets them wait serves none.
+// News counts as told 6 s after discovery can be reached: this, or a call of 2.5 s and a wait, must fit in.
 func (m *Module) askFirst() time.Duration {
-	return min(max(4, time.Duration(m.set.Nodes))*askTurn, max(4*askTurn, m.set.AskWithin/2))
+	return min(max(4, time.Duration(m.set.Nodes))*askTurn, 4*askLast, max(4*askTurn, m.set.AskWithin/2))
 }
 
 // ask keeps a subscription where the list must be asked for: each node in its turn at the start, as a release
 // starts them all at once, and backing off after failures.
 func (m *Module) ask() {
-	if m.set.AskForList && !m.subscribed && m.now >= m.askAt &&
-		!(m.asking && m.now-m.askedAt < m.set.AskWithin/4) {
-		m.asking, m.askedAt = true, m.now
+	if m.set.AskForList && !m.subscribed && m.now >= m.askAt {
+		m.asking, m.askAt = true, m.now+m.set.AskWithin/4
 		m.do(Subscribe{On: true})
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,7 +113,7 @@
 	worth, top         float64 // of the mean request; of the class with the most
 	budget             float64 // further attempts allowed
 	subscribed, asking bool
-	askAt, askedAt     Time
+	askAt              Time
 	askWait            time.Duration
 	fleet              *fleet
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -23,15 +23,23 @@
 
 const (
 	listLimit = 4 << 20 // bytes of a list, at most
-	// watchWait is for news, in one call of a watch. A watch that fell silent is noticed after watchWait and
-	// watchSlack, and what it misses counts as told 6 s after: that leaves 2 s for the call that makes it good.
-	watchWait   = 3 * time.Second
-	firstWait   = time.Millisecond // the same in the call that begins one: the module waits for its answer
-	callSlack   = 3 * time.Second  // a call may wait its turn so long beyond that
-	watchSlack  = time.Second      // a watch that is on has its turn: an answer later than this is none
+	// What discovery has to tell counts as told 6 s after it had it and could be reached, whatever failed before. So
+	// the longest call that may have begun before discovery's return, the longest wait after it (1.5 times retryLast,
+	// or of decide's askLast, 800 ms) and the call that then tells it have to fit into 6 s, in each of these orders:
+	//   a watch that fell silent, pushed:    watchWait + watchSlack + 0.3 s = 4.3 s; asked for: + 1.2 s = 5.2 s
+	//   the first call of a watch, pushed:   agentSlack + 0.75 s = 2.25 s; asked for: callSlack + 1.2 s = 3.7 s
+	//   SIGHUP, which ends the call (4 s):   pushed: at once; asked for: 1.2 s
+	// A dial is part of its call. It ends at dialLimit: a SYN that was lost is sent again only 1 s, 3 s and 7 s later,
+	// so one that hangs at discovery's return is made anew sooner than the system would.
+	watchWait   = 3 * time.Second         // for news, in one call of a watch
+	firstWait   = time.Millisecond        // the same in the call that begins one: the module waits for its answer
+	watchSlack  = time.Second             // a watch that is on has its turn: an answer later than this is none
+	callSlack   = 2500 * time.Millisecond // the same for a first call: it may wait its turn, 2 s at most
+	agentSlack  = 1500 * time.Millisecond // the same where lists are pushed: an agent has no queue
+	dialLimit   = time.Second
 	agentPause  = 50 * time.Millisecond
 	retryFirst  = 200 * time.Millisecond
-	retryLast   = 5 * time.Second
+	retryLast   = 500 * time.Millisecond
 	latestStart = 1 << 43 // ms; a later one would not fit the module's clock
 	registryURL = "/registry/instances"
 )
@@ -113,7 +121,7 @@
 
 func newDiscovery(c *Config, log *slog.Logger) *discovery {
 	return &discovery{addr: c.Discovery, moved: make(chan struct{}), log: log, client: &http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: callSlack}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
 }
 
 // move sends all further calls to another address, and ends those that wait at the old one: what they wait for
@@ -154,6 +162,9 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		// The client lets a dial go on that nobody waits for, and counts it as one of the address's connections:
+		// the next call must not wait for that place. It goes out on a connection of its own.
+		d.client.CloseIdleConnections()
 		return list{}, err
 	}
 	defer resp.Body.Close()
@@ -171,9 +182,10 @@
 func (d *discovery) fetch(ctx context.Context) (list, error) { return d.call(ctx, "", callSlack) }
 
 // watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
-// fails.
-func (d *discovery) watch(ctx context.Context, since uint64, news func(list)) error {
-	wait, slack := firstWait, callSlack
+// fails. A version may also go back, when discovery returns with an older list: it is followed from there, so that
+// nothing told since is missed.
+func (d *discovery) watch(ctx context.Context, since uint64, slack time.Duration, news func(list)) error {
+	wait := firstWait
 	for first := true; ; first = false {
 		asked := time.Now()
 		l, err := d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+slack)
@@ -199,7 +211,7 @@
 	retry := retryFirst
 	for ctx.Err() == nil {
 		_, moved := d.at()
-		err := d.watch(ctx, since, func(l list) { since, retry = l.version, retryFirst; news(l) })
+		err := d.watch(ctx, since, agentSlack, func(l list) { since, retry = l.version, retryFirst; news(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
--- a/internal/node/listing.go
+++ b/internal/node/listing.go
@@ -30,7 +30,7 @@
 		})
 	}
 	l.work.Go(func() {
-		err := l.disco.watch(ctx, since, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
+		err := l.disco.watch(ctx, since, callSlack, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
 		current(func() {
 			cancel()
 			l.endWatch = nil
