Take bans from the file whenever its content has changed

Cause: bans.read passed over a file with the inode and time of the one before it. Change: the file, of a few hundred bytes, is read at each look and compared. Test: TestBansChangedWithinATick writes another ban in place, with the same time.

--- a/internal/node/bans.go
+++ b/internal/node/bans.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -30,8 +31,8 @@
 	changed  chan struct{} // holds one: the loop has something to tell the module
 
 	mu     sync.Mutex
-	seen   fs.FileInfo // of the file that state is from
-	failed error       // that has been logged
+	seen   []byte // what the file had when it was last read or written
+	failed error  // that has been logged
 	state  bansFile
 	listed map[decide.ServerID]string
 }
@@ -63,23 +64,17 @@
 	}
 }
 
-// read does look's work, under the lock. After an error the file is not read again until it changes.
+// read does look's work, under the lock. Every time it reads the file: two changes within a tick of the clock may
+// leave it with the inode and the time of the file before them. After an error it is not taken until it changes.
 func (s *bans) read() error {
-	info, err := os.Stat(s.path)
+	text, err := os.ReadFile(s.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil // nobody has been taken out yet; or the file was removed, which gives nobody back
 	}
-	if err != nil {
-		return err
-	}
-	if s.seen != nil && os.SameFile(info, s.seen) && info.ModTime().Equal(s.seen.ModTime()) {
-		return nil
-	}
-	s.seen = info
-	text, err := os.ReadFile(s.path)
-	if err != nil {
+	if err != nil || s.seen != nil && bytes.Equal(text, s.seen) {
 		return err
 	}
+	s.seen = text
 	var f bansFile
 	if err := json.Unmarshal(text, &f); err != nil {
 		return fmt.Errorf("%s: %w", s.path, err)
@@ -160,8 +155,8 @@
 	if err != nil {
 		return s.unwritten(err)
 	}
+	s.seen = text
 	s.apply(f)
-	s.seen, _ = os.Stat(s.path)
 	return nil
 }
 
--- a/internal/node/bans_test.go
+++ b/internal/node/bans_test.go
@@ -153,3 +153,27 @@
 		t.Error("a ban that is on no file is acknowledged")
 	}
 }
+
+// A file that changes within a tick of the clock, and in the inode of the one before, is taken all the same.
+func TestBansChangedWithinATick(t *testing.T) {
+	t.Parallel()
+	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir()}
+	b := newBackends(c, 10, quiet)
+	path, at := openBans(c, b, quiet).path, time.Now().Add(-time.Second)
+	var s *bans
+	for i, text := range []string{`{"out":["s-00000001"],"back":{}}`, `{"out":["s-00000002"],"back":{}}`} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil { // the same inode and size
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			s = openBans(c, b, quiet)
+		}
+	}
+	s.look()
+	if out, _ := s.now(); len(out) != 1 || !out["s-00000002"] {
+		t.Errorf("out: %v", out)
+	}
+}
