Let a process without a place beside another take one later

Cause: beside.look locks the other place for a moment, shared. openBeside tried for 20 ms; with the older process stopped in that moment (a pause, or its CPU share used up for the rest of a period of 100 ms) it gave up with 'two other processes of this node are there', and both processes went without sharing descriptors and memory for the newer one's whole life. So did a third process after the first had ended. Change: no tries at the start; each look takes a place if there is none. What this process has counted goes along; until then what both places hold counts as the others'. Test: TestPlaceTakenLater, the place locked by the test as look does. Without the change openBeside fails with the line above. 200 runs under -race pass.

--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,7 +27,6 @@
 	// memoryPart is for Go's heap and stacks; the kernel's buffers and the program have the rest.
 	memoryPart  = 0.6
 	besideEvery = 50 * time.Millisecond // to look for another process
-	placeTries  = 20
 )
 
 // listenClients listens for clients. With shared, another process may do so on the same address, and of two the later
@@ -75,11 +75,15 @@
 type beside struct {
 	memoryMB int
 	log      *slog.Logger
-	place    *os.File // locked as long as this process lives
-	theirs   *os.File // the other's place
-	own      *counts
-	other    *counts
+	files    [2]*os.File // a place each, locked as long as its process lives
+	shared   [2]*counts  // what they hold
 	present  atomic.Bool // there is another process
+
+	mu     sync.Mutex
+	place  *os.File // nil: both were taken
+	theirs *os.File // the other's place
+	own    *counts  // in nobody's sight without a place
+	others []*counts
 }
 
 // counts are a process's connections, in a file that both map.
@@ -87,10 +91,8 @@
 
 // openBeside takes one of two places.
 func openBeside(c *Config, log *slog.Logger) (*beside, error) {
-	b := &beside{memoryMB: c.Limits.MemoryMB, log: log}
-	var files [2]*os.File
-	var maps [2]*counts
-	for i := range files {
+	b := &beside{memoryMB: c.Limits.MemoryMB, log: log, own: &counts{}}
+	for i := range b.files {
 		path := filepath.Join(c.TempDir, fmt.Sprintf("starlingvalve-%s.%d", url.PathEscape(c.Name), i))
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 		if err != nil {
@@ -104,30 +106,37 @@
 		if err != nil {
 			return nil, err
 		}
-		files[i], maps[i] = f, (*counts)(unsafe.Pointer(&m[0]))
+		b.files[i], b.shared[i] = f, (*counts)(unsafe.Pointer(&m[0]))
 	}
-	for range placeTries {
-		for i, f := range files {
-			if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
-				b.place, b.theirs, b.own, b.other = f, files[1-i], maps[i], maps[1-i]
-				b.own.clients.Store(0) // of an earlier process
-				b.own.backends.Store(0)
-				b.look()
-				return b, nil
-			}
+	b.others = b.shared[:]
+	b.look()
+	return b, nil
+}
+
+// take takes a place if this process has none. Both may be locked: by two others, or one for the moment in which the
+// other looks, which lasts if it is stopped then. So it is tried again at each look, and what both hold counts until
+// then. What an earlier process left in a place is written over.
+func (b *beside) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, f := range b.files {
+		if b.place == nil && syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			b.shared[i].clients.Store(b.own.clients.Load())
+			b.shared[i].backends.Store(b.own.backends.Load())
+			b.place, b.theirs, b.own, b.others = f, b.files[1-i], b.shared[i], b.shared[1-i:2-i]
 		}
-		time.Sleep(time.Millisecond) // another process may just have looked
 	}
-	return nil, errors.New("two other processes of this node are there")
+	return b.place != nil
 }
 
 // look finds out whether there is another process, and divides the memory.
 func (b *beside) look() {
-	err := syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
-	if err == nil {
+	present := true
+	if b.take() && syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == nil {
 		syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_UN)
+		present = false
 	}
-	if present := err != nil; present != b.present.Swap(present) {
+	if present != b.present.Swap(present) {
 		b.log.Info("another process of this node", "present", present)
 		limitMemory(b.memoryMB, present)
 		if present {
@@ -145,25 +154,37 @@
 	debug.SetMemoryLimit(int64(limit))
 }
 
-// clients is how many clients the other process has.
+// clients is how many clients the other process has. After a SIGKILL it is what it had, until the next look.
 func (b *beside) clients() int {
+	return b.sum(func(c *counts) int64 { return c.clients.Load() })
+}
+
+// backends is how many connections to app servers the other process has, with the sockets that are its own.
+func (b *beside) backends() int {
 	if b == nil || !b.present.Load() {
 		return 0
 	}
-	return int(b.other.clients.Load())
+	return b.sum(func(c *counts) int64 { return c.backends.Load() }) + ownSockets
 }
 
-// backends is how many connections to app servers the other process has, with the sockets that are its own.
-func (b *beside) backends() int {
+func (b *beside) sum(of func(*counts) int64) int {
 	if b == nil || !b.present.Load() {
 		return 0
 	}
-	return int(b.other.backends.Load()) + ownSockets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, c := range b.others {
+		n += int(of(c))
+	}
+	return n
 }
 
 // count tells the other process what this one has.
 func (b *beside) count(clients, backends int) {
 	if b != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		b.own.clients.Add(int64(clients))
 		b.own.backends.Add(int64(backends))
 	}
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -183,3 +183,48 @@
 		t.Error("with 3 clients there and 1 here, of 3, the idle one keeps its place")
 	}
 }
+
+// A process that finds both places locked, one of them for the moment in which the other process looks, takes a place
+// later, with what it has counted by then. So does a third process once the first has ended.
+func TestPlaceTakenLater(t *testing.T) {
+	c := &Config{Name: "n", TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
+	open := func() *beside {
+		t.Helper()
+		b, err := openBeside(c, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	lock := func(f *os.File, how int) {
+		t.Helper()
+		if err := syscall.Flock(int(f.Fd()), how|syscall.LOCK_NB); err != nil {
+			t.Fatal(err)
+		}
+	}
+	older := open()
+	older.count(5, 6)
+	lock(older.theirs, syscall.LOCK_SH) // it is stopped as it looks
+	newer := open()
+	newer.count(2, 3)
+	if clients, backends := newer.clients(), newer.backends(); clients != 5 || backends != ownSockets+6 {
+		t.Errorf("without a place it sees %d clients and %d connections to servers", clients, backends)
+	}
+	lock(older.theirs, syscall.LOCK_UN)
+	newer.look()
+	older.look()
+	if clients, backends := older.clients(), older.backends(); clients != 2 || backends != ownSockets+3 {
+		t.Errorf("with a place it is seen with %d clients and %d connections to servers", clients, backends)
+	}
+	third := open()
+	third.count(1, 1)
+	if clients := third.clients(); clients != 7 {
+		t.Errorf("the third process sees %d clients", clients)
+	}
+	lock(older.place, syscall.LOCK_UN) // it has ended, by SIGKILL: its counts stay in the file
+	third.look()
+	newer.look()
+	if seen, sees := newer.clients(), third.clients(); seen != 1 || sees != 2 {
+		t.Errorf("in the place of the first, the third process is seen with %d clients and sees %d", seen, sees)
+	}
+}
