Outlive further SIGTERMs up to the process's end

Cause: main.run undid signal.NotifyContext as it returned. A second SIGTERM between that and the process's end killed it: 'signal: terminated' in place of code 0. Excluded: the drain, which needs no second signal and takes none. Change: it is never undone.

--- a/cmd/starlingvalve/main.go
+++ b/cmd/starlingvalve/main.go
@@ -25,8 +25,8 @@
 }
 
 func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	// It is never undone: a second SIGTERM, as the process ends by the first, would kill it.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	hup := make(chan os.Signal, 1) // what comes while one is dealt with needs no more than one further look
 	signal.Notify(hup, syscall.SIGHUP)
 	c, err := node.LoadConfig(os.Getenv)
