Let the newer process of an upgrade start where nodes talk to each other

Cause: listenPeers bound peer_listen for itself, so that the newer process of an upgrade ended at its start with 'peer_listen: ... address already in use', wherever the settings have nodes talk. Change: with a door the socket is shared as the clients' listener is, and the later one hears.

--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -55,9 +55,9 @@
 	return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
 }
 
-// takeNew has the kernel deal new connections to the second listener on the address. Where there is only one it gets
+// takeNew has the kernel deal new connections, or datagrams, to the second listener on the address. Where there is only one it gets
 // them all, as the kernel passes over a number that no listener has.
-func takeNew(l *net.TCPListener) error {
+func takeNew(l syscall.Conn) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -52,6 +52,52 @@
 	}
 }
 
+// Where nodes talk, the newer process of an upgrade starts beside the older one and hears them; the one that is left does
+// if it ends. Without a door the address is not shared.
+func TestLaterProcessHearsPeers(t *testing.T) {
+	t.Parallel()
+	sender, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	c := &Config{Settings: settings(), Admin: anyPort, PeerListen: anyPort}
+	c.Settings.MayMessage = true
+	listen := func() *peers {
+		t.Helper()
+		p, err := listenPeers(c, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.conn.Close() })
+		c.PeerListen = p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		return p
+	}
+	heard := func(p *peers, who string) {
+		t.Helper()
+		for range 20 {
+			if _, err := sender.WriteToUDPAddrPort([]byte("x"), c.PeerListen); err != nil {
+				t.Fatal(err)
+			}
+			p.conn.SetReadDeadline(time.Now().Add(patient))
+			if _, err := p.conn.Read(make([]byte, 1)); err != nil {
+				t.Fatalf("%s: %v", who, err)
+			}
+		}
+	}
+	older := listen()
+	heard(older, "alone")
+	newer := listen()
+	heard(newer, "the newer")
+	newer.conn.Close()
+	heard(older, "the older, with the newer dead")
+	c.Admin = netip.AddrPort{}
+	if p, err := listenPeers(c, quiet); err == nil {
+		p.conn.Close()
+		t.Error("without a door a second process listens too")
+	}
+}
+
 // Each process of an upgrade takes the other's connections into its bounds, as long as the other lives.
 func TestLimitsAreShared(t *testing.T) {
 	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -34,10 +34,20 @@
 	if !c.PeerListen.IsValid() || !c.Settings.MayMessage {
 		return nil, nil
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.PeerListen))
+	var config net.ListenConfig
+	if c.Admin.IsValid() { // an upgrade's newer process takes over what nodes say, while the older one still serves
+		config.Control = reusePort
+	}
+	packets, err := config.ListenPacket(context.Background(), "udp", c.PeerListen.String())
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
+	conn := packets.(*net.UDPConn)
+	if c.Admin.IsValid() {
+		if err := takeNew(conn); err != nil {
+			log.Warn("an older process goes on getting some of what nodes say", "err", err)
+		}
+	}
 	return &peers{conn: conn, nodes: c.Peers, all: c.PeersAll, self: c.Settings.Self, queue: make(chan datagram, datagramQueue), log: log}, nil
 }
 
