Look for the other process's bans within the grace that the settings give

Cause: the newer process of an upgrade looked for bans every 100 ms, whatever the grace after which a call to the older one binds. Change: a quarter of the grace, between 5 and 100 ms. Test: TestBanOfTheOtherBindsWithinTheGrace, on synctest's clock, the call just after a look.

--- a/internal/node/bans.go
+++ b/internal/node/bans.go
@@ -20,7 +20,10 @@
 )
 
 const (
-	bansEvery = 100 * time.Millisecond // to look whether the other process of an upgrade has changed them
+	// To look whether the other process of an upgrade has changed them: within that part of the grace which a call is given.
+	bansEvery = 100 * time.Millisecond
+	bansLeast = 5 * time.Millisecond
+	bansPart  = 4
 	lockWait  = 500 * time.Millisecond // for the other process to have changed them: the caller waits 1 s
 	lockAgain = 5 * time.Millisecond
 )
@@ -63,6 +66,11 @@
 	return s
 }
 
+// lookEvery is how often to look, where a call binds after that grace.
+func lookEvery(grace time.Duration) time.Duration {
+	return min(bansEvery, max(bansLeast, grace/bansPart))
+}
+
 // look takes what is on file if that has changed.
 func (s *bans) look() {
 	s.file.Lock()
--- a/internal/node/bans_test.go
+++ b/internal/node/bans_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -11,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"starlingvalve/decide"
@@ -124,6 +126,35 @@
 	}
 }
 
+// A ban that was told to one process binds the other within the grace, however short that is.
+func TestBanOfTheOtherBindsWithinTheGrace(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{20 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &Config{Settings: settings(), TempDir: t.TempDir()}
+			var of [2]*bans
+			for i := range of {
+				b := newBackends(c, 10, quiet)
+				b.update(twoServers("127.0.0.1:1", "127.0.0.1:2"))
+				of[i] = openBans(c, b, quiet)
+				of[i].list(map[decide.ServerID]string{1: "s-00000001", 2: "s-00000002"})
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go every(ctx, lookEvery(grace), of[1].look)
+			synctest.Wait() // the next look is as far as it can be
+			if err := of[0].exclude("s-00000001"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(grace / 2) // half is for the disk and a slow core
+			synctest.Wait()
+			if !of[1].backends.closing(of[1].backends.find(1)) {
+				t.Errorf("with a grace of %v it does not bind", grace)
+			}
+		})
+	}
+}
+
 // A damaged file stops no start, and the next call mends it. What can't be put on file is refused.
 func TestBansFileDamaged(t *testing.T) {
 	t.Parallel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,7 @@
 	if admin != nil {
 		o := &door{front: f, bans: l.bans, ctx: inner, log: log}
 		running.Go(func() { o.run(admin) })
-		running.Go(func() { every(inner, bansEvery, l.bans.look) })
+		running.Go(func() { every(inner, lookEvery(c.Settings.DrainGrace), l.bans.look) })
 		running.Go(func() { every(inner, emptyEvery, f.letGo) })
 	}
 	if b.beside != nil {
