--- a/internal/node/bans_test.go
+++ b/internal/node/bans_test.go
@@ -1,14 +1,18 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"starlingvalve/decide"
@@ -122,6 +126,35 @@
 	}
 }
 
+// A ban that was told to one process binds the other within the grace, however short that is.
+func TestBanOfTheOtherBindsWithinTheGrace(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{20 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &Config{Settings: settings(), TempDir: t.TempDir()}
+			var of [2]*bans
+			for i := range of {
+				b := newBackends(c, 10, quiet)
+				b.update(twoServers("127.0.0.1:1", "127.0.0.1:2"))
+				of[i] = openBans(c, b, quiet)
+				of[i].list(map[decide.ServerID]string{1: "s-00000001", 2: "s-00000002"})
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go every(ctx, lookEvery(grace), of[1].look)
+			synctest.Wait() // the next look is as far as it can be
+			if err := of[0].exclude("s-00000001"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(grace / 2) // half is for the disk and a slow core
+			synctest.Wait()
+			if !of[1].backends.closing(of[1].backends.find(1)) {
+				t.Errorf("with a grace of %v it does not bind", grace)
+			}
+		})
+	}
+}
+
 // A damaged file stops no start, and the next call mends it. What can't be put on file is refused.
 func TestBansFileDamaged(t *testing.T) {
 	t.Parallel()
@@ -153,3 +186,70 @@
 		t.Error("a ban that is on no file is acknowledged")
 	}
 }
+
+// A file that changes within a tick of the clock, and in the inode of the one before, is taken all the same.
+func TestBansChangedWithinATick(t *testing.T) {
+	t.Parallel()
+	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir()}
+	b := newBackends(c, 10, quiet)
+	path, at := openBans(c, b, quiet).path, time.Now().Add(-time.Second)
+	var s *bans
+	for i, text := range []string{`{"out":["s-00000001"],"back":{}}`, `{"out":["s-00000002"],"back":{}}`} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil { // the same inode and size
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			s = openBans(c, b, quiet)
+		}
+	}
+	s.look()
+	if out, _ := s.now(); len(out) != 1 || !out["s-00000002"] {
+		t.Errorf("out: %v", out)
+	}
+}
+
+// The other process is stopped as it changes the file: the loop goes on, and so do looks; the call is refused in time.
+func TestBansHeldByTheOther(t *testing.T) {
+	t.Parallel()
+	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir()}
+	s := openBans(c, newBackends(c, 10, quiet), quiet)
+	names := map[decide.ServerID]string{1: "s-00000001"}
+	s.list(names)
+	other, err := s.lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	waits, loop := make(chan struct{}), make(chan struct{})
+	var first sync.Once
+	s.flock = func(fd, how int) error { // as the call asks for the lock, the loop takes a list and tells the module of bans
+		first.Do(func() { close(waits); <-loop })
+		return syscall.Flock(fd, how)
+	}
+	answer := make(chan error, 1)
+	go func() { answer <- s.exclude("s-00000001") }()
+	<-waits
+	went := make(chan struct{})
+	go func() { s.list(names); s.now(); close(went) }()
+	select {
+	case <-went:
+	case <-time.After(patient):
+		t.Error("the loop waits for the file")
+	}
+	close(loop)
+	select {
+	case err := <-answer:
+		if out, _ := s.now(); err == nil || len(out) > 0 {
+			t.Errorf("the call: %v, out %v", err, out)
+		}
+	case <-time.After(patient):
+		t.Fatal("the call gets no answer")
+	}
+	other.Close()
+	if err := s.exclude("s-00000001"); err != nil {
+		t.Errorf("once the other goes on: %v", err)
+	}
+}
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -52,6 +52,52 @@
 	}
 }
 
+// Where nodes talk, the newer process of an upgrade starts beside the older one and hears them; the one that is left does
+// if it ends. Without a door the address is not shared.
+func TestLaterProcessHearsPeers(t *testing.T) {
+	t.Parallel()
+	sender, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	c := &Config{Settings: settings(), Admin: anyPort, PeerListen: anyPort}
+	c.Settings.MayMessage = true
+	listen := func() *peers {
+		t.Helper()
+		p, err := listenPeers(c, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.conn.Close() })
+		c.PeerListen = p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		return p
+	}
+	heard := func(p *peers, who string) {
+		t.Helper()
+		for range 20 {
+			if _, err := sender.WriteToUDPAddrPort([]byte("x"), c.PeerListen); err != nil {
+				t.Fatal(err)
+			}
+			p.conn.SetReadDeadline(time.Now().Add(patient))
+			if _, err := p.conn.Read(make([]byte, 1)); err != nil {
+				t.Fatalf("%s: %v", who, err)
+			}
+		}
+	}
+	older := listen()
+	heard(older, "alone")
+	newer := listen()
+	heard(newer, "the newer")
+	newer.conn.Close()
+	heard(older, "the older, with the newer dead")
+	c.Admin = netip.AddrPort{}
+	if p, err := listenPeers(c, quiet); err == nil {
+		p.conn.Close()
+		t.Error("without a door a second process listens too")
+	}
+}
+
 // Each process of an upgrade takes the other's connections into its bounds, as long as the other lives.
 func TestLimitsAreShared(t *testing.T) {
 	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
@@ -183,3 +229,48 @@
 		t.Error("with 3 clients there and 1 here, of 3, the idle one keeps its place")
 	}
 }
+
+// A process that finds both places locked, one of them for the moment in which the other process looks, takes a place
+// later, with what it has counted by then. So does a third process once the first has ended.
+func TestPlaceTakenLater(t *testing.T) {
+	c := &Config{Name: "n", TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
+	open := func() *beside {
+		t.Helper()
+		b, err := openBeside(c, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	lock := func(f *os.File, how int) {
+		t.Helper()
+		if err := syscall.Flock(int(f.Fd()), how|syscall.LOCK_NB); err != nil {
+			t.Fatal(err)
+		}
+	}
+	older := open()
+	older.count(5, 6)
+	lock(older.theirs, syscall.LOCK_SH) // it is stopped as it looks
+	newer := open()
+	newer.count(2, 3)
+	if clients, backends := newer.clients(), newer.backends(); clients != 5 || backends != ownSockets+6 {
+		t.Errorf("without a place it sees %d clients and %d connections to servers", clients, backends)
+	}
+	lock(older.theirs, syscall.LOCK_UN)
+	newer.look()
+	older.look()
+	if clients, backends := older.clients(), older.backends(); clients != 2 || backends != ownSockets+3 {
+		t.Errorf("with a place it is seen with %d clients and %d connections to servers", clients, backends)
+	}
+	third := open()
+	third.count(1, 1)
+	if clients := third.clients(); clients != 7 {
+		t.Errorf("the third process sees %d clients", clients)
+	}
+	lock(older.place, syscall.LOCK_UN) // it has ended, by SIGKILL: its counts stay in the file
+	third.look()
+	newer.look()
+	if seen, sees := newer.clients(), third.clients(); seen != 1 || sees != 2 {
+		t.Errorf("in the place of the first, the third process is seen with %d clients and sees %d", seen, sees)
+	}
+}
