Hold the operators' door open through the drain by a test

Need: calls that cross SIGTERM had no test. No fault was found: the door's context is the inner one, activate looks at draining, a ban is on file before its ACK, and half a line is closed with the context. Test: TestDoorInTheDrain, with a request held at its server so that the drain stays open.

--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -195,6 +196,50 @@
 	}
 }
 
+// Operators' calls that cross SIGTERM: the door stays to the end, a ban outlives the process, nothing calls it back, and
+// a caller with half a line does not hold it up.
+func TestDoorInTheDrain(t *testing.T) {
+	t.Parallel()
+	came, let := make(chan struct{}, 9), make(chan struct{})
+	release := sync.OnceFunc(func() { close(let) })
+	defer release()
+	addr := backend(t, answering(func(*http.Request, []byte) string { came <- struct{}{}; <-let; return ok("x") }))
+	c := &Config{Name: "n", Admin: anyPort, Settings: settings(), Known: twoServers(addr, addr), TempDir: t.TempDir()}
+	n := start(t, c)
+	n.waitReady(t, http.StatusOK)
+	answer := make(chan *http.Response, 1)
+	go func() { resp, _ := n.ask(t, message("order", "9.5", "b")); answer <- resp }()
+	<-came
+	half, err := net.Dial("tcp", n.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer half.Close()
+	io.WriteString(half, "activ")
+	n.call(t, "evacuate\n")
+	n.stop()
+	for end := time.Now().Add(patient); !strings.HasPrefix(n.call(t, "readyz\n"), "NAK the process ends"); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the drain does not begin")
+		}
+	}
+	for call, want := range map[string]string{"activate\n": "NAK the process ends\n", "evacuate\n": "ACK\n", "exclude s-00000001\n": "ACK\n"} {
+		if got := n.call(t, call); got != want {
+			t.Errorf("%q in the drain: %q", call, got)
+		}
+	}
+	release()
+	if resp := <-answer; resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("what was held: status %d, closes: %v", resp.StatusCode, resp.Close)
+	}
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+	if out, _ := openBans(c, newBackends(c, 10, quiet), quiet).now(); !out["s-00000001"] {
+		t.Errorf("out after the end: %v", out)
+	}
+}
+
 // Without an address for it there is no door.
 func TestNoDoorUnasked(t *testing.T) {
 	t.Parallel()
