--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -1,11 +1,14 @@
 package node
 
 import (
-	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // capped accepts no more connections than there are descriptors for. Beyond it they wait, for the moment that
@@ -15,24 +18,61 @@
 	*net.TCPListener
 	slots  chan struct{}
 	beside *beside
-	ctx    context.Context
+	conns  *connections
+	done   chan struct{} // closed with the listener
+	end    func() error  // closes it, once
+}
+
+func newCapped(tcp *net.TCPListener, limit int, b *beside, conns *connections) *capped {
+	done := make(chan struct{})
+	end := sync.OnceValue(func() error { close(done); return tcp.Close() })
+	return &capped{TCPListener: tcp, slots: make(chan struct{}, limit), beside: b, conns: conns, done: done, end: end}
+}
+
+func (l *capped) Close() error { return l.end() }
+
+// waiting tells whether a connection is there that the kernel has accepted and the node has not: it would be reset if
+// the listener closed now.
+func (l *capped) waiting() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(look, 0)
+		waiting = err == unix.EINTR || err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+	})
+	return waiting
 }
 
 type cappedConn struct {
 	*net.TCPConn
+	conns   *connections
 	free    func()
 	framing framing
 	came    time.Time
-	kept    atomic.Bool // a request on it has been read
-	heard   atomic.Bool // something has come since it was last idle
+	kept    atomic.Bool  // a request on it has been read
+	served  atomic.Int64 // requests that are over
+	last    atomic.Int64 // when something came last, in Unix nanoseconds
+	ended   atomic.Bool  // the peer's end has been read: nothing can come any more
+	ending  atomic.Bool  // the node closes it: what comes is not taken
+	closing sync.Once
 }
 
 func (c *cappedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if c.ending.Load() { // also for what came before: no request may be read from a connection that is closed
+		return 0, errEnding
+	}
 	if n > 0 {
-		c.heard.Store(true)
+		c.last.Store(time.Now().UnixNano())
 		c.framing.follow(p[:n])
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended.Store(true)
+	}
 	return n, err
 }
 
@@ -50,19 +90,21 @@
 	return least
 }
 
-func (c *cappedConn) Close() error {
-	defer c.free()
-	return c.TCPConn.Close()
-}
-
+// Accept counts a connection before it returns it: net/http tracks it only later, and a drain that saw none in between
+// would reset it.
 func (l *capped) Accept() (net.Conn, error) {
 	select {
 	case l.slots <- struct{}{}:
-	case <-l.ctx.Done():
+	case <-l.done:
 		return nil, net.ErrClosed
 	}
-	for len(l.slots)+l.beside.clients() > cap(l.slots) && l.ctx.Err() == nil {
-		time.Sleep(otherWait)
+	for len(l.slots)+l.beside.clients() > cap(l.slots) {
+		select {
+		case <-time.After(otherWait):
+		case <-l.done:
+			<-l.slots
+			return nil, net.ErrClosed
+		}
 	}
 	conn, err := l.AcceptTCP()
 	if err != nil {
@@ -70,6 +112,8 @@
 		return nil, err
 	}
 	l.beside.count(1, 0)
-	free := sync.OnceFunc(func() { l.beside.count(-1, 0); <-l.slots })
-	return &cappedConn{TCPConn: conn, free: free, came: time.Now()}, nil
+	l.conns.came()
+	c := &cappedConn{TCPConn: conn, conns: l.conns, came: time.Now()}
+	c.free = sync.OnceFunc(func() { l.conns.left(c); l.beside.count(-1, 0); <-l.slots })
+	return c, nil
 }
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -170,7 +170,7 @@
 	older.look()
 	conns := &connections{limit: 3, beside: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
 	conn, _ := net.Pipe()
-	conns.track(conn, http.StateNew)
+	conns.came()
 	conns.track(conn, http.StateIdle)
 	for _, clients := range []int{2, 1} {
 		if conns.shed[conn] {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -3,20 +3,70 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// connections counts the clients' connections. Above the limit new requests are refused at once and those closed
-// that have been idle longest, so that there is always room to read and answer what has been accepted.
+const shedEvery = 50 * time.Millisecond
+
+// connections counts the clients' connections, from the accept until the descriptor is free. Above the limit new
+// requests are refused at once and those closed that have been idle longest, so that there is always room to read and
+// answer what has been accepted.
 type connections struct {
-	mu     sync.Mutex
-	count  int
-	limit  int
-	beside *beside
-	idle   map[net.Conn]time.Time // since when
-	shed   map[net.Conn]bool      // closed to make room; what still comes on them is not taken
+	mu       sync.Mutex
+	count    int
+	limit    int
+	beside   *beside
+	idle     map[net.Conn]time.Time // since when
+	shed     map[net.Conn]bool      // closed to make room, still counted; what comes on them is not taken
+	shedding bool                   // there are too many: shedOver comes again
+	looked   func(net.Conn)         // set by tests: called between the look at a socket and its close
+}
+
+// came counts a connection that has been accepted.
+func (c *connections) came() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count++
+	if !c.shedding {
+		c.shedOver()
+	}
+}
+
+// left counts one out whose descriptor is free.
+func (c *connections) left(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.shed, conn)
+	c.count--
+}
+
+// shedOver makes room as long as there are too many, not only as another comes: once all places are taken nobody
+// comes, and those that were too young to be closed at the last arrival would keep everybody out.
+func (c *connections) shedOver() {
+	if c.shedding = c.count > 0 && c.over(); !c.shedding {
+		return
+	}
+	var old []net.Conn
+	for conn, since := range c.idle {
+		if time.Since(since) >= idleLeast {
+			old = append(old, conn)
+		}
+	}
+	slices.SortFunc(old, func(a, b net.Conn) int { return c.idle[a].Compare(c.idle[b]) })
+	for _, conn := range old {
+		if c.count+c.beside.clients()-len(c.shed) <= c.limit {
+			break
+		}
+		c.close(conn)
+	}
+	time.AfterFunc(shedEvery, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.shedOver()
+	})
 }
 
 func (c *connections) crowded() bool {
@@ -31,6 +81,12 @@
 	return c.count
 }
 
+// waitNone waits until no connection is open, but not for longer than most.
+func (c *connections) waitNone(most time.Duration) {
+	for begun := time.Now(); c.open() > 0 && time.Since(begun) < most; time.Sleep(drainSweep) {
+	}
+}
+
 func (c *connections) over() bool { return c.count+c.beside.clients() > c.limit }
 
 func (c *connections) isShed(conn net.Conn) bool {
@@ -43,30 +99,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
-	case http.StateNew:
-		c.count++
-		if c.over() {
-			var oldest net.Conn
-			for idle, since := range c.idle {
-				if oldest == nil || since.Before(c.idle[oldest]) {
-					oldest = idle
-				}
-			}
-			if oldest != nil && time.Since(c.idle[oldest]) >= idleLeast {
-				c.close(oldest)
-			}
-		}
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
 		if own, ok := conn.(*cappedConn); ok {
-			own.heard.Store(false)
+			own.rest()
 		}
 	case http.StateActive:
 		delete(c.idle, conn)
 	case http.StateClosed, http.StateHijacked:
 		delete(c.idle, conn)
-		delete(c.shed, conn)
-		c.count--
 	}
 }
 
@@ -91,13 +132,21 @@
 }
 
 // close closes an idle connection, but not one on which a request has come or is being read: its client would have to
-// send it again.
+// send it again. What comes after the look crosses the close, and is read by nobody.
 func (c *connections) close(conn net.Conn) {
-	if own, ok := conn.(*cappedConn); ok && own.heard.Load() || !quietSocket(conn) {
+	own, _ := conn.(*cappedConn)
+	if own != nil && own.heard() && !own.stale() || !quietSocket(conn) {
 		return
 	}
+	if c.looked != nil {
+		c.looked(conn)
+	}
 	delete(c.idle, conn)
 	c.shed[conn] = true
+	if own != nil {
+		own.hangUp()
+		return
+	}
 	conn.Close()
 }
 
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -142,7 +142,7 @@
 			_, err := conns[i].Read(make([]byte, 1))
 			return !errors.Is(err, os.ErrDeadlineExceeded)
 		}
-		come := func(i int) { conns[i], peers[i] = net.Pipe(); c.track(conns[i], http.StateNew) }
+		come := func(i int) { conns[i], peers[i] = net.Pipe(); c.came() }
 		for i := range 2 {
 			come(i)
 			c.track(conns[i], http.StateIdle)
@@ -161,6 +161,7 @@
 		}
 		for _, conn := range conns {
 			c.track(conn, http.StateClosed)
+			c.left(conn)
 		}
 		if c.count != 0 || len(c.shed) != 0 {
 			t.Errorf("with all closed %d are counted, %d shed", c.count, len(c.shed))
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -10,7 +10,8 @@
 // framing follows where requests begin and end on a client's connection. net/http drops the Content-Length of a
 // chunked request: its sender may have meant another end of the body, and what follows as a request to be part of it.
 type framing struct {
-	ambiguous atomic.Bool // such a request has come
+	ambiguous atomic.Bool  // such a request has come
+	requests  atomic.Int64 // that have begun
 
 	part    framingPart
 	line    []byte // what has come of a line; of a long one the beginning
@@ -18,6 +19,7 @@
 	length  int64  // what the head says, -1 if it says nothing
 	chunked bool
 	begun   bool // the head's first line has come
+	counted bool // of the head's first line something has come
 }
 
 type framingPart int
@@ -47,6 +49,10 @@
 			continue
 		}
 		line, rest, ended := bytes.Cut(p, []byte("\n"))
+		if f.part == inHead && !f.counted && len(bytes.Trim(line, "\r")) > 0 {
+			f.counted = true
+			f.requests.Add(1)
+		}
 		f.line = append(f.line, line[:min(len(line), max(0, lineKept-len(f.line)))]...)
 		if p = rest; ended {
 			f.take(strings.TrimSuffix(string(f.line), "\r"))
@@ -100,7 +106,7 @@
 }
 
 func (f *framing) endHead() {
-	f.begun = false
+	f.begun, f.counted = false, false
 	switch {
 	case f.chunked && f.length >= 0:
 		f.ambiguous.Store(true)
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,6 +34,7 @@
 	listening atomic.Bool   // for clients
 	draining  atomic.Bool   // the process ends
 	closing   chan struct{} // closed when the drain takes no more
+	givenUp   chan struct{} // closed when the drain waits for no more answers
 	emptied   atomic.Bool   // by the operators, until they want it back
 	open      atomic.Int64  // requests
 	maxOpen   int64
@@ -42,7 +43,7 @@
 }
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
-	f := &frontend{loop: l, log: log, closing: make(chan struct{}), maxOpen: int64(maxConns),
+	f := &frontend{loop: l, log: log, closing: make(chan struct{}), givenUp: make(chan struct{}), maxOpen: int64(maxConns),
 		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}}
 	return f
 }
@@ -67,7 +68,8 @@
 	return f.fleet.unready()
 }
 
-// shut tells whether the drain takes no more.
+// shut tells whether the drain takes no more. A request that passes as it closes is one that came before: its deadline
+// was set before the look, and so lies within the time that the drain waits for answers.
 func (f *frontend) shut() bool {
 	select {
 	case <-f.closing:
@@ -173,7 +175,12 @@
 			f.log.Warn("overdue", "id", req.arrived.ID)
 			f.answer(w, r, req, answer{status: http.StatusGatewayTimeout})
 			return
+		case <-f.givenUp:
+			f.loop.post(func() { f.loop.abandon(req) })
+			f.answer(w, r, req, answer{status: http.StatusBadGateway})
+			return
 		case <-f.loop.ctx.Done():
+			w.Header().Set("Connection", "close")
 			f.answer(w, r, req, answer{status: http.StatusBadGateway})
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,13 @@
 	drainAccept = 600 * time.Millisecond // connections come for 0.4 s after SIGTERM; the rest is for the accept queue
 	drainSweep  = 10 * time.Millisecond
 	drainExtra  = 300 * time.Millisecond // beyond the longest deadline, to write the last answers
+	// SIGKILL comes at the soonest that much after SIGTERM and the longest deadline, which counts as drainLongest if it
+	// is longer. What is unanswered drainMargin before is answered as failed, to be written and read by then. A request
+	// that came before drainAccept and has such a deadline is over by itself: overdue is less than what is left.
+	drainKill    = 700 * time.Millisecond
+	drainLongest = 3 * time.Second
+	drainMargin  = 60 * time.Millisecond
+	drainAnswers = 100 * time.Millisecond // for the answers of those that the end itself fails
 )
 
 // Run serves until ctx ends and what has been taken by then is answered. On each signal of hup it takes
@@ -129,8 +136,9 @@
 	}
 	if tcp != nil {
 		served := make(chan error, 1)
+		taken := newCapped(tcp, clients, b.beside, f.conns)
 		running.Go(func() {
-			served <- srv.Serve(&capped{TCPListener: tcp, slots: make(chan struct{}, clients), beside: b.beside, ctx: inner})
+			served <- srv.Serve(taken)
 		})
 		log.Info("serving", "name", c.Name, "listen", tcp.Addr(), "sockets", c.Limits.Sockets)
 		f.listening.Store(true)
@@ -138,12 +146,15 @@
 		case err = <-served:
 			err = fmt.Errorf("serve: %w", err)
 		case <-ctx.Done():
-			f.drain(tcp)
+			f.drain(taken, served)
 			f.fleet.leave(inner)
 		}
 	}
 	stop()
+	// A close under the last answers would cut them off, and the process's end resets what is not closed by then.
+	f.conns.waitNone(drainAnswers)
 	srv.Close()
+	f.conns.waitNone(finWait)
 	running.Wait()
 	return err
 }
@@ -165,21 +176,41 @@
 // drain lets the node go. Clients still come for a moment, and what the kernel has accepted counts as taken: so
 // the listener stays open for that long, and each answer closes its connection. It does not use Server.Shutdown, which
 // drops requests that are being read when it is called.
-func (f *frontend) drain(l net.Listener) {
+//
+// A request that is read whole before closing is served; its deadline lies before unanswered, or it is failed then.
+// What is read whole later is refused. Answers that have begun go on until last, if SIGKILL does not come sooner.
+func (f *frontend) drain(l *capped, served <-chan error) {
+	begun := time.Now()
 	f.draining.Store(true)
 	f.log.Info("draining")
-	longest := drainExtra
+	var longest time.Duration
 	for _, c := range f.loop.rules.Load().Classes {
-		longest = max(longest, c.Deadline+drainExtra)
+		longest = max(longest, c.Deadline)
 	}
+	unanswered := begun.Add(min(longest, drainLongest) + drainKill - drainMargin)
+	last := begun.Add(drainAccept + longest + drainExtra)
 	// Idle connections go early, and at once if a newer process needs their places for its clients.
-	for begun := time.Now(); time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
+	for ; time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
 		f.conns.makeRoom()
 	}
 	close(f.closing)
+	// What waits for a place, or for a slow core, would be reset with the listener. It is read, and refused.
+	for ; l.waiting() && time.Now().Before(unanswered); time.Sleep(drainSweep) {
+		f.conns.closeIdle(0)
+	}
 	l.Close()
-	for begun := time.Now(); f.conns.open() > 0; time.Sleep(drainSweep) {
-		if time.Since(begun) > longest {
+	accepted := served // until Accept has returned the last connection none is not enough
+	for ; accepted != nil || f.conns.open() > 0; time.Sleep(drainSweep) {
+		select {
+		case <-accepted:
+			accepted = nil
+		default:
+		}
+		now := time.Now()
+		if now.After(unanswered) && !f.gaveUp() {
+			close(f.givenUp)
+		}
+		if now.After(last) {
 			f.log.Warn("drained with connections held", "connections", f.conns.open(), "requests", f.open.Load())
 			return
 		}
@@ -187,3 +218,12 @@
 	}
 	f.log.Info("drained")
 }
+
+func (f *frontend) gaveUp() bool {
+	select {
+	case <-f.givenUp:
+		return true
+	default:
+		return false
+	}
+}
