--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -62,8 +62,11 @@
 }
 
 func (c *cappedConn) Read(p []byte) (int, error) {
+	if c.ending.Load() {
+		return 0, errEnding
+	}
 	n, err := c.TCPConn.Read(p)
-	if c.ending.Load() { // also for what came before: no request may be read from a connection that is closed
+	if c.ending.Load() { // it was closed meanwhile: what has come is no request any more
 		return 0, errEnding
 	}
 	if n > 0 {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -25,6 +25,10 @@
 	looked   func(net.Conn)         // set by tests: called between the look at a socket and its close
 }
 
+func newConnections(limit int) *connections {
+	return &connections{limit: limit, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+}
+
 // came counts a connection that has been accepted.
 func (c *connections) came() {
 	c.mu.Lock()
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -44,7 +44,7 @@
 
 func newFrontend(l *loop, maxConns int, log *slog.Logger) *frontend {
 	f := &frontend{loop: l, log: log, closing: make(chan struct{}), givenUp: make(chan struct{}), maxOpen: int64(maxConns),
-		conns: &connections{limit: maxConns, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}}
+		conns: newConnections(maxConns)}
 	return f
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"starlingvalve/decide"
 )
 
 const (
@@ -61,8 +63,7 @@
 	reloads <-chan *Config, log *slog.Logger) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	room := c.Limits.Sockets - ownSockets
-	clients := int(float64(room) * clientPart)
+	clients, servers := shareSockets(c.Limits.Sockets)
 	var tcp *net.TCPListener
 	var err error
 	if admin == nil {
@@ -75,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	b := newBackends(c, room-clients, log)
+	b := newBackends(c, servers, log)
 	d := newDiscovery(c, log)
 	l := newLoop(inner, c, b, d, p, log)
 	if admin != nil {
@@ -85,6 +86,7 @@
 		}
 	}
 	f := newFrontend(l, int(float64(clients)*softPart), log)
+	f.maxOpen = min(f.maxOpen, int64(servers)) // each finds a descriptor for an attempt
 	f.conns.beside = b.beside
 	f.fleet = newFleetLink(c, l, f.unready, log)
 	srv := f.server()
@@ -159,6 +161,14 @@
 	return err
 }
 
+// shareSockets gives the most connections from clients and to servers, with descriptors left for all else: discovery, the
+// door and the fleet's agent are reached however many clients there are.
+func shareSockets(sockets int) (clients, servers int) {
+	room := sockets - ownSockets
+	clients = int(float64(room) * clientPart)
+	return clients, room - clients
+}
+
 // every does something again and again until ctx ends.
 func every(ctx context.Context, interval time.Duration, do func()) {
 	tick := time.NewTicker(interval)
@@ -183,12 +193,8 @@
 	begun := time.Now()
 	f.draining.Store(true)
 	f.log.Info("draining")
-	var longest time.Duration
-	for _, c := range f.loop.rules.Load().Classes {
-		longest = max(longest, c.Deadline)
-	}
-	unanswered := begun.Add(min(longest, drainLongest) + drainKill - drainMargin)
-	last := begun.Add(drainAccept + longest + drainExtra)
+	forAnswers, forAll := drainTimes(f.loop.rules.Load().Classes)
+	unanswered, last := begun.Add(forAnswers), begun.Add(forAll)
 	// Idle connections go early, and at once if a newer process needs their places for its clients.
 	for ; time.Since(begun) < drainAccept; time.Sleep(drainSweep) {
 		f.conns.makeRoom()
@@ -219,6 +225,15 @@
 	f.log.Info("drained")
 }
 
+// drainTimes gives how long after SIGTERM a request may be unanswered, and how long an answer may take that has begun.
+func drainTimes(classes []decide.Class) (unanswered, last time.Duration) {
+	var longest time.Duration
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, drainLongest) + drainKill - drainMargin, drainAccept + longest + drainExtra
+}
+
 func (f *frontend) gaveUp() bool {
 	select {
 	case <-f.givenUp:
