Pace cold servers by what warm ones of their kind give, and trials of them too

Excluded: the two tokens that a bucket holds and its random start.

Cause: ableOf was the mean of all kinds, and for a node just started its first answers were scaled up as if the fleet were that fast (survey, rateOf); trials of suspects passed paced by (dueTrial); and each second news of a start filled the budget anew (startCold).

Change: the rate is scaled by the kind's part, smoothed for long so that chance evens out over nodes; readings of the first seconds are not scaled up; a trial of a cold server takes a token; a budget spent stays spent.

--- /dev/null
+++ b/decide/cold_fleet_test.go
@@ -0,0 +1,129 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// coldSites are four deployments that differ in what a cold server may bear: much of its capacity and short deadlines, or
+// little for long, strong kinds beside weak ones, few attempts or many. The last has budgets of 5 to 9 calls.
+func coldSites() map[string]release {
+	const ms = time.Millisecond
+	return map[string]release{
+		"views": {set: Settings{MaxAttempts: 6, MayCancel: true, HoldOffs: true, MaxHoldOff: 750 * ms, MinTick: 5 * ms,
+			ConnectTimeout: 200 * ms, ColdFrom: 0.39, ColdTime: 8700 * ms, OverloadFactor: 4, OverloadTime: 1500 * ms,
+			Classes: []Class{{Name: "view", Worth: 1, Aim: 400 * ms, Deadline: 1200 * ms, LateWorth: 0.25, Effect: Safe},
+				{Name: "order", Worth: 8, Aim: 750 * ms, Deadline: 1500 * ms, LateWorth: 0.2}}},
+			works: []time.Duration{37 * ms, 100 * ms}, mix: []float64{0.57, 0.43}, cores: 2, speeds: []float64{0.9, 0.9, 0.9, 1.8}},
+		"orders": {set: Settings{MaxAttempts: 3, MayOverlap: true, MayCancel: true, HoldOffs: true, MaxHoldOff: 2 * time.Second,
+			MinTick: 4 * ms, ConnectTimeout: 120 * ms, ColdFrom: 0.14, ColdTime: 23 * time.Second, OverloadFactor: 3,
+			OverloadTime: 2 * time.Second,
+			Classes: []Class{{Name: "status", Worth: 5, Aim: 250 * ms, Deadline: 600 * ms, Effect: Safe},
+				{Name: "browse", Worth: 1, Aim: 600 * ms, Deadline: 1500 * ms, Effect: Safe},
+				{Name: "submit", Worth: 10, Aim: 600 * ms, Deadline: 2500 * ms}}},
+			works: []time.Duration{25 * ms, 43 * ms, 100 * ms}, mix: []float64{0.42, 0.35, 0.23}, cores: 1, speeds: []float64{1, 0.7}},
+		"short": {set: Settings{MaxAttempts: 1, HoldOffs: true, MaxHoldOff: 500 * ms, MinTick: 5 * ms, ConnectTimeout: 60 * ms,
+			AskForList: true, AskWithin: 10 * time.Second, ColdFrom: 0.42, ColdTime: 6 * time.Second, OverloadFactor: 4,
+			OverloadTime: 1500 * ms,
+			Classes: []Class{{Name: "keyed", Worth: 3, Aim: 60 * ms, Deadline: 140 * ms, Effect: Keyed, KeyScope: ScopeZone,
+				DedupWindow: 150 * ms}, {Name: "safe", Worth: 1, Aim: 70 * ms, Deadline: 145 * ms, Effect: Safe}}},
+			works: []time.Duration{12 * ms, 20 * ms}, mix: []float64{0.5, 0.5}, cores: 2, speeds: []float64{0.8, 1.2}},
+		"long": {set: Settings{MaxAttempts: 3, MayCancel: true, HoldOffs: true, MaxHoldOff: 2 * time.Second, MinTick: 5 * ms,
+			ConnectTimeout: 200 * ms, ColdFrom: 0.15, ColdTime: 20 * time.Second, OverloadFactor: 6, OverloadTime: 2 * time.Second,
+			Classes: []Class{{Name: "safe", Worth: 2, Aim: 1500 * ms, Deadline: 6 * time.Second, Effect: Safe},
+				{Name: "once", Worth: 5, Aim: 2500 * ms, Deadline: 8 * time.Second}}},
+			works: []time.Duration{70 * ms, 130 * ms}, mix: []float64{0.5, 0.5}, cores: 1, speeds: []float64{2.4, 2.4, 2.4, 0.7}},
+	}
+}
+
+// What all nodes together send a cold server in any span of OverloadTime stays within its budget of N and chance, as
+// half of the servers are replaced at once, also with 70 % of the nodes restarted in that second, and with cold servers
+// that err. Guards against sums that no node sees: each one's guess of a warm server too high, or of another kind.
+func TestFleetSparesColdServers(t *testing.T) {
+	sites := coldSites()
+	weak := sites["long"]
+	weak.set.OverloadFactor, weak.set.ColdFrom = 3, 0.14
+	sites["weak"] = weak
+	for i, c := range []struct {
+		nodes, servers int
+		site           string
+		load, restarts float64
+		sick           float64
+	}{{4, 12, "views", 0.33, 0.5, 0}, {4, 12, "weak", 1.2, 0, 0}, {20, 16, "orders", 0.6, 0.5, 0}, {20, 16, "weak", 1.2, 0, 0},
+		{30, 24, "short", 1.1, 0.5, 0}, {30, 8, "weak", 1.1, 0.7, 0}, {100, 30, "orders", 1.1, 0.5, 0}, {100, 18, "long", 1.1, 0.5, 0},
+		{300, 18, "weak", 1.2, 0, 0}, {300, 18, "weak", 1.1, 0.5, 0}, {300, 18, "weak", 1.1, 0, 0.5}} {
+		t.Run(fmt.Sprint(c.nodes, c.site, i), func(t *testing.T) {
+			t.Parallel()
+			w := sites[c.site]
+			w.nodes, w.servers, w.load, w.restarts, w.sick = c.nodes, c.servers, c.load, c.restarts, c.sick
+			w.part, w.attract, w.early, w.length = 0.5, 1, true, 8*time.Second
+			if o := w.play(int64(i + 1)); o.excess > 0 || o.cold != c.servers/2 {
+				t.Errorf("%d of %d cold servers got too much, at most %.1f calls beyond N+2√N+2, %.2f of N", o.beyond, o.cold,
+					o.excess, o.ratio)
+			}
+		})
+	}
+}
+
+// A cold server that is a suspect is tried from the same budget: else many nodes try it at once, each by its own clock.
+func TestTrialsOfColdServersArePaced(t *testing.T) {
+	m := New(sparseSettings(300), 1)
+	m.Handle(time.Hour, ListUpdate{Kind: ListFull, Entries: []Server{{ID: 1, StartedAt: time.Hour}}})
+	s := m.near[0]
+	s.suspect, s.trialAt, s.tokens = true, time.Hour, 0
+	if m.Handle(time.Hour+time.Second, RequestArrived{ID: "a", Class: "dear", Patience: time.Second}); s.n != 0 {
+		t.Error("tried with its budget spent")
+	}
+	s.tokens = 1
+	if m.Handle(time.Hour+2*time.Second, RequestArrived{ID: "b", Class: "dear", Patience: time.Second}); s.n != 1 {
+		t.Error("not tried with a budget")
+	}
+}
+
+// News of a start that comes again, or a trial that looks like one, gives a cold server no new budget.
+func TestSpentBudgetOfAColdServerStaysSpent(t *testing.T) {
+	m := New(sparseSettings(300), 1)
+	m.Handle(time.Hour, ListUpdate{Kind: ListFull, Entries: []Server{{ID: 1, StartedAt: time.Hour}}})
+	s := m.near[0]
+	for i := range 20 {
+		s.tokens = 0.01
+		if m.startCold(s, time.Hour+time.Duration(i)*time.Second); s.tokens > 0.01 {
+			t.Fatalf("%v of a call after start %d", s.tokens, i+1)
+		}
+	}
+}
+
+// What a node that has just started takes a warm server to give does not come from its first moments: 300 of them that
+// each have one quick answer would make a slow fleet look fast.
+func TestFirstAnswersAreNoFastFleet(t *testing.T) {
+	m := New(sparseSettings(300), 1)
+	m.Handle(time.Hour, sparseList(8))
+	for i := range 3 {
+		id := RequestID(fmt.Sprint(i))
+		for _, a := range m.Handle(time.Hour+time.Duration(i)*time.Millisecond, RequestArrived{ID: id, Class: "dear", Patience: time.Second}) {
+			if s, ok := a.(Send); ok {
+				m.Handle(time.Hour+10*time.Millisecond, AttemptEnded{ID: id, Server: s.Server, Over: true, Elapsed: 9 * time.Millisecond})
+			}
+		}
+	}
+	m.Handle(time.Hour+25*time.Millisecond, TimerFired{})
+	if most := 3 / rateTau / 8; m.all.able == 0 || m.all.able > most+1e-9 {
+		t.Errorf("a server is taken to give %.2f/s after 3 answers of 8, want at most %.2f", m.all.able, most)
+	}
+}
+
+// A cold server's pace goes by its own kind: a weak one among strong ones gets the part of a weak one.
+func TestPaceGoesByKind(t *testing.T) {
+	m := New(sparseSettings(2), 1)
+	l := sparseList(8)
+	for i := range l.Entries {
+		l.Entries[i].Kind = []string{"strong", "weak"}[i%2]
+	}
+	m.Handle(time.Hour, l)
+	driveAt(m, time.Hour, 10, 40, func(id ServerID) time.Duration { return time.Duration(50+450*(id%2^1)) * time.Millisecond }, nil)
+	strong, weak := m.ableOf(m.serverOf(1)), m.ableOf(m.serverOf(2))
+	if got := m.serverOf(2).rate / m.serverOf(1).rate; weak > m.all.able/2 || strong < m.all.able || strong > kindMost*m.all.able {
+		t.Errorf("strong %.2f, weak %.2f, all %.2f answers/s; the servers' rates are as %.2f to 1", strong, weak, m.all.able, got)
+	}
+}
--- /dev/null
+++ b/decide/cold_world_test.go
@@ -0,0 +1,365 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"time"
+)
+
+// A whole fleet of modules around cold servers: each server counts what all nodes send it while it is cold.
+
+// release is the make of a fleet, and what happens to it while servers are cold.
+type release struct {
+	name           string
+	set            Settings
+	works          []time.Duration // mean work by class, on a core of speed 1
+	mix            []float64       // part of the requests by class
+	nodes, servers int
+	cores          int
+	speeds         []float64 // by kind: every second server is of the second
+	attract        float64   // how much faster new servers are, once warm
+	load, later    float64   // part of what the warm servers can do; from 10 s before the cold time's end on
+	part           float64   // of the servers that are replaced, within spread
+	spread         time.Duration
+	restarts       float64       // part of the nodes that restart within the cold time
+	lull           float64       // load in the first half of the cold time, if not 0
+	early          bool          // the nodes restart as servers do, not later
+	lost           time.Duration // for so long servers are away before they return cold under their ids; 0: others come
+	sick           float64       // part of the answers of cold servers that are errors
+	length         time.Duration // of the play from the release on; 0: until all are warm
+	surge          time.Duration // from the release to the later load; 0: half of the cold time
+}
+
+// outturn is what came of it.
+type outturn struct {
+	worst        float64 // most calls beyond the budget N, in roots of N
+	excess       float64 // most calls beyond N+2√N+2
+	beyond, cold int     // cold servers that got more than N+2√N+2; all of them
+	part         float64 // of the requests' worth that was answered in time, from the release on
+	carried      float64 // part of the cold servers' capacity that was used
+	ratio        float64 // most calls as a part of N
+}
+
+type sentCold struct {
+	at   Time
+	told bool
+}
+
+type coldServer struct {
+	started Time // 0: long ago
+	speed   float64
+	free    []Time
+	sends   []sentCold
+	told    map[*Module]bool
+	away    bool
+	held    int
+	beyond  bool
+	isCold  bool
+}
+
+// ramp is the least part of its capacity that a started server has.
+func (c *release) ramp(s *coldServer, now Time) float64 {
+	if s.started == 0 || now >= s.started+c.set.ColdTime {
+		return 1
+	}
+	return c.set.ColdFrom + (1-c.set.ColdFrom)*(now-s.started).Seconds()/c.set.ColdTime.Seconds()
+}
+
+func (c *release) play(seed int64) (o outturn) {
+	o.worst, o.excess = math.Inf(-1), math.Inf(-1)
+	const warmUp = 12 * time.Second
+	r := rand.New(rand.NewSource(seed))
+	mean := 0.0
+	for i, w := range c.works {
+		mean += c.mix[i] * w.Seconds()
+	}
+	zones := []string{"a", "b", "c", "d"}
+	servers, capacity := map[ServerID]*coldServer{}, 0.0
+	list := map[ServerID]Server{}
+	add := func(id ServerID, zone string, started Time, like float64, kind string) {
+		sv := &coldServer{started: started, speed: like, told: map[*Module]bool{}, free: make([]Time, c.cores)}
+		for i := range sv.free {
+			sv.free[i] = started
+		}
+		servers[id] = sv
+		list[id] = Server{ID: id, Zone: zone, Kind: kind, StartedAt: started}
+	}
+	for i := range c.servers {
+		speed := c.speeds[i%len(c.speeds)]
+		add(ServerID(i+1), zones[i/2%4], 0, speed, fmt.Sprint("kind", i%len(c.speeds)))
+		capacity += float64(c.cores) * speed / mean
+	}
+	var q agenda
+	start := time.Hour
+	at := func(t Time, node int, e Event) { heap.Push(&q, due{t, node, e}) }
+	nodes := make([]*Module, c.nodes)
+	began := make([]int, c.nodes) // times the node started: timers and outcomes of an older process are dropped
+	full := func() (l ListUpdate) {
+		l.Kind = ListFull
+		for id := ServerID(1); id <= ServerID(3*c.servers); id++ {
+			if s, ok := list[id]; ok {
+				l.Entries = append(l.Entries, s)
+			}
+		}
+		return l
+	}
+	boot := func(self int, now Time) {
+		s := c.set
+		s.Nodes, s.Self, s.Zones, s.Zone = c.nodes, self, zones, zones[self%4]
+		began[self]++
+		nodes[self] = New(s, seed*100003+int64(self)*17+int64(began[self]))
+		nodes[self].Handle(now, full())
+		for _, s := range list {
+			servers[s.ID].told[nodes[self]] = true
+		}
+		at(now+time.Duration(r.Intn(25))*time.Millisecond, self, TimerFired{Token: int64(began[self])})
+	}
+	for self := range c.nodes {
+		boot(self, start)
+	}
+	t0 := start + warmUp
+	end := t0 + c.spread + c.set.ColdTime
+	if c.length > 0 {
+		end = t0 + c.length
+	}
+	// events of the world itself stand under node -2: a function is run
+	var todo []func(now Time)
+	plan := func(t Time, f func(now Time)) {
+		todo = append(todo, f)
+		at(t, -2, TimerFired{Token: int64(len(todo) - 1)})
+	}
+	replaced := int(c.part * float64(c.servers))
+	for k, i := range r.Perm(c.servers)[:replaced] {
+		old, id := ServerID(i+1), ServerID(c.servers+k+1)
+		from := t0 + time.Duration(float64(c.spread)*float64(k)/float64(max(1, replaced)))
+		if c.lost > 0 {
+			id = old
+			plan(from-c.lost, func(Time) { servers[old].away = true })
+		}
+		plan(from, func(now Time) {
+			was := list[old]
+			if c.lost == 0 {
+				delete(list, old)
+			}
+			gone := was
+			gone.State = Gone
+			add(id, was.Zone, now, servers[old].speed*c.attract, was.Kind)
+			neu := list[id]
+			if list[id] = was; c.lost == 0 {
+				delete(list, id)
+			}
+			plan(now+time.Duration(300+r.Intn(700))*time.Millisecond, func(now Time) {
+				list[id] = neu
+				for self := range nodes {
+					n, gen := self, began[self]
+					plan(now+time.Duration(r.Intn(600))*time.Millisecond, func(now Time) {
+						if began[n] == gen && nodes[n] != nil {
+							servers[id].told[nodes[n]] = true
+							entries := []Server{gone, neu}
+							if c.lost > 0 {
+								entries = entries[1:]
+							}
+							nodes[n].Handle(now, ListUpdate{Kind: ListChanges, Entries: entries})
+						}
+					})
+				}
+			})
+		})
+	}
+	for _, self := range r.Perm(c.nodes)[:int(c.restarts*float64(c.nodes))] {
+		from := t0 + c.spread/2 + time.Duration(r.Float64()*0.5*float64(c.set.ColdTime))
+		if c.early {
+			from = t0 + c.spread/2 + time.Duration(r.Float64()*float64(time.Second))
+		}
+		plan(from, func(now Time) {
+			nodes[self] = nil
+			plan(now+time.Duration(500+r.Intn(500))*time.Millisecond, func(now Time) { boot(self, now) })
+		})
+	}
+	type live struct {
+		came  Time
+		class int
+		legs  int
+		over  bool
+		tries int
+		gen   int
+		node  int
+		timed []bool
+	}
+	reqs := map[RequestID]*live{}
+	id, asked, inTime, done, could := 0, 0.0, 0.0, 0.0, 0.0
+	at(start, -1, nil)
+	weight := make([]float64, c.nodes)
+	sum := 0.0
+	for i := range weight {
+		weight[i] = 0.5 + r.ExpFloat64()*0.5
+		sum += weight[i]
+	}
+	carry := func(now Time, node int, actions []Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case SetTimer:
+				at(now+a.After, node, TimerFired{Token: int64(began[node])})
+			case Send:
+				q := reqs[a.ID]
+				leg := q.legs
+				q.legs++
+				q.timed = append(q.timed, false)
+				sv := servers[a.Server]
+				part := c.ramp(sv, now)
+				if part < 1 {
+					sv.isCold = true
+					sv.sends = append(sv.sends, sentCold{now, sv.told[nodes[node]]})
+					n, told := 0, 0
+					for k := len(sv.sends) - 1; k >= 0 && sv.sends[k].at > now-c.set.OverloadTime; k-- {
+						if n++; sv.sends[k].told {
+							told++
+						}
+					}
+					if 3*told <= 2*n {
+						n = told // no break of the rule
+					}
+					budget := c.set.OverloadFactor * part * float64(c.cores) * sv.speed / mean * c.set.OverloadTime.Seconds()
+					o.worst = math.Max(o.worst, (float64(n)-budget)/math.Sqrt(budget))
+					o.ratio = math.Max(o.ratio, float64(n)/budget)
+					over := float64(n) - budget - 2*math.Sqrt(budget) - 2
+					o.excess = math.Max(o.excess, over)
+					sv.beyond = sv.beyond || over > 0
+				}
+				first := 0
+				for i := range sv.free {
+					if sv.free[i] < sv.free[first] {
+						first = i
+					}
+				}
+				work := time.Duration(r.ExpFloat64() * float64(c.works[q.class]) / sv.speed / part)
+				began, took, code := max(now, sv.free[first]), a.Timeout, TimedOut
+				switch {
+				case sv.away:
+					took, code = 3*time.Millisecond, Reset
+				case part < 1 && r.Float64() < c.sick:
+					took, code = 5*time.Millisecond, ServerError
+				case sv.held >= 10*c.cores:
+					took, code = 2*time.Millisecond, Full
+				case began < now+a.Timeout:
+					sv.free[first] = began + work
+					if began+work < now+a.Timeout {
+						took, code = began+work-now+time.Millisecond, OK
+					}
+				}
+				if code != Full && code != Reset && code != ServerError {
+					sv.held++
+				}
+				at(now+took, node, AttemptEnded{ID: a.ID, Attempt: leg, Server: a.Server, Code: code, Elapsed: took})
+			case Refuse:
+				q := reqs[a.ID]
+				q.over = true
+				if q.tries < 2 && r.Float64() < 0.6 {
+					q.tries++
+					old := *q
+					plan(now+max(a.HoldOff, 5*time.Millisecond), func(now Time) {
+						id++
+						rid := RequestID(fmt.Sprint(id))
+						k := &live{came: old.came, class: old.class, tries: old.tries, node: r.Intn(c.nodes)}
+						patience := c.set.Classes[old.class].Deadline - (now - old.came)
+						if nodes[k.node] == nil || patience <= 0 {
+							return
+						}
+						reqs[rid], k.gen = k, began[k.node]
+						at(now, k.node, RequestArrived{ID: rid, Class: c.set.Classes[old.class].Name, Patience: patience})
+					})
+				}
+			case CancelAttempt:
+			case Fail:
+				reqs[a.ID].over = true
+			}
+		}
+	}
+	for now := start; now < end; {
+		d := heap.Pop(&q).(due)
+		now = d.at
+		switch {
+		case d.node == -2:
+			todo[d.e.(TimerFired).Token](now)
+			continue
+		case d.node == -1:
+			load, turn := c.load, t0+c.spread+c.set.ColdTime/2
+			if c.surge > 0 {
+				turn = t0 + c.surge
+			}
+			switch {
+			case now > t0 && c.lull > 0 && now < turn:
+				load = c.lull
+			case now > turn && c.later > 0:
+				load = c.later
+			}
+			at(now+time.Duration(r.ExpFloat64()/(load*capacity)*float64(time.Second)), -1, nil)
+			id++
+			class := 0
+			for x := r.Float64(); class < len(c.mix)-1; class++ {
+				if x -= c.mix[class]; x < 0 {
+					break
+				}
+			}
+			node := 0
+			for x := r.Float64() * sum; node < c.nodes-1; node++ {
+				if x -= weight[node]; x < 0 {
+					break
+				}
+			}
+			if now > t0 {
+				asked += c.set.Classes[class].Worth
+			}
+			if nodes[node] == nil {
+				continue
+			}
+			rid := RequestID(fmt.Sprint(id))
+			reqs[rid] = &live{came: now, class: class, node: node, gen: began[node]}
+			d = due{now, node, RequestArrived{ID: rid, Class: c.set.Classes[class].Name, Patience: c.set.Classes[class].Deadline}}
+		}
+		m := nodes[d.node]
+		switch e := d.e.(type) {
+		case TimerFired:
+			if e.Token != int64(began[d.node]) {
+				continue
+			}
+		case AttemptEnded:
+			q := reqs[e.ID]
+			sv := servers[e.Server]
+			if e.Code != Full && e.Code != Reset && e.Code != ServerError {
+				sv.held--
+			}
+			if q.gen != began[d.node] {
+				continue
+			}
+			if e.Code == OK {
+				if part := c.ramp(sv, now); part < 1 {
+					done++
+				}
+				if class := c.set.Classes[q.class]; !q.over && q.came > t0 && now-q.came <= class.Aim {
+					inTime += class.Worth
+				}
+			}
+			e.Over = q.over || e.Code == OK
+			q.over = e.Over
+			d.e = e
+		}
+		if m == nil {
+			continue
+		}
+		carry(now, d.node, m.Handle(now, d.e))
+	}
+	for _, sv := range servers {
+		if sv.started > 0 {
+			o.cold++
+			could += (1 + c.set.ColdFrom) / 2 * c.set.ColdTime.Seconds() * float64(c.cores) * sv.speed / mean
+			if sv.beyond {
+				o.beyond++
+			}
+		}
+	}
+	o.part, o.carried = inTime/asked, done/math.Max(1, could)
+	return o
+}
--- a/decide/overload.go
+++ b/decide/overload.go
@@ -57,6 +57,9 @@
 	for _, s := range m.near {
 		if !s.suspect && !s.cold {
 			rate, count = rate+m.rateOf(s), count+1
+			late := s.rate * decay(m.now-s.rateAt, rateTau)
+			m.all.add(late)
+			s.peers.add(late)
 		}
 		if s.report > 0 && m.now-s.reportAt < 2*validity {
 			own, all = own+s.n, all+s.report
@@ -66,7 +69,10 @@
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
 	m.fleetRate = rate / math.Max(1, count)
-	m.able = math.Max(m.fleetRate, m.able*decay(tickEvery, rateMemory))
+	m.all.close()
+	for _, k := range m.kinds {
+		k.close()
+	}
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few tell little
--- a/decide/send.go
+++ b/decide/send.go
@@ -8,7 +8,9 @@
 )
 
 const (
-	coldStart = 4.0 // 1/s, of all nodes to a cold server with no warm one to compare
+	coldStart = 4.0  // 1/s, of all nodes to a cold server with no warm one to compare
+	kindMost  = 1.5  // of the mean server's answers: little is known of a kind, and much may be chance
+	kindTau   = 60.0 // s; smoothing of what a kind answers
 )
 
 // maySend holds every rule on sending; each send passes it.
@@ -51,7 +53,7 @@
 // dueTrial finds a suspect whose turn it is, for a request that may be repeated.
 func (m *Module) dueTrial(r *request) *server {
 	for _, s := range m.near {
-		if r.class.Effect != Unsafe && s.suspect && m.now >= s.trialAt && m.maySend(r, s) {
+		if r.class.Effect != Unsafe && s.suspect && m.now >= s.trialAt && m.maySend(r, s) && !m.paced(s) {
 			return s
 		}
 	}
@@ -60,16 +62,14 @@
 
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
 // by now of what a warm one gives this node: the budgets of all nodes then sum up to a part of one server's
-// capacity, however many are cold. That is the most that warm ones gave of late: in a jam they answer less,
-// and cold ones that got less for it would deepen the jam. Nodes that do not have it in their subsets send
-// nothing.
+// capacity, however many are cold. Nodes that do not have it in their subsets send nothing.
 func (m *Module) paced(s *server) bool {
 	warm := (m.now - s.coldSince).Seconds() / math.Max(m.set.ColdTime.Seconds(), 1e-9)
 	if s.cold = s.cold && warm < 1; !s.cold {
 		return false
 	}
 	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
-	rate := part * math.Max(m.able, coldStart/m.sharers())
+	rate := part * math.Max(m.ableOf(s), coldStart/m.sharers())
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
--- a/decide/servers.go
+++ b/decide/servers.go
@@ -48,7 +48,7 @@
 			m.startCold(s, n.StartedAt)
 		}
 	}
-	s.Server, s.out = n, m.excluded[n.ID]
+	s.Server, s.out, s.peers = n, m.excluded[n.ID], m.peersOf(n.Kind)
 }
 
 // banned has the operators' word on a server followed; one that is not known yet is met when it is listed.
--- a/decide/state.go
+++ b/decide/state.go
@@ -37,7 +37,8 @@
 	trialWait, backoff  time.Duration // backoff: added to a block after full answers in a row
 	tokens              float64       // sends that its budget allows while cold
 	tokensAt            Time
-	quietUntil          Time    // no log line about it until then
+	quietUntil          Time // no log line about it until then
+	peers               *peers
 	place               uint64  // in the order of servers that all nodes share
 	pace                float64 // sends that its zone's rate allows
 	paceAt              Time
@@ -45,6 +46,12 @@
 	lostAt              Time // when an attempt was last lost as a zone's loss ends it, with none answered since; 0: never
 }
 
+// peers are the servers of a kind, or all: how fast warm ones answer this node.
+type peers struct {
+	rate, count float64 // of this round: answers/s, servers
+	able, usual float64 // answers/s of one: the most of late; smoothed for long
+}
+
 type class struct {
 	Class
 	count, latency          float64 // answers; s, smoothed over all servers
@@ -103,7 +110,8 @@
 	arrivedAt, startAt Time
 	choices            int     // of subsets, so far
 	fleetRate, peak    float64 // answers each second from the mean server; the most that this has been
-	able               float64 // the most that it has been of late
+	all                *peers
+	kinds              map[string]*peers
 	recent             float64 // s; a faster mean
 	answeredAt         Time
 	least              float64 // s; the least that mean has been
@@ -121,7 +129,7 @@
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
 	m := &Module{rng: uint64(seed)*2 + 1, budget: retryBurst, tenants: map[string]*tenant{}, known: map[ServerID]*server{},
-		excluded: map[ServerID]bool{}, back: map[ServerID]Time{}, requests: map[RequestID]*request{}}
+		excluded: map[ServerID]bool{}, back: map[ServerID]Time{}, requests: map[RequestID]*request{}, all: &peers{}, kinds: map[string]*peers{}}
 	m.configure(s)
 	m.share = 1 / float64(m.set.Nodes)
 	m.worth = m.top
@@ -219,14 +227,50 @@
 	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
 }
 
+// ableOf is what a warm server of this one's kind gives this node, as far as kinds differ: the most of late, as
+// in a jam warm ones answer less, and cold ones that got less for it would deepen the jam.
+func (m *Module) ableOf(s *server) float64 {
+	if s.peers.usual == 0 {
+		return m.all.able
+	}
+	return m.all.able * math.Min(kindMost, s.peers.usual/m.all.usual)
+}
+
 func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
 
 func (m *Module) impose(s *server, mode Mode) { s.imposed, s.imposedUntil = mode, m.now+validity }
 
 // startCold gives a cold server's budget a random beginning: a first request from every node at once would be
-// a burst that none of them sees. What an older process answered says nothing of this one.
+// a burst that none of them sees. What an older process answered says nothing of this one. A budget that was
+// spent stays so where it is cold already: news of one start may come twice, and a trial is a guess.
 func (m *Module) startCold(s *server, at Time) {
-	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, m.random(), m.now, 0
+	tokens := m.random()
+	if s.cold {
+		tokens = math.Min(tokens, s.tokens)
+	}
+	s.cold, s.coldSince, s.tokens, s.tokensAt, s.rate = true, at, tokens, m.now, 0
+}
+
+func (m *Module) peersOf(kind string) *peers {
+	if m.kinds[kind] == nil {
+		m.kinds[kind] = &peers{}
+	}
+	return m.kinds[kind]
+}
+
+// add counts a warm server's answers of the last seconds. They are not scaled up where less time has passed: a
+// node that has just started would take its first answers for a fast fleet.
+func (k *peers) add(late float64) { k.rate, k.count = k.rate+late, k.count+1 }
+
+// close ends a round of readings. The most of late is of all kinds: of one kind a node of many has few answers,
+// and the most of few is far above their mean; so a kind's part is smoothed for long. With none warm the last
+// word holds.
+func (k *peers) close() {
+	if k.count > 0 {
+		k.able = math.Max(k.rate/k.count, k.able*decay(tickEvery, rateMemory))
+		k.usual += (k.rate/k.count - k.usual) * tickEvery.Seconds() / kindTau
+	}
+	k.rate, k.count = 0, 0
 }
 
 // attemptOf gives an attempt and its request; nil if there is none such.
