--- a/decide/overload.go
+++ b/decide/overload.go
@@ -57,6 +57,9 @@
 	for _, s := range m.near {
 		if !s.suspect && !s.cold {
 			rate, count = rate+m.rateOf(s), count+1
+			late := s.rate * decay(m.now-s.rateAt, rateTau)
+			m.all.add(late)
+			s.peers.add(late)
 		}
 		if s.report > 0 && m.now-s.reportAt < 2*validity {
 			own, all = own+s.n, all+s.report
@@ -66,7 +69,10 @@
 		m.share += (own/all - m.share) * tickEvery.Seconds() / rateTau
 	}
 	m.fleetRate = rate / math.Max(1, count)
-	m.able = math.Max(m.fleetRate, m.able*decay(tickEvery, rateMemory))
+	m.all.close()
+	for _, k := range m.kinds {
+		k.close()
+	}
 	m.learned = rate > 0 && m.answers >= 2*float64(len(m.near))
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	if m.least *= grow; m.answers < 1/classGain || m.mean < m.least*(1-baseNoise) { // few tell little
@@ -105,12 +111,6 @@
 	return math.Max(h, leastWindow/m.sharers())
 }
 
-// sharers is how many nodes have a server in their subsets, on average: what all nodes together may do at a
-// server is divided among them.
-func (m *Module) sharers() float64 {
-	return float64(m.set.Nodes*max(1, len(m.near))) / float64(max(1, len(m.ring)))
-}
-
 // room is the part of one request that this node may always have at a server. Where many nodes share a
 // server, each one's part of H is under 1, its own count of none tells nothing, and an idle server would be
 // overloaded by chance; so its latency tells: near the uncrowded one there is room for one request of each
--- a/decide/servers.go
+++ b/decide/servers.go
@@ -49,7 +49,7 @@
 			m.startCold(s, n.StartedAt)
 		}
 	}
-	s.Server, s.out = n, m.excluded[n.ID]
+	s.Server, s.out, s.peers = n, m.excluded[n.ID], m.peersOf(n.Kind)
 }
 
 // banned has the operators' word on a server followed; one that is not known yet is met when it is listed.
@@ -97,8 +97,7 @@
 	take := func(count int, zone string) {
 		for i := 0; i < len(m.ring) && len(m.near) < count; i++ {
 			if s := m.ring[(start+i)%len(m.ring)]; s.chosen < m.choices && (zone == "" || s.Zone == zone) {
-				s.chosen = m.choices
-				m.near = append(m.near, s)
+				m.use(s)
 			}
 		}
 	}
