--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"starlingvalve/decide"
@@ -27,6 +29,8 @@
 	life context.Context
 	end  context.CancelFunc
 
+	writing sync.Mutex // held while the kernel takes a piece of it, and as it becomes over
+
 	// The rest belongs to the loop.
 	over     bool
 	out      int
@@ -61,6 +65,9 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	if r.life.Err() != nil {
+		return // its client went while it waited here
+	}
 	l.requests[r.arrived.ID] = r
 	r.arrived.Patience = time.Until(r.deadline)
 	l.handle(r.arrived)
@@ -83,15 +90,23 @@
 
 func (l *loop) finish(id decide.RequestID, a answer) {
 	if r := l.requests[id]; r != nil && !r.over {
-		r.answer <- a
 		l.close(r)
+		r.answer <- a
 	}
 }
 
-// close marks a request as over and forgets it once its attempts are in.
-func (l *loop) close(r *request) {
+// settle makes a request over. No piece of it is being written just then and none is begun after, so its final answer,
+// which comes after this, holds of all that was sent.
+func (r *request) settle() {
 	r.over = true
+	r.writing.Lock()
+	defer r.writing.Unlock()
 	r.end()
+}
+
+// close ends a request and forgets it once its attempts are in.
+func (l *loop) close(r *request) {
+	r.settle()
 	if r.out == 0 {
 		delete(l.requests, r.arrived.ID)
 	}
@@ -113,7 +128,7 @@
 		l.ended(a, n, result{code: decide.Moot})
 		return
 	}
-	x := &exchange{life: r.life, method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
+	x := &exchange{life: r.life, writing: &r.writing, method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
 	x.sealed = func() { l.post(func() { l.handle(decide.BodyStarted{ID: a.ID, Attempt: n}) }) }
 	x.begin = func(resp *http.Response, held []byte, rest *io.PipeReader) {
 		l.post(func() {
@@ -125,7 +140,7 @@
 	}
 	for _, earlier := range r.attempts[:n] {
 		if r.class.Effect == decide.Keyed && !earlier.neverRan {
-			x.writeBy = earlier.sent.Add(r.class.DedupWindow - windowMargin)
+			x.writeBy = writeBy(earlier.sent, r.class.DedupWindow)
 			break
 		}
 	}
@@ -137,6 +152,12 @@
 	})
 }
 
+// writeBy is when the last byte of a further attempt has to be written, with what is kept for it to arrive. The window
+// counts from the sending of the first attempt that may have run. sent is when the loop took that up, and so not later.
+func writeBy(sent time.Time, window time.Duration) time.Time {
+	return sent.Add(window - min(windowMargin, window/2))
+}
+
 // begin passes a long answer on to the client: it is the final one.
 func (l *loop) begin(a decide.Send, n int, long answer) {
 	r := l.requests[a.ID]
@@ -144,7 +165,7 @@
 		long.rest.CloseWithError(errClient)
 		return
 	}
-	r.over = true
+	r.settle()
 	r.answer <- long
 	l.handle(decide.StreamStarted{ID: a.ID, Attempt: n, Server: a.Server, Elapsed: time.Since(r.attempts[n].sent)})
 }
@@ -157,15 +178,18 @@
 	t.neverRan = res.code == decide.Full || res.code == decide.ConnectFailed || res.code == decide.Moot
 	r.out--
 	if res.code == decide.OK && !r.over {
+		r.settle()
 		r.answer <- answer{status: http.StatusOK, header: res.header, body: res.body}
-		r.over = true
 	}
 	if client, ok := res.err.(uploadError); ok && !r.over {
 		status, _ := bodyStatus(client.error)
+		r.settle()
 		r.answer <- answer{status: status}
-		r.over = true
 		l.handle(decide.RequestAbandoned{ID: a.ID})
 	}
+	if errors.Is(res.err, errOver) {
+		r.over = true // its client went, and word of that is on its way: no further attempt
+	}
 	if res.err != nil {
 		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.code, "err", res.err)
 	}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -32,6 +32,7 @@
 	beside         *beside                  // the other process of an upgrade
 	connectTimeout time.Duration
 	idleLimit      time.Duration
+	dial           func(context.Context, net.Dialer, string) (*conn, error)
 	log            *slog.Logger
 }
 
@@ -45,14 +46,34 @@
 }
 
 type conn struct {
-	net.Conn
+	*net.TCPConn
+	raw   syscall.RawConn
 	r     *bufio.Reader
-	left  *io.LimitedReader // under r: what may still come on one answer
-	since time.Time         // made, or idle since
+	left  *limited  // under r: what may still come on one answer
+	since time.Time // made, or idle since
+	used  bool      // a request was on it
+}
+
+// limited reads no more than is left, and then fails: where a close ends an answer, a bound that looked like the end
+// would pass its beginning off as the whole.
+type limited struct {
+	r io.Reader
+	n int64
+}
+
+var errTooLarge = errors.New("the answer is too large")
+
+func (l *limited) Read(p []byte) (int, error) {
+	if l.n <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.n)])
+	l.n -= int64(n)
+	return n, err
 }
 
 func newBackends(c *Config, limit int, log *slog.Logger) *backends {
-	b := &backends{hosts: map[decide.ServerID]*host{}, out: map[decide.ServerID]bool{}, limit: limit, log: log}
+	b := &backends{hosts: map[decide.ServerID]*host{}, out: map[decide.ServerID]bool{}, limit: limit, dial: dialTCP, log: log}
 	b.configure(c.Settings)
 	return b
 }
@@ -187,18 +208,19 @@
 	if time.Since(c.since) >= b.idleLimit || c.r.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, err := syscall.Read(int(fd), one[:])
-		quiet = err == syscall.EAGAIN
+	still := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		still = nothingCame(int(fd))
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && still
+}
+
+// nothingCame tells whether nothing has come on a connection, not even its end. It may take a byte of what has.
+func nothingCame(fd int) bool {
+	var one [1]byte
+	_, err := syscall.Read(fd, one[:])
+	return err == syscall.EAGAIN
 }
 
 var (
@@ -229,15 +251,29 @@
 	b.opened(1)
 	d := net.Dialer{Timeout: b.connectTimeout, Deadline: deadline}
 	b.mu.Unlock()
-	tcp, err := d.DialContext(ctx, "tcp", h.addr)
+	c, err := b.dial(ctx, d, h.addr)
 	if err != nil {
 		b.mu.Lock()
 		b.opened(-1)
 		b.mu.Unlock()
+	}
+	return c, err
+}
+
+// dialTCP makes a connection.
+func dialTCP(ctx context.Context, d net.Dialer, addr string) (*conn, error) {
+	made, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp := made.(*net.TCPConn)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		tcp.Close()
 		return nil, err
 	}
-	left := &io.LimitedReader{R: tcp}
-	return &conn{Conn: tcp, r: bufio.NewReader(left), left: left, since: time.Now()}, nil
+	left := &limited{r: tcp}
+	return &conn{TCPConn: tcp, raw: raw, r: bufio.NewReader(left), left: left, since: time.Now()}, nil
 }
 
 // evict makes room at the bound by closing the connection that has been idle longest.
@@ -267,7 +303,7 @@
 		b.drop(c)
 		return
 	}
-	c.since = time.Now()
+	c.since, c.used = time.Now(), true
 	h.idle = append(h.idle, c)
 }
 
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"starlingvalve/decide"
@@ -20,6 +21,7 @@
 // exchange is one request to a backend.
 type exchange struct {
 	life     context.Context // once it has ended, nothing is written; nil: it does not end
+	writing  *sync.Mutex     // held while something is, and as life is ended with a final answer; nil: no need
 	method   string
 	url      *url.URL
 	header   http.Header
@@ -46,55 +48,65 @@
 	if h == nil {
 		return result{code: decide.ConnectFailed, err: errClosed}
 	}
-	began := time.Now()
-	c, err := b.connect(ctx, h, x.deadline)
-	if err != nil {
-		if ctx.Err() != nil {
+	dialing := ctx
+	if x.life != nil { // a dial takes time, and its request may end: nothing is written then, and no leave is needed
+		var let context.CancelFunc
+		dialing, let = context.WithCancel(ctx)
+		defer let()
+		defer context.AfterFunc(x.life, let)()
+	}
+	for {
+		began := time.Now()
+		c, err := b.connect(dialing, h, x.deadline)
+		switch {
+		case err == nil:
+		case x.life != nil && x.life.Err() != nil:
+			return result{code: decide.Moot, err: errOver}
+		case ctx.Err() != nil:
 			return result{code: decide.Cancelled, err: ctx.Err()}
+		default:
+			return result{code: decide.ConnectFailed, err: err}
 		}
-		return result{code: decide.ConnectFailed, err: err}
-	}
-	// Connecting takes time: what made this attempt right may no longer hold, and until the last byte is
-	// written it has not run.
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil:
-		b.release(h, c, true)
-		return result{code: decide.Cancelled, err: ctx.Err()}
-	case b.closing(h):
-		b.release(h, c, false)
-		return result{code: decide.ConnectFailed, err: errClosed}
-	case !x.writeBy.IsZero() && !now.Before(x.writeBy):
-		b.release(h, c, true)
-		return result{code: decide.Moot, err: errors.New("the keyed window is over")}
-	case !now.Before(x.deadline):
-		b.release(h, c, true)
-		return result{code: decide.ConnectFailed, err: os.ErrDeadlineExceeded}
+		r := b.on(ctx, h, c, x)
+		if errors.Is(r.err, errStale) { // the connection is closed by now, and the next one is another
+			continue
+		}
+		if r.code == decide.TimedOut {
+			b.silent(h, began)
+		}
+		return r
 	}
+}
+
+// on makes an exchange on a connection, and gives that back.
+func (b *backends) on(ctx context.Context, h *host, c *conn, x *exchange) result {
 	c.SetDeadline(x.deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	r, keep := roundTrip(ctx, c, x)
-	stopped := stop()
+	w := newWriter(ctx, b, h, c, x)
+	r, keep := roundTrip(ctx, w)
+	// One that has begun may set its deadline at any time, also when the next request is on the connection.
+	stopped := w.unhook()
+	stopped = stop() && stopped
 	switch {
 	case r.err == nil:
 		b.mu.Lock()
 		h.heard = time.Now()
 		b.mu.Unlock()
-	case r.code == decide.ConnectFailed:
+	case w.untouched(r.err):
+		keep = true
+	case r.code == decide.ConnectFailed || r.code == decide.Moot:
 	case ctx.Err() != nil:
 		r.code = decide.Cancelled
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
 		r.code = decide.TimedOut
 	}
-	b.release(h, c, keep && stopped && r.err == nil)
-	if r.code == decide.TimedOut {
-		b.silent(h, began)
-	}
+	b.release(h, c, keep && stopped)
 	return r
 }
 
 // roundTrip writes a request and reads its answer. keep tells whether the connection can take another.
-func roundTrip(ctx context.Context, c *conn, x *exchange) (r result, keep bool) {
+func roundTrip(ctx context.Context, w *requestWriter) (r result, keep bool) {
+	x := w.x
 	left := max(0, time.Until(x.deadline))
 	header := x.header.Clone()
 	if header == nil {
@@ -109,22 +121,23 @@
 		}
 	}
 	if x.upload != nil {
-		return uploadTrip(ctx, c, x, req)
+		return uploadTrip(ctx, w, req)
 	}
 	var text bytes.Buffer
 	text.Grow(1<<10 + len(x.body))
 	if err := req.Write(&text); err != nil {
 		return result{code: decide.ConnectFailed, err: err}, false
 	}
-	if _, err := c.Write(text.Bytes()); err != nil {
-		return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
+	if _, err := w.Write(text.Bytes()); err != nil {
+		return w.unsent(err), false
 	}
-	return answerOf(ctx, c, x, req)
+	w.unhook()
+	return answerOf(ctx, w.c, x, req)
 }
 
 // answerOf reads the answer to a request.
 func answerOf(ctx context.Context, c *conn, x *exchange, req *http.Request) (r result, keep bool) {
-	c.left.N = answerLimit // http.ReadResponse itself takes a header of any size, and any number of interim answers
+	c.left.n = answerLimit // http.ReadResponse itself takes a header of any size, and any number of interim answers
 	resp, err := http.ReadResponse(c.r, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, req)
--- a/internal/node/long.go
+++ b/internal/node/long.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -101,23 +100,29 @@
 	finished chan struct{} // closed when the last byte has been read
 
 	mu     sync.Mutex
-	begun  bool
+	taker  *requestWriter // who reads it
 	closed bool
 	failed error
+	by     time.Time // when its client waits no longer; set before finished is closed
 }
 
 var errUploadOver = errors.New("the rest of the body is not to be had")
 
-// read is not called again after the last byte or an error.
-func (u *upload) read(p []byte) (int, error) {
+// read reads for the first that comes: of two attempts each would get a part. It is not called again after the last
+// byte or an error.
+func (u *upload) read(w *requestWriter, p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.closed {
+	if u.closed || u.taker != nil && u.taker != w {
 		return 0, errUploadOver
 	}
-	u.begun = true
+	if u.taker == nil {
+		u.taker = w
+		w.x.sealed()
+	}
 	n, err := u.body.Read(p)
 	if err == io.EOF {
+		u.by = time.Now().Add(u.patience)
 		close(u.finished)
 	}
 	if err != nil && err != io.EOF {
@@ -146,7 +151,7 @@
 func (u *upload) used() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.begun || u.closed
+	return u.taker != nil || u.closed
 }
 
 func (u *upload) complete() bool {
@@ -158,6 +163,14 @@
 	}
 }
 
+// until is when its client waits no longer. Before the last byte has come there is no such time.
+func (u *upload) until() time.Time {
+	if !u.complete() {
+		return time.Time{}
+	}
+	return u.by
+}
+
 // uploadError is an error of the client's.
 type uploadError struct{ error }
 
@@ -166,62 +179,52 @@
 
 func (r reader) Read(p []byte) (int, error) { return r(p) }
 
-// patientWriter gives each piece its time. It looks at ctx after it has set a deadline, as the end of ctx sets one.
-type patientWriter struct {
-	ctx context.Context
-	c   *conn
-}
-
-func (w patientWriter) Write(p []byte) (int, error) {
-	w.c.SetWriteDeadline(time.Now().Add(stallWait))
-	if w.ctx.Err() != nil {
-		return 0, w.ctx.Err()
-	}
-	return w.c.Write(p)
-}
-
 // uploadTrip is roundTrip for a long body. The server may answer before it has all of it; then it has not run.
-func uploadTrip(ctx context.Context, c *conn, x *exchange, req *http.Request) (r result, keep bool) {
-	u := x.upload
+func uploadTrip(ctx context.Context, w *requestWriter, req *http.Request) (r result, keep bool) {
+	u, c, x := w.x.upload, w.c, w.x
 	if u.used() {
 		return result{code: decide.Moot, err: errUploadOver}, false
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetWriteBuffer(kernelSize)
+	if c.used && !w.b.usable(c) { // later it would look like an answer within the body, which is read only once
+		return result{code: decide.ConnectFailed, err: errStale}, false
 	}
-	seal := sync.OnceFunc(x.sealed)
+	c.SetWriteBuffer(kernelSize)
+	w.limit = u.until
 	req.ContentLength, req.Body = u.length, io.NopCloser(io.MultiReader(bytes.NewReader(x.body), reader(func(p []byte) (int, error) {
-		seal()
-		return u.read(p)
+		return u.read(w, p)
 	})))
-	deadline := func(t time.Time) { // of the connection
-		if c.SetDeadline(t); ctx.Err() != nil {
-			c.SetDeadline(time.Unix(1, 0))
+	deadline := func(t time.Time) { // of the wait for an answer
+		if c.SetReadDeadline(t); ctx.Err() != nil {
+			c.SetReadDeadline(time.Unix(1, 0)) // as the end of ctx does
 		}
 	}
 	deadline(time.Time{})
 	wrote := make(chan error, 1)
 	go func() {
-		err := req.Write(patientWriter{ctx, c})
+		err := req.Write(patientWriter{w})
 		if err == nil {
-			deadline(time.Now().Add(u.patience))
+			deadline(u.until())
 		}
 		wrote <- err
 		if err != nil {
 			deadline(time.Unix(1, 0)) // ends the wait for an answer
 		}
 	}()
-	c.left.N = answerLimit
+	c.left.n = answerLimit
 	_, silent := c.r.Peek(1)
 	early := len(wrote) == 0 && !u.complete()
 	if early { // an answer, or the connection's end, within the body
 		u.close()
+		w.cut.Store(true) // also a piece whose deadline is just being set
 		c.SetWriteDeadline(time.Unix(1, 0))
 	}
 	err := <-wrote
 	switch client := u.failure(); {
 	case err == nil:
+		w.unhook()
 		return answerOf(ctx, c, x, req)
+	case errors.Is(err, errUploadOver) && !early: // another attempt has it
+		return result{code: decide.Moot, err: err}, false
 	case client != nil && !early: // err hides it
 		return result{code: decide.Moot, err: uploadError{client}}, false
 	case early && silent == nil:
@@ -230,7 +233,7 @@
 			return r, false
 		}
 	}
-	return result{code: decide.ConnectFailed, err: err}, false // its last byte was not written
+	return w.unsent(err), false
 }
 
 // download is an answer that is held back until it is whole, or is begun to be passed on.
@@ -300,19 +303,17 @@
 // readAnswer reads an answer's body. One that is short is returned whole; the rest of a longer one goes to x.begin.
 func readAnswer(ctx context.Context, c *conn, x *exchange, resp *http.Response) (body []byte, whole bool, err error) {
 	if resp.ContentLength > longLimit {
-		return nil, false, errors.New("the answer is too large")
+		return nil, false, errTooLarge
 	}
 	if resp.ContentLength >= 0 && resp.ContentLength <= bodyLimit || x.begin == nil || resp.StatusCode != http.StatusOK {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, bodyLimit+1))
 		if err == nil && len(body) > bodyLimit {
-			err = errors.New("the answer is too large")
+			err = errTooLarge
 		}
 		return body, err == nil, err
 	}
-	c.left.N = 2 * longLimit // with its framing
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.SetReadBuffer(kernelSize)
-	}
+	c.left.n = 2 * longLimit // with its framing
+	c.SetReadBuffer(kernelSize)
 	patient := func() { // from its beginning on an answer may take its time, also the piece that is waited for
 		if c.SetReadDeadline(time.Now().Add(stallWait)); ctx.Err() != nil {
 			c.SetReadDeadline(time.Unix(1, 0)) // as the end of ctx does
@@ -336,7 +337,7 @@
 		var n int
 		n, err = resp.Body.Read(piece[:])
 		if total += n; total > longLimit {
-			err = errors.New("the answer is too large")
+			err = errTooLarge
 			break
 		}
 		if n > 0 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,7 +16,7 @@
 	// overdue is how long after a request's deadline the node answers by itself if the module has not: nothing
 	// may wait for ever, whatever the module does.
 	overdue = 20 * time.Millisecond
-	// windowMargin is kept from the end of the time in which backends remember a key.
+	// windowMargin is kept from the end of the time in which backends remember a key; of a short time, half of it.
 	windowMargin = 100 * time.Millisecond
 	eventQueue   = 1024
 )
--- /dev/null
+++ b/internal/node/writing_test.go
@@ -0,0 +1,377 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// stalling dials a backend with so little room on the way that a body of bodyLimit does not fit into it, and tells when
+// there is none left.
+func stalling(full chan struct{}) func(context.Context, net.Dialer, string) (*conn, error) {
+	return func(ctx context.Context, d net.Dialer, addr string) (*conn, error) {
+		c, err := dialTCP(ctx, d, addr)
+		if err == nil {
+			err = c.SetWriteBuffer(4 << 10)
+			c.raw = toldRaw{c.raw, sync.OnceFunc(func() { close(full) })}
+		}
+		return c, err
+	}
+}
+
+type toldRaw struct {
+	syscall.RawConn
+	full func()
+}
+
+func (r toldRaw) Write(f func(uintptr) bool) error {
+	return r.RawConn.Write(func(fd uintptr) bool {
+		done := f(fd)
+		if !done {
+			r.full()
+		}
+		return done
+	})
+}
+
+// narrow is a backend with little room. It reads once it may, and tells how many requests came whole.
+func narrow(t *testing.T, may <-chan struct{}) (addr string, whole *atomic.Int64, end func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { // before the connections, which take their windows from it
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole = new(atomic.Int64)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		<-may
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			if _, err := io.Copy(io.Discard, req.Body); err == nil {
+				whole.Add(1)
+			}
+		}
+	}()
+	end = func() { l.Close(); <-done }
+	return l.Addr().String(), whole, end
+}
+
+// What ends a write that stalls: it is not gone on with, and what was begun never ran.
+func TestStalledWriteIsLetGo(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		change func(*exchange)
+		end    func(life, ctx context.CancelFunc)
+		want   decide.OutcomeCode
+	}{
+		"the client goes": {nil, func(life, _ context.CancelFunc) { life() }, decide.Moot},
+		"called off":      {nil, func(_, ctx context.CancelFunc) { ctx() }, decide.Cancelled},
+		"the window ends": {func(x *exchange) { x.writeBy = time.Now().Add(100 * time.Millisecond) }, nil, decide.Moot},
+		"the time is up":  {func(x *exchange) { x.deadline = time.Now().Add(100 * time.Millisecond) }, nil, decide.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			may := make(chan struct{})
+			addr, whole, end := narrow(t, may)
+			b := newBackends(&Config{Settings: settings()}, 10, quiet)
+			full := make(chan struct{})
+			b.dial = stalling(full)
+			b.update(known(addr))
+			life, gone := context.WithCancel(t.Context())
+			ctx, off := context.WithCancel(t.Context())
+			x := &exchange{life: life, writing: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
+				body: make([]byte, bodyLimit), deadline: time.Now().Add(patient)}
+			if c.change != nil {
+				c.change(x)
+			}
+			got := make(chan result, 1)
+			go func() { got <- b.do(ctx, b.find(1), x) }()
+			if c.end != nil {
+				<-full
+				c.end(gone, off)
+			}
+			r := <-got
+			if c.want != decide.ConnectFailed && time.Now().After(x.deadline) {
+				t.Error("it waited until its time was up")
+			}
+			close(may)
+			end()
+			if r.code != c.want || whole.Load() > 0 {
+				t.Errorf("outcome %v (%v), want %v; %d came whole", r.code, r.err, c.want, whole.Load())
+			}
+			gone()
+			off()
+		})
+	}
+}
+
+// held is a backend behind dials that wait until the test lets them on, whatever happens to their request meanwhile.
+type held struct {
+	addr   string
+	dialed chan struct{} // one for each dial
+	on     chan struct{}
+	bytes  atomic.Int64 // that came
+	ended  chan struct{}
+}
+
+func hold(t *testing.T) *held {
+	h := &held{dialed: make(chan struct{}, 9), on: make(chan struct{}), ended: make(chan struct{}, 9)}
+	h.addr = backend(t, func(c net.Conn) {
+		n, _ := io.Copy(io.Discard, c)
+		h.bytes.Add(n)
+		h.ended <- struct{}{}
+	})
+	return h
+}
+
+func (h *held) dial(ctx context.Context, d net.Dialer, addr string) (*conn, error) {
+	h.dialed <- struct{}{}
+	<-h.on
+	return dialTCP(context.WithoutCancel(ctx), d, addr)
+}
+
+// looped is a loop with a backend, whose settings give no leave to cancel.
+func looped(t *testing.T, h *held, addrs ...string) (*loop, *backends) {
+	set := settings()
+	set.MayCancel = false
+	c := &Config{Settings: set, Known: known(addrs...)}
+	ctx, stop := context.WithCancel(context.Background())
+	b := newBackends(c, 10, quiet)
+	b.dial = h.dial
+	l := newLoop(ctx, c, b, newDiscovery(c, quiet), nil, quiet)
+	l.rules.Load().AskForList = true
+	var running sync.WaitGroup
+	running.Go(func() { l.run(c.Known) })
+	running.Go(func() { b.run(ctx) })
+	t.Cleanup(func() { stop(); running.Wait() })
+	return l, b
+}
+
+func asked(l *loop, class string) (r *request, gone context.CancelFunc) {
+	rules := l.rules.Load()
+	r = &request{arrived: decide.RequestArrived{ID: "q", Class: class}, deadline: time.Now().Add(patient / 2), method: "POST",
+		class: rules.classes[class], rules: rules, url: &url.URL{Path: "/" + class, Host: "h"}, answer: make(chan answer, 1)}
+	client, gone := context.WithCancel(context.Background())
+	r.life, r.end = context.WithCancel(client)
+	return r, gone
+}
+
+// in runs f in the loop.
+func in(l *loop, f func()) {
+	done := make(chan struct{})
+	l.post(func() { f(); close(done) })
+	<-done
+}
+
+// settled waits until the loop has forgotten all requests.
+func settled(t *testing.T, l *loop) {
+	t.Helper()
+	for end := time.Now().Add(patient); ; time.Sleep(time.Millisecond) {
+		open := 0
+		in(l, func() { open = len(l.requests) })
+		if open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("an attempt does not end")
+		}
+	}
+}
+
+// A request ends while its attempt connects: nothing is written any more and no other attempt is made, though there is
+// no leave to cancel. Word of a client that went may still be on its way to the loop.
+func TestNothingIsBegunAfterTheEnd(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(l *loop, r *request, gone context.CancelFunc){
+		"the client goes":   func(_ *loop, _ *request, gone context.CancelFunc) { gone() },
+		"the loop hears it": func(l *loop, r *request, gone context.CancelFunc) { gone(); in(l, func() { l.abandon(r) }) },
+		"refused": func(l *loop, r *request, _ context.CancelFunc) {
+			in(l, func() { l.do(decide.Refuse{ID: "q"}) })
+			<-r.answer
+		},
+		"failed": func(l *loop, r *request, _ context.CancelFunc) {
+			in(l, func() { l.do(decide.Fail{ID: "q"}) })
+			<-r.answer
+		},
+		"given up on":           func(l *loop, r *request, _ context.CancelFunc) { in(l, func() { l.abandon(r) }) },
+		"the front end answers": func(_ *loop, r *request, _ context.CancelFunc) { r.end() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := hold(t)
+			l, b := looped(t, h, h.addr, h.addr)
+			r, gone := asked(l, "read")
+			in(l, func() { l.arrive(r) })
+			<-h.dialed
+			end(l, r, gone)
+			close(h.on)
+			settled(t, l)
+			b.update(list{full: true}) // closes what is idle
+			<-h.ended
+			if n := h.bytes.Load(); n > 0 || len(h.dialed) > 0 {
+				t.Errorf("%d bytes were written after the end; %d more attempts", n, len(h.dialed))
+			}
+		})
+	}
+}
+
+// A dial is let go as its request ends: it does not hold a descriptor until the server answers.
+func TestDialIsLetGo(t *testing.T) {
+	t.Parallel()
+	b := newBackends(&Config{Settings: settings()}, 10, quiet)
+	b.update(known("127.0.0.1:1"))
+	dialed := make(chan struct{})
+	b.dial = func(ctx context.Context, _ net.Dialer, _ string) (*conn, error) {
+		close(dialed)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	x := get(patient)
+	life, gone := context.WithCancel(t.Context())
+	x.life = life
+	got := make(chan result, 1)
+	go func() { got <- b.do(t.Context(), b.find(1), x) }()
+	<-dialed
+	gone()
+	if r := <-got; r.code != decide.Moot || b.open != 0 {
+		t.Errorf("outcome %v (%v), %d connections", r.code, r.err, b.open)
+	}
+}
+
+// A client that went while its request waited for the loop: it is not taken up.
+func TestGoneBeforeTheLoop(t *testing.T) {
+	t.Parallel()
+	h := hold(t)
+	close(h.on)
+	l, _ := looped(t, h, h.addr)
+	r, gone := asked(l, "order")
+	gone()
+	in(l, func() { l.arrive(r) })
+	settled(t, l)
+	if len(h.dialed) > 0 {
+		t.Error("an attempt was made")
+	}
+}
+
+// The end of a request waits for a piece that is being written: none is written after its answer.
+func TestEndWaitsForThePiece(t *testing.T) {
+	t.Parallel()
+	got := make(chan struct{}, 1)
+	addr := backend(t, answering(func(*http.Request, []byte) string { got <- struct{}{}; return ok("x") }))
+	b := newBackends(&Config{Settings: settings()}, 10, quiet)
+	b.update(known(addr))
+	h := b.find(1)
+	c, err := b.connect(t.Context(), h, time.Now().Add(patient))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &request{}
+	r.life, r.end = context.WithCancel(t.Context())
+	x := get(patient)
+	x.life, x.writing = r.life, &r.writing
+	b.mu.Lock() // the writer stops within the piece, where it looks at its host
+	res := make(chan result, 1)
+	go func() { res <- b.on(t.Context(), h, c, x) }()
+	for r.writing.TryLock() {
+		r.writing.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	over := make(chan struct{})
+	go func() { r.settle(); close(over) }()
+	select {
+	case <-over:
+		t.Error("the request ended within the piece")
+	case <-time.After(20 * time.Millisecond): // how long the wrong order has to show; the right one never shows it
+	}
+	b.mu.Unlock()
+	<-over
+	<-got // it was written before
+	if r := <-res; r.code != decide.OK {
+		t.Errorf("outcome %v (%v)", r.code, r.err)
+	}
+}
+
+// The margin of a window leaves some of it, however short it is, and none of what comes after.
+func TestWriteBy(t *testing.T) {
+	sent := time.Now()
+	for window, want := range map[time.Duration]time.Duration{8 * time.Second: 7900 * time.Millisecond, 200 * time.Millisecond: 100 * time.Millisecond,
+		150 * time.Millisecond: 75 * time.Millisecond, 40 * time.Millisecond: 20 * time.Millisecond, 0: 0} {
+		if got := writeBy(sent, window).Sub(sent); got != want {
+			t.Errorf("a window of %v: written until %v, want %v", window, got, want)
+		}
+	}
+}
+
+// An upload's last byte is not written once its window is over or its request has ended.
+func TestUploadEndsWithItsRequest(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		end  func(x *exchange, gone context.CancelFunc)
+		want decide.OutcomeCode
+	}{
+		"the client goes":  {func(_ *exchange, gone context.CancelFunc) { gone() }, decide.Moot},
+		"the window ends":  {func(x *exchange, _ context.CancelFunc) { x.writeBy = time.Now() }, decide.Moot},
+		"its time is over": {func(x *exchange, _ context.CancelFunc) { x.upload.patience = 0 }, decide.ConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var whole atomic.Int64
+			seen := make(chan error, 1)
+			addr := backend(t, func(conn net.Conn) {
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err == nil {
+					if _, err = io.Copy(io.Discard, req.Body); err == nil {
+						whole.Add(1)
+					}
+				}
+				seen <- err
+			})
+			b := newBackends(&Config{Settings: settings()}, 10, quiet)
+			b.update(known(addr))
+			life, gone := context.WithCancel(t.Context())
+			defer gone()
+			reached := make(chan struct{})
+			x := &exchange{life: life, writing: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
+				body: make([]byte, bodyLimit), deadline: time.Now().Add(patient)}
+			x.sealed = func() { close(reached); c.end(x, gone) } // just before the rest is read
+			u := &upload{length: bodyLimit + 1, patience: patient, finished: make(chan struct{}),
+				body: &pacedBody{Reader: lastByte{}, by: time.Now(), set: time.Now()}}
+			x.upload = u
+			r := b.do(t.Context(), b.find(1), x)
+			<-reached
+			if <-seen; r.code != c.want || whole.Load() > 0 {
+				t.Errorf("outcome %v (%v), want %v; %d came whole", r.code, r.err, c.want, whole.Load())
+			}
+		})
+	}
+}
+
+// lastByte gives one byte with the end.
+type lastByte struct{}
+
+func (lastByte) Read(p []byte) (int, error) { p[0] = 'x'; return 1, io.EOF }
