See a client's end behind bytes that follow its request

Cause: while a request is out, net/http looks for its client's end by one background read of one byte. Any byte ends that read (connReader.backgroundRead keeps it as hasByte), and the close or reset behind it was never seen: the request was sent on, and tried again, for a client that had left. Seen by TestClientGoneBehindBytes; excluded: the loop and the module, which do abandon once r.Context() ends.

Change: cappedConn.Read knows that read (a request has come whole by the framing, its answer has not begun, one byte is asked for) and reads on in it, in net/http's own goroutine, until the end, a deadline or the answer. From the answer's beginning on what comes is the next request and nothing is dropped.

Without it: TestClientGoneBehindBytes "the attempt goes on" in all rows, TestLifeOfARequestThatIsOut "the life goes on" with a byte before the end.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -25,15 +25,11 @@
 	came    time.Time
 	kept    atomic.Bool // a request on it has been read
 	heard   atomic.Bool // something has come since it was last idle
-}
 
-func (c *cappedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.heard.Store(true)
-		c.framing.follow(p[:n])
-	}
-	return n, err
+	taken    int64        // requests that the handler has got; the serving goroutine's
+	answered atomic.Int64 // of these, those whose answer has begun
+	ahead    []byte       // what came behind a request that was out; the reader's
+	flooded  atomic.Bool  // more came than is kept: the connection ends with the answer
 }
 
 // bodyBy is when a body that does not begin is given up.
--- /dev/null
+++ b/internal/node/ahead.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"io"
+
+	"golang.org/x/sys/unix"
+)
+
+// aheadLimit is how much is kept of what comes behind a request while it is out. A client sends one request at a time:
+// what is more than a small request is a flood.
+const aheadLimit = headerLimit
+
+// Read hands net/http what has come. While a request is out net/http has one byte read, to notice the client's end. It
+// takes any byte for the next request and looks no further: an end behind the byte would not be seen. So that read
+// ends with the client, or once the answer begins.
+func (c *cappedConn) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.isOut() {
+		if err := c.readAhead(p); err != nil {
+			return 0, err
+		}
+	}
+	switch {
+	case c.flooded.Load():
+		return 0, io.EOF // some of what came is lost: nothing behind it is a request
+	case len(c.ahead) > 0:
+		n := copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.framing.follow(p[:n])
+		return n, nil
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+		c.framing.follow(p[:n])
+	}
+	return n, err
+}
+
+// isOut tells whether a request has been read whole and its answer has not begun.
+func (c *cappedConn) isOut() bool { return c.framing.whole > c.answered.Load() }
+
+// readAhead reads behind a request that is out. What it keeps is for the reads to come; of a flood it keeps nothing.
+func (c *cappedConn) readAhead(p []byte) error {
+	for c.isOut() {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.heard.Store(true)
+			if c.flooded.Load() || len(c.ahead)+n > aheadLimit {
+				c.flooded.Store(true)
+				c.ahead = nil
+			} else {
+				c.ahead = append(c.ahead, p[:n]...)
+			}
+			if len(p) == 1 { // nothing comes behind most requests, and no more room is needed for them
+				piece := pieces.Get().(*[pieceSize]byte)
+				defer pieces.Put(piece)
+				p = piece[:]
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// take counts a request that the handler has got.
+func (c *cappedConn) take() {
+	if c != nil {
+		c.taken++
+	}
+}
+
+// settle tells that the answer begins: what comes from now on may be the next request, of any size.
+func (c *cappedConn) settle() {
+	if c != nil {
+		c.answered.Store(c.taken)
+	}
+}
+
+// left tells whether the client has ended its side or reset the connection, also behind bytes that are not read yet.
+// Where the system does not tell, the client counts as there until a read meets its end.
+func (c *cappedConn) left() bool {
+	if c == nil {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	raw.Control(func(fd uintptr) {
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look[:], 0)
+		gone = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return gone
+}
--- /dev/null
+++ b/internal/node/ahead_test.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A client that goes behind bytes that follow its request has gone: its attempt is called off, and there is no other.
+func TestClientGoneBehindBytes(t *testing.T) {
+	t.Parallel()
+	for name, more := range map[string]string{"a byte": "x", "half a request": message("order", "9", "")[:60],
+		"a request": message("read", "9", ""), "a flood": strings.Repeat(message("read", "9", ""), 1e4)} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				t.Parallel()
+				came, gone := make(chan struct{}, 9), make(chan struct{}, 9)
+				addr := backend(t, func(c net.Conn) {
+					r := bufio.NewReader(c)
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					came <- struct{}{}
+					r.ReadByte()
+					gone <- struct{}{}
+				})
+				f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+				c, _, _ := f.dial(t)
+				io.WriteString(c, message("read", "9.5", ""))
+				<-came
+				if _, err := io.WriteString(c, more); err != nil {
+					t.Fatal(err)
+				}
+				leave(c, reset)
+				select {
+				case <-gone:
+				case <-time.After(5 * time.Second): // its patience is longer
+					t.Error("the attempt goes on")
+				}
+				f.awaitEmpty(t)
+				if len(came) > 0 {
+					t.Error("another attempt is made")
+				}
+			})
+		}
+	}
+}
+
+// What comes behind a request that is out, in pieces of any size, is kept, and served in its order.
+func TestRequestsBehindARequest(t *testing.T) {
+	t.Parallel()
+	let := make(chan struct{})
+	on := sync.OnceFunc(func() { close(let) })
+	defer on()
+	addr := backend(t, answering(func(r *http.Request, body []byte) string {
+		if len(body) == 1 {
+			<-let
+		}
+		return ok(string(body))
+	}))
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r, conn := f.dial(t)
+	bodies := []string{"1", "second", strings.Repeat("third", 1000), "fourth"}
+	io.WriteString(c, message("order", "9.5", bodies[0]))
+	await(t, "the request is out", func() bool { return f.open.Load() == 1 })
+	come := func(piece string) { // each piece has been read before the next one comes
+		conn.heard.Store(false)
+		io.WriteString(c, piece)
+		await(t, "bytes are read while a request is out", conn.heard.Load)
+	}
+	for _, b := range []byte(message("order", "9.5", bodies[1])) {
+		come(string(b))
+	}
+	third := message("order", "9.5", bodies[2])
+	come(third[:len(third)/2])
+	come(third[len(third)/2:])
+	on()
+	io.WriteString(c, message("order", "9.5", bodies[3]))
+	for _, want := range bodies {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(got) != want || err != nil {
+			t.Errorf("status %d, %.10q, %v, want %.10q", resp.StatusCode, got, err, want)
+		}
+	}
+}
+
+// A flood behind a request is read but not kept. The request is answered, the connection ends, and nothing of the flood
+// becomes a request.
+func TestFloodBehindARequest(t *testing.T) {
+	t.Parallel()
+	let, came := make(chan struct{}), make(chan struct{}, 99)
+	on := sync.OnceFunc(func() { close(let) })
+	defer on()
+	addr := backend(t, answering(func(*http.Request, []byte) string { came <- struct{}{}; <-let; return ok("x") }))
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r, conn := f.dial(t)
+	io.WriteString(c, message("read", "9.5", "")+message("read", "9.5", "")[:20])
+	<-came
+	if _, err := io.WriteString(c, strings.Repeat(message("read", "9.5", ""), 1e4)); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the flood is read", func() bool { return quietSocket(conn) })
+	on()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	if body, err := io.ReadAll(r); string(body) != "x" || err != nil {
+		t.Errorf("%q, %v, want the answer and the end", body, err)
+	}
+	f.awaitEmpty(t)
+	if len(came) > 0 {
+		t.Errorf("%d requests out of the flood", len(came))
+	}
+}
+
+// Once an answer has begun, what comes is the next request, of any size, though the node is not done with this one.
+func TestNextRequestCrossesTheAnswersEnd(t *testing.T) {
+	t.Parallel()
+	let := make(chan struct{})
+	on := sync.OnceFunc(func() { close(let) })
+	defer on()
+	var got atomic.Int64
+	addr := backend(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, req.Body)
+			if got.Add(n); req.Method == http.MethodGet {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n")
+				<-let
+				io.WriteString(c, "0\r\n\r\n")
+			} else {
+				io.WriteString(c, ok("next"))
+			}
+		}
+	})
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r, conn := f.dial(t)
+	var first *http.Response
+	for first == nil || first.StatusCode == http.StatusServiceUnavailable { // a refusal is harmless, and comes on a busy machine
+		var err error
+		io.WriteString(c, message("read", "9.5", ""))
+		if first, err = http.ReadResponse(r, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	begun := make([]byte, 5)
+	if _, err := io.ReadFull(first.Body, begun); err != nil {
+		t.Fatal(err)
+	}
+	conn.heard.Store(false)
+	const length = 4 * aheadLimit
+	next := make(chan error, 1)
+	go func() { _, err := io.WriteString(c, message("order", "9.5", strings.Repeat("b", length))); next <- err }()
+	await(t, "the next request's bytes are read while the answer is under way", conn.heard.Load)
+	await(t, "more of it has come", func() bool { return !quietSocket(conn) })
+	on()
+	if rest, err := io.ReadAll(first.Body); len(rest) > 0 || err != nil {
+		t.Fatalf("%q, %v", rest, err)
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 || got.Load() != length {
+		t.Errorf("%+v, %v, %d bytes at the server", resp, err, got.Load())
+	}
+	if err := <-next; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -17,7 +17,8 @@
 	left    int64  // bytes of a body or chunk, with what ends a chunk
 	length  int64  // what the head says, -1 if it says nothing
 	chunked bool
-	begun   bool // the head's first line has come
+	begun   bool  // the head's first line has come
+	whole   int64 // requests that have come whole
 }
 
 type framingPart int
@@ -42,7 +43,7 @@
 			if f.left == 0 && f.part == inChunk {
 				f.part = inChunkSize
 			} else if f.left == 0 {
-				f.part = inHead
+				f.end()
 			}
 			continue
 		}
@@ -70,7 +71,7 @@
 		}
 	case inTrailer:
 		if line == "" {
-			f.part = inHead
+			f.end()
 		}
 	case inHead:
 		if line != "" {
@@ -109,5 +110,13 @@
 		f.part = inChunkSize
 	case f.length > 0:
 		f.part, f.left = inBody, f.length
+	default:
+		f.end()
 	}
 }
+
+// end is that of a request.
+func (f *framing) end() {
+	f.part = inHead
+	f.whole++
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -95,6 +95,8 @@
 		panic(http.ErrAbortHandler) // it crossed the close: its client sends it again on another connection
 	}
 	client, _ := conn.(*cappedConn)
+	client.take()
+	defer client.settle()
 	if client != nil && client.framing.ambiguous.Load() {
 		w.Header().Set("Connection", "close")
 		http.Error(w, "both Content-Length and Transfer-Encoding", http.StatusBadRequest)
@@ -182,8 +184,10 @@
 
 // answer gives a request its final answer.
 func (f *frontend) answer(w http.ResponseWriter, r *http.Request, req *request, a answer) {
-	if req.upload != nil && !req.upload.complete() {
-		w.Header().Set("Connection", "close") // the rest of the body is not read
+	client, _ := r.Context().Value(connKey{}).(*cappedConn)
+	client.settle()
+	if req.upload != nil && !req.upload.complete() || client != nil && client.flooded.Load() {
+		w.Header().Set("Connection", "close") // the rest of the body, or what came behind it, is not read
 	}
 	f.write(w, a)
 	if a.rest != nil {
