End a request with its client in the queue, under a long body and beside the loop

Cause, each shown by its test in gone_test.go: - ServeHTTP blocked in post with the loop's queue full, looking at neither the client nor the deadline, and arrive took what stood in the queue for a client that had left. - The background read that looks for the end may run only after an attempt that begins at once (one processor): a client that had gone before its request was read was sent on. - Nothing looked for a client's end while its long body was not being read (gone is nil then), and what lay whole in the socket, its end behind, was written to the app server with its last byte. - An early answer that interrupts the body as its end is read ends the context as the client's going does; the client was there and got a close with no answer.

Change: the request goes into the queue within ServeHTTP's select; req.end comes before the loop hears of it; arrive passes over what has ended; cappedConn.left asks poll(2) for POLLRDHUP before the queue, every 25 ms under a long body, and at the body's end, before its last piece goes out; where the system refuses the call, as before. An end of the context after the body's reading was interrupted is not the client's.

TestRequestThatCrossesAChange gives its request a life, as each request has one.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -52,6 +52,9 @@
 // arrive takes a request from the front end. An id that is still open is not taken twice: the module would not
 // answer it, and its effect could happen twice.
 func (l *loop) arrive(r *request) {
+	if r.life.Err() != nil { // its client left while it stood in the queue
+		return
+	}
 	if l.requests[r.arrived.ID] != nil {
 		r.answer <- answer{status: http.StatusConflict}
 		return
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -17,7 +17,8 @@
 	requestWait   = 2200 * time.Millisecond
 	writeWait     = 5 * time.Second // for the client to take its answer
 	idleWait      = 2 * time.Minute
-	idleLeast     = 2 * time.Second // a client may count on its connection for so long
+	idleLeast     = 2 * time.Second       // a client may count on its connection for so long
+	lookEvery     = 25 * time.Millisecond // for the client's end while its body is not read to the end
 	emptyEvery    = 100 * time.Millisecond
 	otherWait     = 2 * time.Millisecond // for a client of the other process to go
 	headerLimit   = 16 << 10
@@ -134,49 +135,74 @@
 		f.write(w, answer{status: http.StatusServiceUnavailable})
 		return
 	}
+	if client.left() { // the read that looks for the client's end may come only after an attempt that begins at once
+		panic(http.ErrAbortHandler)
+	}
 	life := r.Context()
 	if req.upload != nil {
 		life = context.WithoutCancel(life) // a body that is no longer read ends the context too
 	}
 	req.life, req.end = context.WithCancel(life)
 	defer req.end()
-	if !f.loop.post(func() { f.loop.arrive(req) }) {
-		f.write(w, answer{status: http.StatusServiceUnavailable})
-		return
+	queue, arrive := f.loop.happened, func() { f.loop.arrive(req) } // queue is nil once the loop has the request
+	leave := func() {                                               // nothing is begun from here on, however late the loop hears of it
+		req.end()
+		if queue == nil {
+			f.loop.post(func() { f.loop.abandon(req) })
+		}
 	}
 	late := time.NewTimer(max(0, time.Until(req.deadline)) + overdue)
 	defer late.Stop()
 	gone := r.Context().Done()
 	var uploaded, closing <-chan struct{} // the client's time counts from uploaded
+	var look <-chan time.Time
 	if req.upload != nil {
 		defer req.upload.close()
 		uploaded, closing, gone = req.upload.finished, f.closing, nil // a body that is no longer read ends the context too
+		tick := time.NewTicker(lookEvery)
+		defer tick.Stop()
+		look = tick.C
 	}
 	for {
 		select {
+		case queue <- arrive: // it may be full for long: the client may go before, or its time end
+			queue = nil
 		case a := <-req.answer:
 			f.answer(w, r, req, a)
 			return
 		case <-uploaded:
-			uploaded, closing, gone = nil, nil, r.Context().Done()
+			uploaded, closing, look, gone = nil, nil, nil, r.Context().Done()
 			late.Reset(req.upload.patience + overdue)
 		case <-closing:
-			f.loop.post(func() { f.loop.abandon(req) })
+			leave()
 			f.answer(w, r, req, answer{status: http.StatusServiceUnavailable})
 			return
+		case <-look:
+			if client.left() {
+				leave()
+				panic(http.ErrAbortHandler)
+			}
 		case <-gone:
-			f.loop.post(func() { f.loop.abandon(req) })
+			if req.upload != nil && req.upload.body.over.Load() {
+				gone = nil // the end of the reading, not the client's, may have ended the context
+				continue
+			}
+			leave()
 			panic(http.ErrAbortHandler) // else net/http would answer 200 to a client that reads on
 		case <-late.C:
 			if uploaded != nil && req.upload.used() {
 				continue
 			}
-			f.loop.post(func() { f.loop.abandon(req) })
+			leave()
 			f.log.Warn("overdue", "id", req.arrived.ID)
 			f.answer(w, r, req, answer{status: http.StatusGatewayTimeout})
 			return
 		case <-f.loop.ctx.Done():
-			f.answer(w, r, req, answer{status: http.StatusBadGateway})
+			status := http.StatusBadGateway
+			if queue != nil { // never sent on
+				status = http.StatusServiceUnavailable
+			}
+			f.answer(w, r, req, answer{status: status})
 			return
 		}
 	}
--- /dev/null
+++ b/internal/node/gone_test.go
@@ -0,0 +1,322 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// A request's life ends with its client, though the loop is held and hears of nothing, and though bytes lie before the
+// end. What stood in the loop's queue is not handed to the module.
+func TestLifeEndsBesideTheLoop(t *testing.T) {
+	t.Parallel()
+	// its patience is longer than the test's
+	long := strings.Replace(orderHead("Content-Length: 80000"), "X-Time-Left: 9\r\n", "X-Time-Left: 90\r\n", 1)
+	for name, text := range map[string]string{"short": message("order", "90", "b"), "bytes behind": message("order", "90", "b") + "x",
+		"long": long + strings.Repeat("b", 80000), "the most of a long one": long + strings.Repeat("b", 70000)} {
+		for _, reset := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				var came atomic.Int64
+				addr := backend(t, answering(func(*http.Request, []byte) string { came.Add(1); return ok("x") }))
+				f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+				let := f.hold()
+				defer let()
+				c, _, _ := f.dial(t)
+				if _, err := io.WriteString(c, text); err != nil {
+					t.Fatal(err)
+				}
+				await(t, "the request stands in the queue", func() bool { return len(f.loop.happened) == 1 })
+				leave(c, reset)
+				await(t, "the request ends with its client", func() bool { return f.open.Load() == 0 })
+				let()
+				other, r, _ := f.dial(t)
+				io.WriteString(other, message("order", "9.5", "other"))
+				if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 || came.Load() != 1 {
+					t.Errorf("%+v, %v; %d requests were sent on, want the other client's", resp, err, came.Load())
+				}
+			})
+		}
+	}
+}
+
+// The same for a request whose attempt is out: the life that its attempts go by has ended while the loop is held.
+func TestLifeOfARequestThatIsOut(t *testing.T) {
+	t.Parallel()
+	for _, more := range []string{"", "x"} {
+		for _, reset := range []bool{false, true} {
+			came := make(chan struct{}, 9)
+			addr := backend(t, func(c net.Conn) {
+				http.ReadRequest(bufio.NewReader(c))
+				came <- struct{}{}
+				io.Copy(io.Discard, c)
+			})
+			c := &Config{Settings: settings(), Known: known(addr)}
+			c.Settings.MayCancel = false
+			f := startFront(t, c)
+			client, _, _ := f.dial(t)
+			io.WriteString(client, message("read", "9.5", ""))
+			<-came
+			lives := make(chan context.Context, 1)
+			f.loop.post(func() {
+				for _, r := range f.loop.requests {
+					lives <- r.life
+				}
+			})
+			life := <-lives
+			let := f.hold()
+			io.WriteString(client, more)
+			leave(client, reset)
+			select {
+			case <-life.Done():
+			case <-time.After(5 * time.Second): // its patience is longer
+				t.Errorf("%q before the end, reset %v: the life goes on", more, reset)
+			}
+			let()
+		}
+	}
+}
+
+// With the loop's queue full a request waits for room no longer than its client does.
+func TestQueueFull(t *testing.T) {
+	t.Parallel()
+	var came atomic.Int64
+	addr := backend(t, answering(func(*http.Request, []byte) string { came.Add(1); return ok("x") }))
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	let := f.hold()
+	defer let()
+	for range cap(f.loop.happened) {
+		f.loop.post(func() {})
+	}
+	gone, _, _ := f.dial(t)
+	io.WriteString(gone, message("order", "9.5", "b"))
+	await(t, "the request is read", func() bool { return f.open.Load() == 1 })
+	gone.Close()
+	await(t, "it ends with its client", func() bool { return f.open.Load() == 0 })
+	stays, r, _ := f.dial(t)
+	io.WriteString(stays, message("order", "0.05", "b"))
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode < 500 {
+		t.Errorf("%+v, %v; want an error by the client's deadline", resp, err)
+	}
+	let()
+	other, r, _ := f.dial(t)
+	io.WriteString(other, message("order", "9.5", "other"))
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 || came.Load() != 1 {
+		t.Errorf("%+v, %v; %d requests were sent on, want the other client's", resp, err, came.Load())
+	}
+}
+
+// accepted is a connection whose client has sent something and gone.
+func accepted(t *testing.T, text string, reset bool) *cappedConn {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(peer, text); err != nil {
+		t.Fatal(err)
+	}
+	tcp, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cappedConn{TCPConn: tcp, free: func() {}, came: time.Now()}
+	t.Cleanup(func() { c.Close() })
+	if c.left() {
+		t.Error("a client that is there counts as gone")
+	}
+	leave(peer.(*net.TCPConn), reset)
+	await(t, "the client's end is seen", c.left)
+	return c
+}
+
+// A client may have gone before its request is read, and the read that looks for its end come only after an attempt that
+// begins at once: then nothing is handed to the loop.
+func TestClientGoneBeforeItsRequestIsRead(t *testing.T) {
+	t.Parallel()
+	for _, reset := range []bool{false, true} {
+		c := &Config{Settings: settings()}
+		f := newFrontend(newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet), 10, quiet)
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(message("order", "9.5", ""))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		func() {
+			defer func() {
+				if e := recover(); e != http.ErrAbortHandler || len(f.loop.happened) != 0 {
+					t.Errorf("ended with %v, %d events for the module", e, len(f.loop.happened))
+				}
+			}()
+			ctx, stop := context.WithTimeout(t.Context(), time.Second)
+			defer stop()
+			ctx = f.server().ConnContext(ctx, accepted(t, "x", reset))
+			f.ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+		}()
+	}
+}
+
+// A long body that lies whole in the node's socket, its client's end behind it, does not get to an app server whole.
+func TestLongBodyOfAClientGone(t *testing.T) {
+	t.Parallel()
+	const rest = 30000
+	for _, chunked := range []bool{false, true} {
+		whole := make(chan error, 1)
+		addr := backend(t, func(c net.Conn) {
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			whole <- err
+		})
+		c := &Config{Settings: settings(), Known: known(addr)}
+		b := newBackends(c, 10, quiet)
+		b.update(c.Known)
+		conn := accepted(t, strings.Repeat("b", rest), false)
+		u := &upload{length: -1, patience: time.Minute, finished: make(chan struct{}), client: conn,
+			body: &pacedBody{Reader: io.LimitReader(conn, rest), control: http.NewResponseController(httptest.NewRecorder())}}
+		x := &exchange{method: http.MethodPost, url: &url.URL{Host: "h", Path: "/order"}, body: make([]byte, bodyLimit+1),
+			deadline: time.Now().Add(patient), upload: u, sealed: func() {}}
+		if !chunked {
+			u.length = int64(len(x.body)) + rest
+		}
+		res := b.do(t.Context(), b.find(1), x)
+		if res.err == nil || u.complete() {
+			t.Errorf("chunked %v: ended as %+v, the body complete %v", chunked, res, u.complete())
+		}
+		if client := (uploadError{}); !errors.As(res.err, &client) {
+			t.Errorf("chunked %v: %v, want the client's end", chunked, res.err)
+		}
+		if err := <-whole; err == nil {
+			t.Errorf("chunked %v: the app server has the whole request", chunked)
+		}
+	}
+}
+
+// The same if the client's end does not even get to the node before the body has been read: it has closed its connection,
+// but its system still holds most of the body.
+func TestLongBodyOutlivesItsClient(t *testing.T) {
+	t.Parallel()
+	const length = 1 << 20
+	cut := make(chan error, 9)
+	addr := backend(t, func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, req.Body)
+		}
+		cut <- err
+	})
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	let := f.hold()
+	defer let()
+	c, _, conn := f.dial(t)
+	c.SetWriteBuffer(2 * length)
+	if _, err := io.WriteString(c, orderHead(fmt.Sprintf("Content-Length: %d", length))+strings.Repeat("b", length)); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the request stands in the queue", func() bool { return len(f.loop.happened) == 1 })
+	c.Close()
+	if conn.left() {
+		t.Fatal("the node knows of the end before it has read the body")
+	}
+	let()
+	if err := <-cut; err == nil {
+		t.Error("the app server has the whole request")
+	}
+	f.awaitEmpty(t)
+}
+
+// A request whose life has ended by the time its event comes is not handed to the module.
+func TestArrivesAfterItsLife(t *testing.T) {
+	t.Parallel()
+	c := &Config{Settings: settings(), Known: known(backend(t, func(net.Conn) {}))}
+	l := newLoop(t.Context(), c, newBackends(c, 10, quiet), nil, nil, quiet)
+	rules := l.rules.Load()
+	r := &request{arrived: decide.RequestArrived{ID: "a", Class: "read"}, class: rules.classes["read"], rules: rules,
+		deadline: time.Now().Add(patient), answer: make(chan answer, 1)}
+	r.life, r.end = context.WithCancel(t.Context())
+	r.end()
+	l.arrive(r)
+	if len(l.requests) > 0 || len(r.answer) > 0 {
+		t.Errorf("%d requests open, %d answers", len(l.requests), len(r.answer))
+	}
+}
+
+// endingBody is a body whose end is read at a point that the test knows.
+type endingBody struct {
+	at  chan struct{}
+	let chan struct{}
+	got int
+}
+
+func (b *endingBody) Close() error { return nil }
+func (b *endingBody) Read(p []byte) (int, error) {
+	if b.got < 2*bodyLimit {
+		b.got += len(p)
+		return len(p), nil
+	}
+	close(b.at)
+	<-b.let
+	return 1, io.EOF
+}
+
+// An early answer interrupts the reading of a body just as its end is read. The interruption ends the context as a
+// client's going does, but the client is there and gets its answer.
+func TestBodyEndsAsItIsInterrupted(t *testing.T) {
+	t.Parallel()
+	body := &endingBody{at: make(chan struct{}), let: make(chan struct{})}
+	addr := backend(t, func(c net.Conn) {
+		go io.Copy(io.Discard, c)
+		<-body.at
+		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		<-t.Context().Done()
+	})
+	c := &Config{Settings: settings(), Known: known(addr)}
+	c.Settings.MaxAttempts = 1
+	f := startFront(t, c)
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(orderHead("Transfer-Encoding: chunked"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, interrupted := context.WithCancel(t.Context())
+	defer interrupted()
+	r = r.WithContext(ctx)
+	r.Body = body
+	answered := httptest.NewRecorder()
+	control := make(chan any, 1)
+	go func() {
+		defer func() { control <- recover() }()
+		f.ServeHTTP(answered, r)
+	}()
+	<-body.at
+	var u *upload
+	seen := make(chan *upload, 1)
+	f.loop.post(func() {
+		for _, r := range f.loop.requests {
+			seen <- r.upload
+		}
+	})
+	u = <-seen
+	await(t, "the early answer interrupts the body", u.body.over.Load)
+	interrupted() // as net/http does when its read ends so
+	close(body.let)
+	if e := <-control; e != nil || answered.Code != http.StatusServiceUnavailable {
+		t.Errorf("ended with %v, status %d", e, answered.Code)
+	}
+}
--- a/internal/node/incoming.go
+++ b/internal/node/incoming.go
@@ -59,7 +59,7 @@
 			return nil, status, err
 		}
 		if more {
-			rest = &upload{body: paced, length: r.ContentLength, finished: make(chan struct{})}
+			rest = &upload{body: paced, length: r.ContentLength, finished: make(chan struct{}), client: client}
 		}
 	}
 	if rest == nil {
--- a/internal/node/long.go
+++ b/internal/node/long.go
@@ -98,6 +98,7 @@
 	body     *pacedBody
 	length   int64         // of the whole body; -1 if it is not known
 	patience time.Duration // of the client, from the last byte on
+	client   *cappedConn
 	finished chan struct{} // closed when the last byte has been read
 
 	mu     sync.Mutex
@@ -117,7 +118,10 @@
 	}
 	u.begun = true
 	n, err := u.body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF && u.client.left(): // what it sent may have lain here for long; its end lies behind
+		n, err = 0, errClient
+	case err == io.EOF:
 		close(u.finished)
 	}
 	if err != nil && err != io.EOF {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -168,7 +168,7 @@
 	changed.Classes[0].Effect = decide.Unsafe
 	l.change(changed)
 	r := &request{arrived: decide.RequestArrived{ID: "a", Class: "read"}, class: old.classes["read"], rules: old,
-		deadline: time.Now().Add(patient), answer: make(chan answer, 1)}
+		deadline: time.Now().Add(patient), answer: make(chan answer, 1), life: t.Context()}
 	l.arrive(r)
 	if a := <-r.answer; a.status != http.StatusServiceUnavailable || len(l.requests) > 0 {
 		t.Errorf("%+v, %d open", a, len(l.requests))
