--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -1,9 +1,7 @@
 package node
 
 import (
-	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,24 +57,12 @@
 	ended   atomic.Bool  // the peer's end has been read: nothing can come any more
 	ending  atomic.Bool  // the node closes it: what comes is not taken
 	closing sync.Once
-}
 
-func (c *cappedConn) Read(p []byte) (int, error) {
-	if c.ending.Load() {
-		return 0, errEnding
-	}
-	n, err := c.TCPConn.Read(p)
-	if c.ending.Load() { // it was closed meanwhile: what has come is no request any more
-		return 0, errEnding
-	}
-	if n > 0 {
-		c.last.Store(time.Now().UnixNano())
-		c.framing.follow(p[:n])
-	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.ended.Store(true)
-	}
-	return n, err
+	taken    int64        // requests that the handler has got; the serving goroutine's
+	answered atomic.Int64 // of these, those whose answer has begun
+	ahead    []byte       // what came behind a request that was out; the reader's
+	behind   atomic.Bool  // there is something in ahead
+	flooded  atomic.Bool  // more came than is kept: the connection ends with the answer
 }
 
 // bodyBy is when a body that does not begin is given up.
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -67,7 +67,9 @@
 }
 
 // heard tells whether something has come of a request that is not over, perhaps while the one before was answered.
-func (c *cappedConn) heard() bool { return c.framing.requests.Load() > c.served.Load() }
+func (c *cappedConn) heard() bool {
+	return c.behind.Load() || c.framing.requests.Load() > c.served.Load()
+}
 
 // stale tells whether what has come is a beginning that does not go on. net/http waits for the first four bytes of a
 // further request as long as for none.
@@ -75,7 +77,7 @@
 
 // rest notes that a request is over. What has come of a next one by now stays heard.
 func (c *cappedConn) rest() {
-	if c.heard() {
+	if c.framing.requests.Load() > c.served.Load() {
 		c.served.Add(1)
 	}
 }
--- a/internal/node/linger_test.go
+++ b/internal/node/linger_test.go
@@ -74,15 +74,6 @@
 	return idle
 }
 
-func await(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patient); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no " + what)
-		}
-	}
-}
-
 const plain = "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // toEnd reads an answer and then the end, which is no reset.
@@ -131,7 +122,7 @@
 	io.WriteString(c, strings.Replace(plain, "health/live", "hold", 1))
 	conn := <-s.held
 	io.WriteString(c, plain[:1])
-	await(t, "byte read", func() bool { return conn.framing.requests.Load() == 2 })
+	await(t, "byte read", conn.behind.Load)
 	close(s.let)
 	s.rested(t, 1)
 	s.conns.closeIdle(0)
