Refuse no upload whose last byte crossed the drain's end of taking

Cause, by reading: in ServeHTTP's select closing and uploaded may be ready together, and the first one answered 503 to a request whose last byte may be out: a refusal of what may have run. Excluded: short bodies, read whole before shut is looked at.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -182,6 +182,9 @@
 			uploaded, closing, look, gone = nil, nil, nil, r.Context().Done()
 			late.Reset(req.upload.patience + overdue)
 		case <-closing:
+			if closing = nil; !req.upload.cutShort() {
+				continue
+			}
 			leave()
 			f.answer(w, r, req, answer{status: http.StatusServiceUnavailable})
 			return
--- /dev/null
+++ b/internal/node/upload.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// Requests' bodies over 64 KiB.
+
+// pacedBody reads a request's body, for as long as it comes fast enough.
+type pacedBody struct {
+	io.Reader
+	control *http.ResponseController
+	by      time.Time // at the least rate, for what has come so far
+	set     time.Time
+	over    atomic.Bool
+}
+
+func (b *pacedBody) Read(p []byte) (int, error) {
+	if b.by.Sub(b.set) > bodyWait/10 {
+		b.set = b.by
+		b.control.SetReadDeadline(b.by)
+	}
+	if b.over.Load() {
+		return 0, errUploadOver
+	}
+	n, err := b.Reader.Read(p)
+	b.by = b.by.Add(time.Duration(float64(n) / bodyRate * float64(time.Second)))
+	return n, err
+}
+
+// interrupt ends a read that waits, and any that follows.
+func (b *pacedBody) interrupt() {
+	b.over.Store(true)
+	b.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// readBody reads a body, or its first 64 KiB; then more tells that there may be more of it.
+func (b *pacedBody) readBody(length int64) (body []byte, more bool, err error) {
+	size := int64(bodyLimit)
+	if length >= 0 {
+		size = min(size, length)
+	}
+	room := int(size) + 1 // the end is seen when nothing more comes
+	body = make([]byte, 0, min(room, pieceSize))
+	for err == nil && len(body) < room {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, 1)
+		}
+		var n int
+		n, err = b.Read(body[len(body):min(cap(body), room)])
+		body = body[:len(body)+n]
+	}
+	if err == io.EOF {
+		return body, false, nil
+	}
+	return body, err == nil, err
+}
+
+// bodyStatus is the answer to a client whose body can't be read.
+func bodyStatus(err error) (int, error) {
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge, errors.New("the body is too large")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return http.StatusRequestTimeout, errors.New("the body does not come")
+	}
+	return http.StatusBadRequest, errors.New("the body is malformed")
+}
+
+// upload is the rest of a long request's body, beyond what is kept of it. It can be sent once.
+type upload struct {
+	body     *pacedBody
+	length   int64         // of the whole body; -1 if it is not known
+	patience time.Duration // of the client, from the last byte on
+	client   *cappedConn
+	finished chan struct{} // closed when the last byte has been read
+
+	mu     sync.Mutex
+	taker  *requestWriter // who reads it
+	closed bool
+	failed error
+	by     time.Time // when its client waits no longer; set before finished is closed
+}
+
+var errUploadOver = errors.New("the rest of the body is not to be had")
+
+// read reads for the first that comes: of two attempts each would get a part. It is not called again after the last
+// byte or an error.
+func (u *upload) read(w *requestWriter, p []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed || u.taker != nil && u.taker != w {
+		return 0, errUploadOver
+	}
+	if u.taker == nil {
+		u.taker = w
+		w.x.sealed()
+	}
+	n, err := u.body.Read(p)
+	switch {
+	case err == io.EOF && u.client.left(): // what it sent may have lain here for long; its end lies behind
+		n, err = 0, errClient
+	case err == io.EOF:
+		u.by = time.Now().Add(u.patience)
+		close(u.finished)
+	}
+	if err != nil && err != io.EOF {
+		u.failed = err
+	}
+	return n, err
+}
+
+// failure is the client's error, if there was one.
+func (u *upload) failure() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failed
+}
+
+// close ends the reading, also one that waits.
+func (u *upload) close() {
+	if !u.complete() {
+		u.body.interrupt()
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+}
+
+// cutShort ends the reading, and tells whether that came before the last byte. If it did not, the request may have run:
+// the last byte may come in the instant in which the drain takes no more.
+func (u *upload) cutShort() bool {
+	u.close()
+	return !u.complete()
+}
+
+func (u *upload) used() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.taker != nil || u.closed
+}
+
+func (u *upload) complete() bool {
+	select {
+	case <-u.finished:
+		return true
+	default:
+		return false
+	}
+}
+
+// until is when its client waits no longer. Before the last byte has come there is no such time.
+func (u *upload) until() time.Time {
+	if !u.complete() {
+		return time.Time{}
+	}
+	return u.by
+}
+
+// uploadError is an error of the client's.
+type uploadError struct{ error }
+
+// reader is a function that reads.
+type reader func([]byte) (int, error)
+
+func (r reader) Read(p []byte) (int, error) { return r(p) }
+
+// uploadTrip is roundTrip for a long body. The server may answer before it has all of it; then it has not run.
+func uploadTrip(ctx context.Context, w *requestWriter, req *http.Request) (r result, keep bool) {
+	u, c, x := w.x.upload, w.c, w.x
+	if u.used() {
+		return result{code: decide.Moot, err: errUploadOver}, false
+	}
+	if c.used && !w.b.usable(c) { // later it would look like an answer within the body, which is read only once
+		return result{code: decide.ConnectFailed, err: errStale}, false
+	}
+	c.SetWriteBuffer(kernelSize)
+	w.limit = u.until
+	req.ContentLength, req.Body = u.length, io.NopCloser(io.MultiReader(bytes.NewReader(x.body), reader(func(p []byte) (int, error) {
+		return u.read(w, p)
+	})))
+	deadline := func(t time.Time) { // of the wait for an answer
+		if c.SetReadDeadline(t); ctx.Err() != nil {
+			c.SetReadDeadline(time.Unix(1, 0)) // as the end of ctx does
+		}
+	}
+	deadline(time.Time{})
+	wrote := make(chan error, 1)
+	go func() {
+		err := req.Write(patientWriter{w})
+		if err == nil {
+			deadline(u.until())
+		}
+		wrote <- err
+		if err != nil {
+			deadline(time.Unix(1, 0)) // ends the wait for an answer
+		}
+	}()
+	c.left.n = answerLimit
+	_, silent := c.r.Peek(1)
+	early := len(wrote) == 0 && !u.complete()
+	if early { // an answer, or the connection's end, within the body
+		u.close()
+		w.cut.Store(true) // also a piece whose deadline is just being set
+		c.SetWriteDeadline(time.Unix(1, 0))
+	}
+	err := <-wrote
+	switch client := u.failure(); {
+	case err == nil:
+		w.unhook()
+		return answerOf(ctx, c, x, req)
+	case errors.Is(err, errUploadOver) && !early: // another attempt has it
+		return result{code: decide.Moot, err: err}, false
+	case client != nil && !early: // err hides it
+		return result{code: decide.Moot, err: uploadError{client}}, false
+	case early && silent == nil:
+		deadline(time.Now().Add(stallWait))
+		if r, _ := answerOf(ctx, c, &exchange{}, req); r.code == decide.Full {
+			return r, false
+		}
+	}
+	return w.unsent(err), false
+}
