--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -39,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+	c.Discovery = netip.MustParseAddrPort(backend(t, func(net.Conn) {}))
 	ctx, stop := context.WithCancel(context.Background())
 	b := newBackends(c, 100, quiet)
 	l := newLoop(ctx, c, b, newDiscovery(c, quiet), nil, quiet)
--- /dev/null
+++ b/internal/node/rude_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// Peers that send something and go leave no connection behind, and nothing that they sent becomes a request but what is
+// one. How long one is kept that stays is TestSilentPeer's.
+func TestPeersThatGo(t *testing.T) {
+	t.Parallel()
+	whole, long := message("order", "9.5", "b"), orderHead("Content-Length: 1000000")
+	for name, text := range map[string]string{"nothing": "", "half a head": whole[:40], "half a body": whole[:len(whole)-1],
+		"much that is no request": strings.Repeat("\x16\x03", 1<<19), "a head without an end": "GET /read HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20),
+		"much of a long body": long + strings.Repeat(whole, 2000), "a chunk without an end": orderHead("Transfer-Encoding: chunked") + "fffff\r\n" + strings.Repeat("b", 1<<17),
+		"a bad request and proper ones": "GET /read HTTP/1.1\r\n\r\n" + strings.Repeat(whole, 1000)} {
+		for _, reset := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				var got atomic.Int64
+				addr := backend(t, func(c net.Conn) {
+					r := bufio.NewReader(c)
+					for {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						if _, err := io.Copy(io.Discard, req.Body); err != nil {
+							return // broken off: no request
+						}
+						got.Add(1)
+						io.WriteString(c, ok("x"))
+					}
+				})
+				f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+				c, _, _ := f.dial(t)
+				io.WriteString(c, text) // the node may close before it has all
+				leave(c, reset)
+				f.awaitEmpty(t)
+				if got.Load() > 0 {
+					t.Errorf("%d requests got to the server", got.Load())
+				}
+			})
+		}
+	}
+}
+
+// A request that comes byte by byte is served, whatever follows it; what follows is no request and has an error or the end.
+func TestRequestInSingleBytes(t *testing.T) {
+	t.Parallel()
+	var got atomic.Int64
+	addr := backend(t, answering(func(*http.Request, []byte) string { got.Add(1); return ok("x") }))
+	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
+	c, r, _ := f.dial(t)
+	c.SetNoDelay(true)
+	w := bufio.NewWriterSize(c, 16)
+	for _, b := range []byte(message("order", "9.5", "body") + "\x00 is no request\r\n\r\n") {
+		w.WriteByte(b)
+		w.Flush()
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if resp, err := http.ReadResponse(r, nil); err == nil && resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	c.Close()
+	f.awaitEmpty(t)
+	if got.Load() != 1 {
+		t.Errorf("%d requests got to the server", got.Load())
+	}
+}
