Have the tests' stand-in close connections that come as the test ends

Observed: repeated runs of the tests on peers that go hung in the stand-in's cleanup. Cause: a connection accepted after the cleanup had closed those on its list was closed by nobody, and its server waited for ever. Change: such a one is closed as it comes.

--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -45,6 +45,7 @@
 	var open sync.WaitGroup
 	var mu sync.Mutex
 	var conns []net.Conn
+	over := false
 	open.Go(func() {
 		for {
 			c, err := l.Accept()
@@ -53,6 +54,9 @@
 			}
 			mu.Lock()
 			conns = append(conns, c)
+			if over { // it came as the test ended, and nobody else would close it
+				c.Close()
+			}
 			mu.Unlock()
 			open.Go(func() { defer c.Close(); serve(c) })
 		}
@@ -60,6 +64,7 @@
 	t.Cleanup(func() {
 		l.Close()
 		mu.Lock()
+		over = true
 		for _, c := range conns {
 			c.Close()
 		}
