Bound the uncrowded latency that gives room by what the aims want

Lines at fault: room measures a server's latency against m.base, and a node that is restarted in a jam learns the jam's latency as m.base; all nodes restarted, each then finds room for one request at every server. Change: for room the uncrowded latency is at most what aims want, divided by queueFactor.

--- a/decide/crowd_test.go
+++ b/decide/crowd_test.go
@@ -235,3 +235,17 @@
 		}
 	}
 }
+
+// A node that starts in a jam learns the jam's latency as the uncrowded one. There is no room by that: with all nodes
+// restarted, one request of each would keep the jam up. Where it is well within what aims want, there is room.
+func TestStartInAJamFindsNoRoom(t *testing.T) {
+	m := New(sparseSettings(300), 1)
+	s := m.serverOf(1)
+	m.answers, m.aimed = 100, 0.230
+	for base, want := range map[float64]float64{0.030: 1, 0.090: 1, 0.190: 0.44, 0.220: 0.11, 0.300: 0} {
+		m.mean, m.base = base, base
+		if got := max(0, m.room(s)); math.Abs(got-want) > 0.01 {
+			t.Errorf("idle at %v s, wanted %v s: room %.2f, want %.2f", base, m.aimed, got, want)
+		}
+	}
+}
--- a/decide/overload.go
+++ b/decide/overload.go
@@ -116,14 +116,15 @@
 // overloaded by chance; so its latency tells: near the uncrowded one there is room for one request of each
 // node, at the wanted one for none, and H alone decides. In between it falls: not all nodes come at once.
 func (m *Module) room(s *server) float64 {
+	base := math.Min(m.base, m.aimed/queueFactor) // a node that starts in a jam takes that for uncrowded
 	want := math.Min(queueFactor*m.base, m.aimed)
 	switch {
 	case m.answers == 0:
 		return 1 // nothing tells of a crowd
-	case want <= m.base:
+	case want <= base:
 		return 0
 	}
-	return math.Min(1, (want-m.latencyOf(s))/(want-m.base)/(1-fullUntil))
+	return math.Min(1, (want-m.latencyOf(s))/(want-base)/(1-fullUntil))
 }
 
 // crowd gives n and H of a server. H is rounded up or down by chance: its mean over nodes is kept. A sparse
