Make room at each arrival beyond the bound, and count no ended connection for a crowd

Change: shedOver at each arrival, the timer for those too young; over leaves the ended ones out, short does not. Tests: without the changes "a crowd at arrival 3", "one client and three that have been ended are a crowd"; 200 runs under -race.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -20,8 +20,8 @@
 	limit    int
 	beside   *beside
 	idle     map[net.Conn]time.Time // since when
-	shed     map[net.Conn]bool      // closed to make room, still counted; what comes on them is not taken
-	shedding bool                   // there are too many: shedOver comes again
+	shed     map[net.Conn]bool      // ended by the node, still counted; what comes on them is not taken
+	shedding bool                   // there are still too many: shedOver comes again
 	looked   func(net.Conn)         // set by tests: called between the look at a socket and its close
 }
 
@@ -34,9 +34,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.count++
-	if !c.shedding {
-		c.shedOver()
-	}
+	c.shedOver()
 }
 
 // left counts one out whose descriptor is free.
@@ -47,10 +45,10 @@
 	c.count--
 }
 
-// shedOver makes room as long as there are too many, not only as another comes: once all places are taken nobody
-// comes, and those that were too young to be closed at the last arrival would keep everybody out.
+// shedOver makes room at each arrival, so that none is refused while another is idle, and as long as there are too many:
+// once all places are taken nobody comes, and those that were too young at the last arrival would keep everybody out.
 func (c *connections) shedOver() {
-	if c.shedding = c.count > 0 && c.over(); !c.shedding {
+	if c.count == 0 || !c.over() {
 		return
 	}
 	var old []net.Conn
@@ -61,16 +59,20 @@
 	}
 	slices.SortFunc(old, func(a, b net.Conn) int { return c.idle[a].Compare(c.idle[b]) })
 	for _, conn := range old {
-		if c.count+c.beside.clients()-len(c.shed) <= c.limit {
-			break
+		if !c.over() {
+			return
 		}
 		c.close(conn)
 	}
-	time.AfterFunc(shedEvery, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.shedOver()
-	})
+	if c.over() && !c.shedding {
+		c.shedding = true
+		time.AfterFunc(shedEvery, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.shedding = false
+			c.shedOver()
+		})
+	}
 }
 
 func (c *connections) crowded() bool {
@@ -91,7 +93,23 @@
 	}
 }
 
-func (c *connections) over() bool { return c.count+c.beside.clients() > c.limit }
+// over tells whether there are too many that may bring requests. Those that wait for their peers' end bring none:
+// for their sake no request is refused.
+func (c *connections) over() bool { return c.count-len(c.shed)+c.beside.clients() > c.limit }
+
+// short tells whether there are too many with those, whose places are wanted then.
+func (c *connections) short() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count+c.beside.clients() > c.limit
+}
+
+// end notes that the node has ended a connection.
+func (c *connections) end(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shed[conn] = true
+}
 
 func (c *connections) isShed(conn net.Conn) bool {
 	c.mu.Lock()
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -35,9 +35,10 @@
 			c.release()
 			return
 		}
+		c.conns.end(c)
 		c.TCPConn.CloseWrite()
 		wait := finWait
-		if c.conns.crowded() {
+		if c.conns.short() {
 			wait = finBrief
 		}
 		c.SetReadDeadline(time.Now().Add(wait))
--- a/internal/node/linger_test.go
+++ b/internal/node/linger_test.go
@@ -205,6 +205,33 @@
 	}
 }
 
+// A connection that waits for its peer's end holds its place, but brings no request: for its sake none is refused.
+func TestEndedConnectionsAreNoCrowd(t *testing.T) {
+	t.Parallel()
+	s := newClientSide(t, 1, 9)
+	for range 3 {
+		s.dial(t)
+		conn, err := s.l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.conns.mu.Lock()
+		s.conns.limit = 9 // the wait is the long one
+		s.conns.mu.Unlock()
+		conn.Close()
+	}
+	s.conns.mu.Lock()
+	s.conns.limit = 1
+	s.conns.mu.Unlock()
+	s.dial(t)
+	if _, err := s.l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	if s.conns.crowded() {
+		t.Errorf("one client and three that have been ended are a crowd, with room for one")
+	}
+}
+
 // Once all places are taken nobody is accepted. Connections that are idle for long enough make room all the same.
 func TestFullNodeMakesRoom(t *testing.T) {
 	t.Parallel()
@@ -231,3 +258,24 @@
 		t.Errorf("%+v, %v: kept out by idle connections", resp, err)
 	}
 }
+
+// Each arrival beyond the bound makes room at once, also right after another one: no request is refused as long as there
+// are connections that have rested long enough.
+func TestEachArrivalMakesRoom(t *testing.T) {
+	t.Parallel()
+	c := newConnections(2)
+	var conns [4]net.Conn
+	for i := range conns {
+		conns[i], _ = net.Pipe()
+		c.came()
+		if i < 2 {
+			c.idle[conns[i]] = time.Now().Add(-2 * idleLeast)
+		}
+		if c.crowded() {
+			t.Errorf("a crowd at arrival %d", i)
+		}
+	}
+	if !c.shed[conns[0]] || !c.shed[conns[1]] {
+		t.Errorf("shed: %v", c.shed)
+	}
+}
