Have the test of crowds follow that each one too many makes room

Replaced by a stricter order: the longest idle goes first and alone, none before its 2 s, and each later arrival finds room once another has rested.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -154,10 +154,17 @@
 		if closed(0) || closed(1) || !c.crowded() {
 			t.Error("a connection is closed that was idle for less than it may")
 		}
-		time.Sleep(idleLeast)
+		time.Sleep(idleLeast/2 + 2*shedEvery) // the other one has been idle for long enough now
+		if closed(0) || !closed(1) || c.crowded() {
+			t.Error("want the connection closed that was idle longest, and no other")
+		}
 		come(3)
-		if closed(0) || !closed(1) {
-			t.Error("want the connection closed that was idle longest")
+		if closed(0) || !c.crowded() {
+			t.Error("a connection is closed for the next one that was idle for less than it may")
+		}
+		time.Sleep(idleLeast)
+		if !closed(0) || c.crowded() {
+			t.Error("want room made for the last one too")
 		}
 		for _, conn := range conns {
 			c.track(conn, http.StateClosed)
