Ask in one place whether a channel has been closed

Need: the drain's shut and gaveUp and an upload's complete held the same select, the second added beside the first. Change: isClosed, which all three call; gaveUp is gone. Result: no change of behaviour; the tests of drains, uploads and long bodies pass.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -71,9 +71,12 @@
 
 // shut tells whether the drain takes no more. A request that passes as it closes is one that came before: its deadline
 // was set before the look, and so lies within the time that the drain waits for answers.
-func (f *frontend) shut() bool {
+func (f *frontend) shut() bool { return isClosed(f.closing) }
+
+// isClosed tells whether a channel that is only ever closed has been.
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-f.closing:
+	case <-c:
 		return true
 	default:
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,7 +213,7 @@
 		default:
 		}
 		now := time.Now()
-		if now.After(unanswered) && !f.gaveUp() {
+		if now.After(unanswered) && !isClosed(f.givenUp) {
 			close(f.givenUp)
 		}
 		if now.After(last) {
@@ -233,12 +233,3 @@
 	}
 	return min(longest, drainLongest) + drainKill - drainMargin, drainAccept + longest + drainExtra
 }
-
-func (f *frontend) gaveUp() bool {
-	select {
-	case <-f.givenUp:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -151,14 +151,7 @@
 	return u.taker != nil || u.closed
 }
 
-func (u *upload) complete() bool {
-	select {
-	case <-u.finished:
-		return true
-	default:
-		return false
-	}
-}
+func (u *upload) complete() bool { return isClosed(u.finished) }
 
 // until is when its client waits no longer. Before the last byte has come there is no such time.
 func (u *upload) until() time.Time {
