Poll a client's socket and the listener's by one function

Need: capped.waiting and cappedConn.left each had the same raw poll of a descriptor, and answered an interrupted call differently. Change: polled gives the events of a socket, calls again if interrupted, and has none where the system does not tell; both ask it.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,18 +32,24 @@
 
 // waiting tells whether a connection is there that the kernel has accepted and the node has not: it would be reset if
 // the listener closed now.
-func (l *capped) waiting() bool {
-	raw, err := l.SyscallConn()
+func (l *capped) waiting() bool { return polled(l, unix.POLLIN)&unix.POLLIN != 0 }
+
+// polled gives which of the events a socket has now, or its end. Where the system does not tell, it has none.
+func polled(s syscall.Conn, events int16) (has int16) {
+	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	waiting := false
 	raw.Control(func(fd uintptr) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(look, 0)
-		waiting = err == unix.EINTR || err == nil && n > 0 && look[0].Revents&unix.POLLIN != 0
+		look := [1]unix.PollFd{{Fd: int32(fd), Events: events}}
+		for err = unix.EINTR; err == unix.EINTR; {
+			_, err = unix.Poll(look[:], 0)
+		}
+		if err == nil {
+			has = look[0].Revents
+		}
 	})
-	return waiting
+	return has
 }
 
 type cappedConn struct {
--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -106,18 +106,5 @@
 // left tells whether the client has ended its side or reset the connection, also behind bytes that are not read yet.
 // Where the system does not tell, the client counts as there until a read meets its end.
 func (c *cappedConn) left() bool {
-	if c == nil {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	gone := false
-	raw.Control(func(fd uintptr) {
-		look := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look[:], 0)
-		gone = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return gone
+	return c != nil && polled(c, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
