--- a/decide/send.go
+++ b/decide/send.go
@@ -73,3 +73,12 @@
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1 || s.chosen < m.choices
 }
+
+// ableOf is what a warm server of this one's kind gives this node, as far as kinds differ: the most of late,
+// as in a jam warm ones answer less, and cold ones that got less for it would deepen the jam.
+func (m *Module) ableOf(s *server) float64 {
+	if s.peers.usual == 0 {
+		return m.all.able
+	}
+	return m.all.able * math.Min(kindMost, s.peers.usual/m.all.usual)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -227,15 +227,6 @@
 	return m.mean + s.excess*decay(m.now-s.latencyAt, staleTau)
 }
 
-// ableOf is what a warm server of this one's kind gives this node, as far as kinds differ: the most of late, as
-// in a jam warm ones answer less, and cold ones that got less for it would deepen the jam.
-func (m *Module) ableOf(s *server) float64 {
-	if s.peers.usual == 0 {
-		return m.all.able
-	}
-	return m.all.able * math.Min(kindMost, s.peers.usual/m.all.usual)
-}
-
 func (m *Module) sparse() bool { return m.rate*validity.Seconds() < float64(len(m.near)) }
 
 func (m *Module) impose(s *server, mode Mode) { s.imposed, s.imposedUntil = mode, m.now+validity }
