Share the test stand-ins for a whole request and a refused address

Need: the tests of package node read a whole request, wait for a condition and find an address that refuses in copies of the same lines; a freed port could become another stand-in's.

Change: wholeRequest and refusing stand in the harness file, until gives way to await. The assertions are the same.

--- a/internal/node/ahead_test.go
+++ b/internal/node/ahead_test.go
@@ -134,11 +134,10 @@
 	addr := backend(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for {
-			req, err := http.ReadRequest(r)
+			req, n, err := wholeRequest(r)
 			if err != nil {
 				return
 			}
-			n, _ := io.Copy(io.Discard, req.Body)
 			if got.Add(n); req.Method == http.MethodGet {
 				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n")
 				<-let
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -179,10 +179,7 @@
 	for _, chunked := range []bool{false, true} {
 		whole := make(chan error, 1)
 		addr := backend(t, func(c net.Conn) {
-			req, err := http.ReadRequest(bufio.NewReader(c))
-			if err == nil {
-				_, err = io.Copy(io.Discard, req.Body)
-			}
+			_, _, err := wholeRequest(bufio.NewReader(c))
 			whole <- err
 		})
 		c := &Config{Settings: settings(), Known: known(addr)}
@@ -216,10 +213,7 @@
 	const length = 1 << 20
 	cut := make(chan error, 9)
 	addr := backend(t, func(c net.Conn) {
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err == nil {
-			_, err = io.Copy(io.Discard, req.Body)
-		}
+		_, _, err := wholeRequest(bufio.NewReader(c))
 		cut <- err
 	})
 	f := startFront(t, &Config{Settings: settings(), Known: known(addr)})
--- a/internal/node/listcross_test.go
+++ b/internal/node/listcross_test.go
@@ -16,16 +16,6 @@
 	"time"
 )
 
-// until waits for a condition.
-func until(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patient); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("%s: waited in vain", what)
-		}
-	}
-}
-
 // full is a listener whose accept queue is full: further SYNs are dropped, and dials to it hang.
 func full(t *testing.T) *net.TCPListener {
 	t.Helper()
@@ -76,12 +66,12 @@
 			_, err := d.call(ctx, "", 2*patient)
 			ended <- err
 		}()
-		until(t, "a dial", func() bool { return dialling.Load() > 0 })
+		await(t, "a dial", func() bool { return dialling.Load() > 0 })
 		cancel()
 		if err := <-ended; err == nil {
 			t.Fatal("a call to a machine that takes no connection has an answer")
 		}
-		until(t, "the end of the dial of a call that was given up", func() bool { return dialling.Load() == 0 })
+		await(t, "the end of the dial of a call that was given up", func() bool { return dialling.Load() == 0 })
 	}
 	var open sync.WaitGroup
 	open.Go(func() {
@@ -163,17 +153,17 @@
 			return ""
 		})
 		l := testLoop(t, pushed, old)
-		until(t, "the list", func() bool { return l.listed() == addrA })
+		await(t, "the list", func() bool { return l.listed() == addrA })
 		<-held
 		let := l.halt(t, func() {})
 		close(answer)
-		until(t, "the answer in the queue", func() bool { return len(l.happened) > 0 })
+		await(t, "the answer in the queue", func() bool { return len(l.happened) > 0 })
 		l.disco.move(moved)
 		first := ""
 		if pushed {
 			first = <-since
 		} else {
-			until(t, "the watch's end in the queue", func() bool { return len(l.happened) > 1 })
+			await(t, "the watch's end in the queue", func() bool { return len(l.happened) > 1 })
 		}
 		if l.listed() != addrA {
 			t.Error("the list was followed outside of the loop")
@@ -182,7 +172,7 @@
 		if !pushed {
 			first = <-since
 		}
-		until(t, "the new address's list", func() bool { return l.listed() == addrC })
+		await(t, "the new address's list", func() bool { return l.listed() == addrC })
 		<-since // its second call: what it told first has been followed
 		if first != "3" || l.listed() != addrC {
 			t.Errorf("pushed %v: the new address is asked from version %s, the server is at %s", pushed, first, l.listed())
@@ -211,11 +201,11 @@
 		<-t.Context().Done()
 		return ""
 	}))
-	until(t, "the list", func() bool { return l.listed() == addrA })
+	await(t, "the list", func() bool { return l.listed() == addrA })
 	<-held
 	let := l.halt(t, func() { l.subscribe(true) })
 	close(answer)
-	until(t, "the answer in the queue", func() bool { return len(l.happened) > 0 })
+	await(t, "the answer in the queue", func() bool { return len(l.happened) > 0 })
 	let()
 	if since := <-again; since != "2" {
 		t.Errorf("the new watch is asked from version %s, want 2", since)
@@ -227,7 +217,7 @@
 		t.Errorf("the server is at %s: an ended watch was followed", l.listed())
 	}
 	close(end)
-	until(t, "the new watch's list", func() bool { return l.listed() == addrC })
+	await(t, "the new watch's list", func() bool { return l.listed() == addrC })
 }
 
 // An answer that breaks off changes nothing, and the next call asks from the same version on; what changed between the
@@ -272,7 +262,7 @@
 		if since := <-asked; since != "2" {
 			t.Errorf("after an empty answer: asked from %s, want 2", since)
 		}
-		until(t, "the change between two calls", func() bool { return l.listed() == addrC })
+		await(t, "the change between two calls", func() bool { return l.listed() == addrC })
 	}
 }
 
@@ -304,7 +294,7 @@
 					t.Errorf("pushed %v, whole %v: asked from %s, want %s", pushed, whole, since, want)
 				}
 			}
-			until(t, "the change after the restart", func() bool { return l.listed() == addrC })
+			await(t, "the change after the restart", func() bool { return l.listed() == addrC })
 		}
 	}
 }
@@ -339,7 +329,7 @@
 		return l.backends.hosts[serverID("s-00000001")]
 	}
 	version.Store(2)
-	until(t, "the server", func() bool { return host() != nil })
+	await(t, "the server", func() bool { return host() != nil })
 	before := host()
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -360,7 +350,7 @@
 	l.backends.opened(1)
 	l.backends.mu.Unlock()
 	version.Store(3)
-	until(t, "the server's return", func() bool { h := host(); return h != nil && h != before })
+	await(t, "the server's return", func() bool { h := host(); return h != nil && h != before })
 	peer.SetReadDeadline(time.Now().Add(patient))
 	if _, err := peer.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
 		t.Errorf("a connection to the process that is gone: %v", err)
@@ -372,5 +362,5 @@
 	}
 	l.backends.mu.Unlock()
 	version.Store(4)
-	until(t, "its end", func() bool { return host() == nil && !l.able.Load() })
+	await(t, "its end", func() bool { return host() == nil && !l.able.Load() })
 }
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -87,12 +87,11 @@
 	addr := backend(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			req, _, err := wholeRequest(r)
+			if req != nil && err != nil {
 				cut.Add(1)
+			}
+			if err != nil {
 				return
 			}
 			whole.Add(1)
@@ -144,12 +143,7 @@
 		io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
 		io.Copy(io.Discard, c)
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead := l.Addr().String()
-	l.Close()
+	dead := refusing(t)
 	body := strings.Repeat("b", 4<<20)
 	for first, want := range map[string]int{dead: 200, early: 503} {
 		set := settings()
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,6 +94,33 @@
 	}
 }
 
+// refusing is an address at which connections are refused to the test's end. It is bound, and nobody listens: a port that
+// is freed may become another stand-in's.
+func refusing(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
+// wholeRequest reads a request with its body, which it drops. An error says that it has not come whole.
+func wholeRequest(r *bufio.Reader) (req *http.Request, body int64, err error) {
+	if req, err = http.ReadRequest(r); err == nil {
+		body, err = io.Copy(io.Discard, req.Body)
+	}
+	return req, body, err
+}
+
 func ok(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
--- a/internal/node/rude_test.go
+++ b/internal/node/rude_test.go
@@ -26,11 +26,7 @@
 				addr := backend(t, func(c net.Conn) {
 					r := bufio.NewReader(c)
 					for {
-						req, err := http.ReadRequest(r)
-						if err != nil {
-							return
-						}
-						if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						if _, _, err := wholeRequest(r); err != nil {
 							return // broken off: no request
 						}
 						got.Add(1)
