--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,6 +100,7 @@
 // Spec is what a tenant may do: one schema for TOML files and the API.
 type Spec struct {
 	Name      string    `json:"name" toml:"name"`
+	Service   string    `json:"service,omitempty" toml:"service"` // the scope: nodes that serve it hold the tenant; "": every node does
 	Namespace Namespace `json:"namespace" toml:"namespace"`
 	Quota     Quota     `json:"quota" toml:"quota"`
 	Routes    []Route   `json:"routes,omitempty" toml:"routes"`     // none: every server
@@ -144,10 +145,11 @@
 // Report is what a node tells its agent and the agent the control plane's leader: POST /fleet/v1/report.
 type Report struct {
 	Member
-	Seq      uint64      `json:"seq"`       // rises by one a report within an incarnation
-	Revision uint64      `json:"revision"`  // newest intent that the node's module holds
-	Ready    bool        `json:"ready"`     // the node answers /health/ready with yes
-	WindowMS int64       `json:"window_ms"` // that Zones and Tenants count over
+	Services []string    `json:"services,omitempty"` // the run's scope, sorted; none: every service
+	Seq      uint64      `json:"seq"`                // rises by one a report within an incarnation
+	Revision uint64      `json:"revision"`           // newest intent that the node's module holds
+	Ready    bool        `json:"ready"`              // the node answers /health/ready with yes
+	WindowMS int64       `json:"window_ms"`          // that Zones and Tenants count over
 	Zones    []ZoneCount `json:"zones,omitempty"`
 	Tenants  []TenantAck `json:"tenants,omitempty"` // every tenant the module knows
 	List     uint64      `json:"list,omitempty"`    // version of the server list that the module holds; 0: none
--- a/internal/fleet/tenants/schema.go
+++ b/internal/fleet/tenants/schema.go
@@ -69,6 +69,11 @@
 	if err := checkName("name", s.Name); err != nil {
 		return err
 	}
+	if s.Service != "" {
+		if err := checkName("service", s.Service); err != nil {
+			return err
+		}
+	}
 	if err := checkNamespace(s.Namespace); err != nil {
 		return err
 	}
