Keep each run's scope with its session, and an epoch for each scope

The join now names the run's services, and the state keeps for each service the epoch of the last change of a member that serves it. A fleet without scopes has the bytes that it had before.

--- /dev/null
+++ b/internal/fleet/control/guard_bench_test.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// The planned number of services, and those of the benchmark's node.
+const (
+	benchServices     = 550
+	benchNodeServices = 4
+)
+
+// serviceName names the i-th service of a benchmark's fleet.
+func serviceName(i int) string { return fmt.Sprintf("service-%03d", i) }
+
+// settledTenants is a state with so many committed tenants, spread evenly over the services.
+func settledTenants(tb testing.TB, count, services int) *State {
+	tb.Helper()
+	state, revision := New(), uint64(0)
+	apply := func(c tenants.Command) {
+		if _, err := state.Apply(Command{Tenants: &c}, func() uint64 { revision++; return revision }); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	for i := range count {
+		name := fmt.Sprintf("tenant-%06d", i)
+		spec := fleet.Spec{Name: name, Service: serviceName(i % services), Quota: fleet.Quota{Rate: 10, Burst: 1}}
+		apply(tenants.Command{Op: tenants.Put, Name: name, Spec: &spec})
+		entry := state.Tenants.Tenants[name]
+		apply(tenants.Command{Op: tenants.Commit, Name: name, UID: entry.UID, IfRev: entry.Rev, Generation: 1})
+		apply(tenants.Command{Op: tenants.Applied, Name: name, UID: entry.UID, IfRev: entry.Rev, Generation: 1})
+	}
+	return state
+}
+
+// scopedReport is the report of a run that serves the first services and holds all their tenants.
+func scopedReport(state *State) fleet.Report {
+	r := fleet.Report{Member: fleet.Member{Node: "n0", Zone: "za", Incarnation: 1}, Seq: 1, Revision: state.Rev}
+	for i := range benchNodeServices {
+		r.Services = append(r.Services, serviceName(i))
+	}
+	for name, entry := range state.Tenants.Tenants {
+		if fleet.Serves(r.Services, entry.Committed.Spec.Service) {
+			r.Tenants = append(r.Tenants, fleet.TenantAck{Name: name, UID: entry.UID, Committed: 1, Digest: entry.Committed.Digest})
+		}
+	}
+	return r
+}
+
+// BenchmarkGuard is the digest that a join names, of a node with four services out of 550.
+func BenchmarkGuard(b *testing.B) {
+	for _, count := range []int{1000, 5000, 20000} {
+		state := settledTenants(b, count, benchServices)
+		b.Run(fmt.Sprintf("tenants=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				state.Guard("n0")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/session/scope_test.go
@@ -0,0 +1,177 @@
+package session
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"starlingvalve/internal/fleet"
+)
+
+func member(node string, incarnation uint64) fleet.Member {
+	return fleet.Member{Node: node, Zone: "z", Incarnation: incarnation}
+}
+
+func mustApply(t *testing.T, s *State, commands ...Command) {
+	t.Helper()
+	for _, c := range commands {
+		if changed, err := s.Apply(c); !changed || err != nil {
+			t.Fatalf("%+v: changed %v, %v", c, changed, err)
+		}
+	}
+}
+
+// A scope's epoch moves with the members that serve it, those without a scope among them, and with no others.
+func TestScopeEpoch(t *testing.T) {
+	var s State
+	steps := []struct {
+		c               Command
+		billing, search uint64
+	}{
+		{Command{Op: Join, Member: member("a", 1)}, 1, 1},
+		{Command{Op: Join, Member: member("b", 1), Services: []string{"billing"}}, 2, 1},
+		{Command{Op: Join, Member: member("c", 1), Services: []string{"search"}}, 2, 3},
+		{Command{Op: Leave, Member: member("c", 1)}, 2, 4},
+		{Command{Op: Join, Member: member("d", 1), Services: []string{"billing", "search"}}, 5, 5},
+		{Command{Op: Join, Member: member("b", 2), Services: []string{"search"}}, 6, 6}, // it leaves one scope and joins another
+		{Command{Op: Lapse, Member: member("b", 2)}, 6, 7},
+		{Command{Op: Lapse, Member: member("a", 1)}, 8, 8},
+		{Command{Op: Join, Member: member("e", 1), Services: []string{"mail"}}, 8, 8},
+	}
+	for i, step := range steps {
+		mustApply(t, &s, step.c)
+		if b, c, all := s.ScopeEpoch("billing"), s.ScopeEpoch("search"), s.ScopeEpoch(""); b != step.billing || c != step.search || all != uint64(i+1) {
+			t.Errorf("step %d: epochs %d, %d and %d, want %d, %d and %d", i, b, c, all, step.billing, step.search, i+1)
+		}
+	}
+	want := map[string][]string{"d": {"billing", "search"}, "e": {"mail"}}
+	if got := s.ServicesByNode(); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("scopes %v, want %v", got, want)
+	}
+}
+
+// The epoch of every scope is what counting the changes of its members anew gives, over random sequences of commands and
+// snapshots; it never goes back, and moves whenever the present members of the scope do.
+func TestScopeEpochOverRandomChanges(t *testing.T) {
+	names := []string{"billing", "mail", "search"}
+	rapid.Check(t, func(t *rapid.T) {
+		var s State
+		want := map[string]uint64{}
+		incarnation := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				node := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")
+				c := Command{Op: rapid.SampledFrom([]string{Join, Leave, Lapse}).Draw(t, "op"), Member: s.Members[node]}
+				if c.Op == Join {
+					incarnation++
+					c.Member = member(node, incarnation)
+					for _, name := range names {
+						if rapid.Bool().Draw(t, name) {
+							c.Services = append(c.Services, name)
+						}
+					}
+				}
+				_, was := s.Members[node]
+				before := s.Services(node)
+				changed, err := s.Apply(c)
+				if !changed || err != nil {
+					return
+				}
+				for _, name := range names {
+					if was && fleet.Serves(before, name) || c.Op == Join && fleet.Serves(c.Services, name) {
+						want[name] = s.Epoch
+					}
+				}
+			},
+			"snapshot": func(t *rapid.T) {
+				raw, _ := json.Marshal(s)
+				s = State{}
+				if err := json.Unmarshal(raw, &s); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, name := range names {
+					if got := s.ScopeEpoch(name); got != want[name] {
+						t.Fatalf("%s: epoch %d, want %d", name, got, want[name])
+					}
+				}
+			},
+		})
+	})
+}
+
+// A run keeps the scope that it joined with; a bad scope is refused. Both change nothing.
+func TestScopesThatAreRefused(t *testing.T) {
+	var s State
+	mustApply(t, &s, Command{Op: Join, Member: member("a", 1), Services: []string{"billing"}})
+	before, _ := json.Marshal(s)
+	for name, c := range map[string]Command{
+		"another scope":  {Member: member("a", 1), Services: []string{"search"}},
+		"none any more":  {Member: member("a", 1)},
+		"not in order":   {Member: member("b", 1), Services: []string{"b", "a"}},
+		"too many":       {Member: member("b", 1), Services: make([]string, fleet.ScopeLimit+1)},
+		"empty":          {Member: member("b", 1), Services: []string{""}},
+		"too long":       {Member: member("b", 1), Services: []string{strings.Repeat("x", fleet.ServiceNameLimit+1)}},
+		"named twice":    {Member: member("b", 1), Services: []string{"a", "a"}},
+		"a newer run's":  {Member: member("a", 2), Services: []string{"b", "a"}},
+		"with no member": {Services: []string{"billing"}},
+	} {
+		c.Op = Join
+		if changed, err := s.Apply(c); changed || !errors.Is(err, fleet.ErrInvalid) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: changed %v, %v", name, changed, err)
+		}
+	}
+	if after, _ := json.Marshal(s); string(after) != string(before) {
+		t.Errorf("refusals changed the state from %s to %s", before, after)
+	}
+	if changed, err := s.Apply(Command{Op: Join, Member: member("a", 1), Services: []string{"billing"}}); changed || err != nil {
+		t.Errorf("the same run again: changed %v, %v", changed, err)
+	}
+	mustApply(t, &s, Command{Op: Join, Member: member("a", 2), Services: []string{"search"}}) // a newer run may have another
+}
+
+// Without a scope the state has the bytes that it had before there were scopes, and one from then restores.
+func TestStateWithoutScopes(t *testing.T) {
+	const old = `{"epoch":3,"members":{"a":{"node":"a","zone":"z","incarnation":1}},"highest":{"a":{"incarnation":1},"b":{"incarnation":1}}}`
+	var s State
+	mustApply(t, &s, Command{Op: Join, Member: member("a", 1)}, Command{Op: Join, Member: member("b", 1)}, Command{Op: Lapse, Member: member("b", 1)})
+	if raw, _ := json.Marshal(s); string(raw) != old {
+		t.Errorf("%s, want %s", raw, old)
+	}
+	var restored State
+	if err := json.Unmarshal([]byte(old), &restored); err != nil || restored.ScopeEpoch("billing") != 3 {
+		t.Errorf("epoch %d, %v", restored.ScopeEpoch("billing"), err)
+	}
+	mustApply(t, &restored, Command{Op: Join, Member: member("b", 1), Services: []string{"search"}})
+	if got := []uint64{restored.ScopeEpoch("billing"), restored.ScopeEpoch("search"), restored.ScopeEpoch("")}; !slices.Equal(got, []uint64{3, 4, 4}) {
+		t.Errorf("epochs %v", got)
+	}
+}
+
+// However many services are ever named, the epochs kept are bounded, and none goes back.
+func TestScopeEpochsAreBounded(t *testing.T) {
+	var s State
+	mustApply(t, &s, Command{Op: Join, Member: member("a", 1), Services: []string{"billing"}})
+	last := s.ScopeEpoch("billing")
+	for i := range 2 * servicesMost / fleet.ScopeLimit {
+		var services []string
+		for j := range fleet.ScopeLimit {
+			services = append(services, fmt.Sprintf("s%05d", i*fleet.ScopeLimit+j))
+		}
+		mustApply(t, &s, Command{Op: Join, Member: member("b", uint64(i+1)), Services: services})
+		if epoch := s.ScopeEpoch("billing"); epoch < last {
+			t.Fatalf("billing goes back from %d to %d", last, epoch)
+		} else {
+			last = epoch
+		}
+		if n := len(s.Scopes.Epochs); n > servicesMost {
+			t.Fatalf("%d epochs are kept", n)
+		}
+	}
+}
--- a/internal/fleet/session/session.go
+++ b/internal/fleet/session/session.go
@@ -36,6 +36,7 @@
 	Epoch   uint64                  `json:"epoch"`             // of the set of present members; rises by one with each change of it
 	Members map[string]fleet.Member `json:"members,omitempty"` // present, by node
 	Highest map[string]Seen         `json:"highest,omitempty"` // by node
+	Scopes  *Scopes                 `json:"scopes,omitempty"`  // nil: no run with a scope ever joined
 }
 
 // Ops of a command.
@@ -48,9 +49,10 @@
 // Command is one change of who is present. Slots is the most nodes that may be, from the leader's settings, so that
 // every replica decides alike; 0 means no bound.
 type Command struct {
-	Op     string       `json:"op"`
-	Member fleet.Member `json:"member"`
-	Slots  int          `json:"slots,omitempty"`
+	Op       string       `json:"op"`
+	Member   fleet.Member `json:"member"`
+	Services []string     `json:"services,omitempty"` // join: the run's scope; none: every service
+	Slots    int          `json:"slots,omitempty"`
 }
 
 // Check says whether m may be present: nil where it is present or may join, fleet.ErrFenced for an older run,
@@ -80,48 +82,70 @@
 
 // Apply carries out one command and says whether it changed who is present. An error changes nothing.
 func (s *State) Apply(c Command) (bool, error) {
-	m := c.Member
 	switch c.Op {
 	case Join:
-		if err := s.Check(m); err != nil {
-			return false, err
-		}
-		if s.Present(m) {
-			return false, nil
-		}
-		_, again := s.Members[m.Node]
-		_, known := s.Highest[m.Node]
-		if !again && c.Slots > 0 && len(s.Members) >= c.Slots || !known && len(s.Highest) >= MaxNames {
-			return false, fmt.Errorf("%w for %s: %d are present", ErrFull, m.Node, len(s.Members))
-		}
-		if s.Members == nil {
-			s.Members = map[string]fleet.Member{}
-		}
-		if s.Highest == nil {
-			s.Highest = map[string]Seen{}
-		}
-		s.Members[m.Node], s.Highest[m.Node] = m, Seen{Incarnation: m.Incarnation}
+		return s.join(c)
 	case Leave:
-		if err := s.Check(m); err != nil {
+		if err := s.Check(c.Member); err != nil {
 			return false, err
 		}
-		if !s.Present(m) {
+		if !s.Present(c.Member) {
 			return false, nil
 		}
-		delete(s.Members, m.Node)
-		s.Highest[m.Node] = Seen{Incarnation: m.Incarnation, Left: true}
+		s.end(c.Member)
+		s.Highest[c.Member.Node] = Seen{Incarnation: c.Member.Incarnation, Left: true}
+		return true, nil
 	case Lapse:
-		if !s.Present(m) {
+		if !s.Present(c.Member) {
 			return false, nil // it has gone, or a new run is there
 		}
-		delete(s.Members, m.Node)
-	default:
-		return false, fmt.Errorf("%w: session op %q", fleet.ErrInvalid, c.Op)
+		s.end(c.Member)
+		return true, nil
+	}
+	return false, fmt.Errorf("%w: session op %q", fleet.ErrInvalid, c.Op)
+}
+
+func (s *State) join(c Command) (bool, error) {
+	m := c.Member
+	if err := s.Check(m); err != nil {
+		return false, err
+	}
+	if err := s.CheckScope(m, c.Services); err != nil {
+		return false, err
+	}
+	if s.Present(m) {
+		return false, nil
+	}
+	_, again := s.Members[m.Node]
+	_, known := s.Highest[m.Node]
+	if !again && c.Slots > 0 && len(s.Members) >= c.Slots || !known && len(s.Highest) >= MaxNames {
+		return false, fmt.Errorf("%w for %s: %d are present", ErrFull, m.Node, len(s.Members))
+	}
+	if s.Members == nil {
+		s.Members = map[string]fleet.Member{}
+	}
+	if s.Highest == nil {
+		s.Highest = map[string]Seen{}
 	}
 	s.Epoch++
+	if again { // a former run ends
+		s.moveEpochs(s.Services(m.Node), c.Services)
+	} else {
+		s.moveEpochs(c.Services)
+	}
+	s.Members[m.Node], s.Highest[m.Node] = m, Seen{Incarnation: m.Incarnation}
+	s.setServices(m.Node, c.Services)
 	return true, nil
 }
 
+// end takes a present member away.
+func (s *State) end(m fleet.Member) {
+	s.Epoch++
+	s.moveEpochs(s.Services(m.Node))
+	delete(s.Members, m.Node)
+	s.setServices(m.Node, nil)
+}
+
 // List is the present members, by node.
 func (s *State) List() []fleet.Member {
 	out := make([]fleet.Member, 0, len(s.Members))
