--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -40,14 +40,14 @@
 	mu        sync.Mutex
 	copy      *Copy
 	again     map[string]bool // items to tell the node once more
-	counted   bool            // the control plane has counted the node: it may be told of quotas
+	counted   bool            // the control plane has counted the node: it may be sent quotas
 	session   bool            // a session was answered, at revision need of the leader
-	need      uint64          // the node is told nothing older: others may be two generations on
+	need      uint64          // the node is sent nothing older: others may be two generations on
 	saved     uint64          // revision that a restart would have at least
 	whole     bool            // the next watch asks for everything: the leader has asked for a restart
 	confirmed fleet.Time      // when a replica held the copy to be the newest it has; only with caughtUp
 	caughtUp  bool
-	news      chan struct{} // closed when the node is to be told something
+	updated   chan struct{} // closed when there is something to send to the node
 	dirty     chan struct{} // holds one: the copy is to be saved
 
 	holder  session.Holder
@@ -104,7 +104,7 @@
 	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	a := &Agent{cfg: cfg, zero: time.Now(), m: newMetrics(reg), again: map[string]bool{}, news: make(chan struct{}),
+	a := &Agent{cfg: cfg, zero: time.Now(), m: newMetrics(reg), again: map[string]bool{}, updated: make(chan struct{}),
 		dirty: make(chan struct{}, 1), reports: make(chan struct{}, 1)}
 	a.own.judge = drift.NewLocal(drift.Defaults())
 	a.client.Transport = &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
@@ -135,8 +135,8 @@
 
 // wake tells the node's watch that there is something new; the caller holds mu.
 func (a *Agent) wake() {
-	close(a.news)
-	a.news = make(chan struct{})
+	close(a.updated)
+	a.updated = make(chan struct{})
 }
 
 // take brings in a replica's answer that confirms the intent as of confirmed.
@@ -175,7 +175,7 @@
 	}
 }
 
-// count notes that the node has been counted, and has it told of what is intended, once the copy is as new as the leader's
+// count notes that the node has been counted, and has it sent what is intended, once the copy is as new as the leader's
 // state was then. The caller holds mu.
 func (a *Agent) count() {
 	if !a.counted && a.copy.Revision >= a.need {
--- a/internal/fleet/agent/carry.go
+++ b/internal/fleet/agent/carry.go
@@ -36,10 +36,10 @@
 		for ctx.Err() == nil {
 			a.mu.Lock()
 			c, saved := a.report, a.saved
-			told := a.counted && a.copy.Revision > 0
+			sendable := a.counted && a.copy.Revision > 0
 			a.mu.Unlock()
-			if c == nil || c.rev == 0 && told {
-				break // it would join as one that holds nothing, and then take what the copy has: it is told that first
+			if c == nil || c.rev == 0 && sendable {
+				break // it would join as one that holds nothing, and then take what the copy has: it is sent that first
 			}
 			if a.now()-c.at > carryFresh {
 				a.say(true, c)
@@ -144,10 +144,10 @@
 		if ans.Restart {
 			a.whole, ans.Resend = true, append(ans.Resend, "*")
 		}
-		a.tellAgain(ans.Resend)
-		a.cfg.Log.Info("telling the node again", "keys", ans.Resend, "restart", ans.Restart, "incarnation", c.inc)
+		a.resend(ans.Resend)
+		a.cfg.Log.Info("resending to the node", "keys", ans.Resend, "restart", ans.Restart, "incarnation", c.inc)
 	}
-	want := union(a.last.Want, ans.Want) // what the node has not been told yet
+	want := union(a.last.Want, ans.Want) // what the node has not been sent yet
 	a.last = ans
 	a.last.Want = want[:min(len(want), 1024)]
 }
--- a/internal/fleet/agent/copy.go
+++ b/internal/fleet/agent/copy.go
@@ -1,4 +1,4 @@
-// Package agent is the fleet half of the agent beside a node (docs/fleet.md): it watches the intent from any replica,
+// Package agent is the fleet half of the agent next to a node (docs/fleet.md): it watches the intent from any replica,
 // keeps a durable copy of it, serves its node on loopback with the age of what it serves, and carries the node's reports
 // to the control plane's leader. It goes on serving when the replicas are gone. It decides nothing.
 package agent
@@ -21,10 +21,10 @@
 // goneKept is how many items that are gone are remembered: a node that watches from before them gets everything.
 const goneKept = 1000
 
-// Copy is what the agent was told of the intent. It does no I/O and reads no clock.
+// Copy is what the agent was sent of the intent. It does no I/O and reads no clock.
 type Copy struct {
 	Revision uint64
-	Floor    uint64                // changes up to here can no longer be told: everything is, instead
+	Floor    uint64                // changes up to here can no longer be listed: everything is sent instead
 	Items    map[string]fleet.Item // by key; gone ones among them
 }
 
@@ -89,7 +89,7 @@
 }
 
 // Read answers a node that holds everything up to since: the items changed after it, and those of again whatever their revision;
-// or every item where since is 0, forgotten or ahead of the copy, or again names "*".
+// or every item where since is 0, forgotten or newer than the copy, or again names "*".
 func (c *Copy) Read(since uint64, again map[string]bool) fleet.Intent {
 	out := fleet.Intent{Revision: c.Revision, Items: []fleet.Item{}}
 	out.Full = since == 0 || since < c.Floor || since > c.Revision || again["*"]
@@ -176,7 +176,7 @@
 }
 
 // Save puts a copy in dir whole or not at all. It is not put over a newer one, as an agent that was stopped and went on
-// beside its successor would.
+// next to its successor would.
 func Save(dir, node string, raw []byte, revision uint64) error {
 	path := filepath.Join(dir, copyName)
 	if old, err := os.ReadFile(path); err == nil {
--- a/internal/fleet/agent/copy_test.go
+++ b/internal/fleet/agent/copy_test.go
@@ -150,7 +150,7 @@
 }
 
 // A copy that is cut short, altered, another node's or another kind's is refused and put aside; an older one is not put over a
-// newer; what is told again comes whatever its revision.
+// newer; what is sent again comes whatever its revision.
 func TestCopyOnDisk(t *testing.T) {
 	raw, err := sample().Encode("n")
 	if err != nil {
@@ -197,10 +197,10 @@
 		t.Errorf("no copy: %+v, %v", c, err)
 	}
 	if in := sample().Read(9, map[string]bool{"zone/a": true}); in.Full || len(in.Items) != 1 {
-		t.Errorf("told again: %+v", in)
+		t.Errorf("sent again: %+v", in)
 	}
 	if in := sample().Read(9, map[string]bool{"*": true}); !in.Full || len(in.Items) != 1 {
-		t.Errorf("all told again: %+v", in)
+		t.Errorf("all sent again: %+v", in)
 	}
 }
 
--- a/internal/fleet/agent/own.go
+++ b/internal/fleet/agent/own.go
@@ -61,7 +61,7 @@
 	o.said, o.saidAt = v.State, now
 }
 
-// ownStep judges the node by what the agent has now, and has it told again what it lacks. It gives what the next report is to
+// ownStep judges the node by what the agent has now, and has it sent again what it lacks. It gives what the next report is to
 // carry.
 func (a *Agent) ownStep(rep *fleet.Report) (want []string) {
 	a.mu.Lock()
@@ -89,15 +89,15 @@
 	a.own.mu.Unlock()
 	if len(resend) > 0 {
 		a.mu.Lock()
-		a.tellAgain(resend)
+		a.resend(resend)
 		a.mu.Unlock()
-		a.cfg.Log.Warn("own node drifts: telling it again", "keys", resend)
+		a.cfg.Log.Warn("own node drifts: resending", "keys", resend)
 	}
 	return want
 }
 
-// tellAgain has the node told items again whatever their revision. The caller holds mu.
-func (a *Agent) tellAgain(keys []string) {
+// resend has the node sent items again whatever their revision. The caller holds mu.
+func (a *Agent) resend(keys []string) {
 	for _, k := range keys {
 		a.again[k] = true
 	}
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -24,7 +24,7 @@
 }
 
 // intent answers the node's watch from the copy: at once where there is something new, else when there is, or when the
-// time asked for is over. A node that the control plane has not counted yet is told nothing: of a quota that it heard of, a floor
+// time asked for is over. A node that the control plane has not counted yet is sent nothing: of a quota that it heard of, a floor
 // would be its own for good, and nobody would keep it back.
 func (a *Agent) intent(w http.ResponseWriter, r *http.Request) {
 	watch, err := registry.ParseWatch(r.URL.Query())
@@ -38,9 +38,9 @@
 	start := time.Now()
 	a.mu.Lock()
 	if (watch.Since >= a.copy.Revision || !a.counted) && watch.Wait > 0 && len(a.again) == 0 {
-		news := a.news
+		updated := a.updated
 		a.mu.Unlock()
-		registry.Await(r.Context(), news, watch.Wait)
+		registry.Await(r.Context(), updated, watch.Wait)
 		a.mu.Lock()
 	}
 	in := fleet.Intent{Revision: watch.Since, Full: watch.Since == 0, Items: []fleet.Item{}} // nothing new
@@ -51,7 +51,7 @@
 	now := a.now()
 	in.CaughtUp = a.caughtUp && a.counted
 	in.AgeMS = (now - a.confirmed).Milliseconds()
-	if !in.CaughtUp { // nobody has confirmed it, or nothing is told
+	if !in.CaughtUp { // nobody has confirmed it, or nothing is sent
 		in.AgeMS = (now + copyAge).Milliseconds()
 	}
 	in.HeldMS = a.holder.Left(now).Milliseconds()
@@ -65,8 +65,8 @@
 // bound of an age.
 const copyAge = 24 * time.Hour
 
-// takeReport takes the node's report, hands it on, and answers with the leader's word on it, or the last one where the
-// leader is slow or gone.
+// takeReport takes the node's report, hands it on, and gives the leader's answer to it, or the last one where the leader
+// is slow or gone.
 func (a *Agent) takeReport(w http.ResponseWriter, r *http.Request) {
 	raw, err := io.ReadAll(io.LimitReader(r.Body, fleet.ReportLimit+1))
 	if err != nil {
@@ -97,7 +97,7 @@
 		return
 	}
 	a.mu.Lock()
-	ans, fenced := a.word(), a.fenced && c.inc == a.inc
+	ans, fenced := a.nextAnswer(), a.fenced && c.inc == a.inc
 	a.mu.Unlock()
 	if fenced {
 		http.Error(w, fleet.ErrFenced.Error(), http.StatusConflict)
@@ -127,17 +127,17 @@
 		a.report.end()
 	}
 	if slices.ContainsFunc(rep.Tenants, func(t fleet.TenantAck) bool { return t.UID != 0 }) {
-		a.count() // it was, as it has been told of tenants
+		a.count() // it was, as it has been sent tenants
 	}
 	a.report = &carried{raw: raw, rev: rep.Revision, at: a.now(), inc: rep.Incarnation, done: make(chan struct{})}
 	notify(a.reports)
 	return a.report, nil
 }
 
-// word is what the node is told on a report: the leader's last word, what it wants told once, and what is left of the session by
-// the agent's count. That the node is out for want of a session is forgotten once the leader has been gone for
-// outFor: without a control plane the node's own rules hold. The caller holds mu.
-func (a *Agent) word() fleet.ReportAnswer {
+// nextAnswer is the answer to a report of the node: the leader's last answer, with what it wants sent once, and what is left
+// of the session by the agent's count. That the node is out for want of a session is forgotten once the leader has been gone
+// for outFor: without a control plane the node's own rules hold. The caller holds mu.
+func (a *Agent) nextAnswer() fleet.ReportAnswer {
 	ans := a.last
 	a.last.Want = nil
 	if ans.Out && ans.TTLMS == 0 && a.now()-a.lastAt > outFor {
--- a/internal/fleet/agent/serve_test.go
+++ b/internal/fleet/agent/serve_test.go
@@ -19,12 +19,12 @@
 	"starlingvalve/internal/fleet"
 )
 
-// leader stands in for a replica: its intent never changes, and it answers reports as it is told.
+// leader stands in for a replica: its intent never changes, and it answers reports as it is set.
 type leader struct {
 	mu     sync.Mutex
 	code   int
 	answer string
-	untold int // reports of run 9, which has not been told anything
+	unsent int // reports of run 9, which has not been sent anything
 }
 
 func (l *leader) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -32,7 +32,7 @@
 	l.mu.Lock()
 	code, answer := l.code, l.answer
 	if strings.Contains(string(body), `"incarnation":9`) {
-		l.untold++
+		l.unsent++
 	}
 	l.mu.Unlock()
 	if r.Method != http.MethodPost {
@@ -92,20 +92,20 @@
 	lead.says(200, `{"ttl_ms":6000,"revision":5,"want":["~*"],"resend":["zone/a"]}`)
 	until("the intent at hand", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.caughtUp })
 	if in, text := get("?since=0"); in.CaughtUp || len(in.Items) != 0 || in.Revision != 0 || !in.Full {
-		t.Errorf("told before the node was counted: %s", text)
+		t.Errorf("sent before the node was counted: %s", text)
 	}
 	if in, text := get("?since=3"); in.CaughtUp || len(in.Items) != 0 || in.Revision != 3 || in.Full {
-		t.Errorf("told before the node was counted: %s", text)
+		t.Errorf("sent before the node was counted: %s", text)
 	}
 	if _, err := os.Stat(filepath.Join(dir, copyName)); err == nil {
 		t.Error("a copy kept before the node was counted")
 	}
 	until("wanted", func() bool { _, text := next(7); return strings.Contains(text, `"want":["~*"]`) })
 	lead.says(200, `{"ttl_ms":6000,"revision":5}`)
-	rev = 5 // as it has been told
-	until("told again", func() bool { in, _ := get("?since=5"); return !in.Full && len(in.Items) == 1 })
-	until("counted, and told", func() bool { in, _ := get("?since=0"); return in.CaughtUp && len(in.Items) == 1 })
-	until("held, and the wish told once", func() bool {
+	rev = 5 // as it has been sent it
+	until("sent again", func() bool { in, _ := get("?since=5"); return !in.Full && len(in.Items) == 1 })
+	until("counted, and sent", func() bool { in, _ := get("?since=0"); return in.CaughtUp && len(in.Items) == 1 })
+	until("held, and the wish sent once", func() bool {
 		_, text := next(7)
 		in, _ := get("?since=5")
 		return !strings.Contains(text, "want") && in.HeldMS > 0 && in.HeldMS <= 5760 && in.AgeMS < 10_000
@@ -141,15 +141,15 @@
 	})
 	lead.says(200, `garbage`)
 	if code, text := next(8); code != 200 || !strings.Contains(text, `"out":true`) {
-		t.Errorf("a garbled answer of the leader changed the last word: %d %s", code, text)
+		t.Errorf("a garbled answer of the leader changed the last answer: %d %s", code, text)
 	}
 	rev = 0
 	for range 3 {
 		next(9)
 	}
 	lead.mu.Lock()
-	if lead.untold > 0 {
-		t.Error("a run that has not been told was reported as one that holds nothing")
+	if lead.unsent > 0 {
+		t.Error("a run that has not been sent anything was reported as one that holds nothing")
 	}
 	lead.mu.Unlock()
 	metrics, _ := reg.Gather()
--- a/internal/fleet/agent/watch.go
+++ b/internal/fleet/agent/watch.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	// The replica read its state after it had waited: no sooner than t0 and what it waited. It had heard from the
-	// leader so long before. What the answer took to come is counted as age, as it can't be told apart.
+	// leader so long before. What the answer took to come is counted as age, as it can't be separated.
 	return a.take(in, min(t0+ms(resp.Header, "X-Waited-Ms"), a.now())-ms(resp.Header, "X-Last-Contact-Ms"))
 }
 
--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	r := &rig{set: set, state: New()}
-	r.judge = Office(set, 0, r.state)
+	r.judge = NewJudge(set, 0, r.state)
 	for i := range n {
 		r.nodes = append(r.nodes, &node{})
 		r.boot(i)
@@ -184,8 +184,8 @@
 					r.step(100 * time.Millisecond)
 				}
 			},
-			"step":   func(t *rapid.T) { r.step(time.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")) * time.Millisecond) },
-			"office": func(t *rapid.T) { r.judge = Office(r.set, r.now, r.state) },
+			"step":       func(t *rapid.T) { r.step(time.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")) * time.Millisecond) },
+			"new leader": func(t *rapid.T) { r.judge = NewJudge(r.set, r.now, r.state) },
 			"restore": func(t *rapid.T) {
 				raw, err := r.state.Snapshot()
 				if err != nil {
@@ -351,12 +351,12 @@
 	}
 }
 
-// BenchmarkStep is one judgement of the leader, which comes ten times a second, beside the reports of all nodes, which come
+// BenchmarkStep is one judgement of the leader, which comes ten times a second, together with the reports of all nodes, which come
 // one to four times a second each.
 func BenchmarkStep(b *testing.B) {
 	for _, size := range [][2]int{{50, 10}, {300, 10}, {300, 200}} {
 		r := newRig(b, size[0])
-		r.judge = Office(r.set, 0, r.state)
+		r.judge = NewJudge(r.set, 0, r.state)
 		r.judge.set.Slots, r.judge.set.Zones.Slots = size[0], size[0]
 		all := func() {
 			for _, n := range r.nodes {
--- a/internal/fleet/control/judge.go
+++ b/internal/fleet/control/judge.go
@@ -19,7 +19,7 @@
 	Zones zones.Settings
 }
 
-// Judge is the soft part of a leader in office: leases, and what the cores' judges saw. It is not safe for concurrent
+// Judge is the soft part of a leader: leases, and what the cores' judges saw. It is not safe for concurrent
 // use. Times are the leader's monotonic clock.
 type Judge struct {
 	set     Settings
@@ -34,18 +34,18 @@
 
 type seen struct{ incarnation, seq uint64 }
 
-// Office makes the judge of a leader that takes office at now. It is called once the leader has applied all that was
+// NewJudge makes the judge of a leader whose leadership begins at now. It is called once the leader has applied all that was
 // committed before it.
-func Office(set Settings, now fleet.Time, s *State) *Judge {
-	j := &Judge{set: set, leases: session.Office(now, set.TTL), zones: zones.NewJudge(set.Zones),
+func NewJudge(set Settings, now fleet.Time, s *State) *Judge {
+	j := &Judge{set: set, leases: session.NewLeases(now, set.TTL), zones: zones.NewJudge(set.Zones),
 		tenants: tenants.NewJudge(tenants.Config{Slots: set.Slots, TTL: set.TTL}), drift: drift.NewJudge(drift.Defaults()),
 		seqs: map[string]seen{}, ready: map[string]uint64{}, ended: map[string]uint64{}}
 	for node, m := range s.Session.Members {
 		j.ready[node] = m.Incarnation // a former leader has seen to it, or the run has served since
 	}
-	j.zones.Office(now)
-	j.tenants.Office(now)
-	j.drift.Office(now, &s.Drift)
+	j.zones.Lead(now)
+	j.tenants.Lead(now)
+	j.drift.Lead(now, &s.Drift)
 	return j
 }
 
@@ -130,7 +130,7 @@
 }
 
 // Step gives the commands that the state is ready for, in their order; call it each 100 ms. servers is the list of app
-// servers under the same revisions, nil where there is none. Settled must be told the outcome of each.
+// servers under the same revisions, nil where there is none. Settled must be given the outcome of each.
 func (j *Judge) Step(now fleet.Time, s *State, servers []drift.Listed) []Command {
 	var out []Command
 	for _, m := range j.leases.Lapsed(now, &s.Session) {
--- a/internal/fleet/control/late_test.go
+++ b/internal/fleet/control/late_test.go
@@ -10,7 +10,7 @@
 	"starlingvalve/internal/fleet/tenants"
 )
 
-// A node that reports and never follows a commit, as it is deaf or as it goes on by the old generation, is named after 10 s, told
+// A node that reports and never follows a commit, as it is deaf or as it goes on by the old generation, is named after 10 s, sent what it lacks
 // again, taken out of the front and then not renewed: the rollout goes on without it, it is not back before it has followed, and
 // nothing else happens to the others.
 func TestLateNodeIsPassed(t *testing.T) {
@@ -18,7 +18,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 12)
 			r.set.Slots = 30
-			r.judge = Office(r.set, 0, r.state)
+			r.judge = NewJudge(r.set, 0, r.state)
 			late, stays := r.nodes[11], false
 			said := false
 			run := func(d time.Duration) {
--- a/internal/fleet/control/state.go
+++ b/internal/fleet/control/state.go
@@ -23,8 +23,8 @@
 // ErrStale refuses a command that was decided from what has changed since. It is decided anew.
 var ErrStale = errors.New("decided from an older state")
 
-// tombsKept is how many items that are gone are remembered; a watch from before them gets every item.
-const tombsKept = 1000
+// tombstonesKept is how many items that are gone are remembered; a watch from before them gets every item.
+const tombstonesKept = 1000
 
 // Command is one change of State, as it stands in raft's log (registry.Command.Fleet): one of the cores' commands.
 type Command struct {
@@ -42,21 +42,21 @@
 	Items, Drift bool
 }
 
-// Tomb remembers that an item is gone.
-type Tomb struct {
+// Tombstone remembers that an item is gone.
+type Tombstone struct {
 	Key string `json:"key"`
 	Rev uint64 `json:"rev"`
 }
 
 // State is the replicated part of the whole fleet. Its JSON is its snapshot. New makes one, Restore reads one back.
 type State struct {
-	Rev     uint64        `json:"rev"`   // that last changed an item of the intent
-	Floor   uint64        `json:"floor"` // changes up to here can no longer be told
-	Tombs   []Tomb        `json:"tombs,omitempty"`
-	Session session.State `json:"session"`
-	Zones   zones.State   `json:"zones"`
-	Tenants tenants.State `json:"tenants"`
-	Drift   drift.State   `json:"drift"`
+	Rev        uint64        `json:"rev"`   // that last changed an item of the intent
+	Floor      uint64        `json:"floor"` // changes up to here can no longer be listed
+	Tombstones []Tombstone   `json:"tombs,omitempty"`
+	Session    session.State `json:"session"`
+	Zones      zones.State   `json:"zones"`
+	Tenants    tenants.State `json:"tenants"`
+	Drift      drift.State   `json:"drift"`
 
 	items map[string]fleet.Item // by key, gone ones among them; made from the above
 }
@@ -84,7 +84,7 @@
 			s.items[it.Key] = it
 		}
 	}
-	for _, t := range s.Tombs {
+	for _, t := range s.Tombstones {
 		s.items[t.Key] = fleet.Item{Key: t.Key, Rev: t.Rev, Gone: true}
 	}
 	return s, nil
@@ -142,31 +142,31 @@
 	}
 	old, was := s.items[key]
 	if was && old.Gone {
-		s.Tombs = without(s.Tombs, key)
+		s.Tombstones = without(s.Tombstones, key)
 	}
 	if ok {
 		s.items[key] = it
 		return
 	}
 	s.items[key] = fleet.Item{Key: key, Rev: rev, Gone: true}
-	s.Tombs = append(s.Tombs, Tomb{key, rev})
-	for len(s.Tombs) > tombsKept {
-		s.Floor = s.Tombs[0].Rev
-		delete(s.items, s.Tombs[0].Key)
-		s.Tombs = s.Tombs[1:]
+	s.Tombstones = append(s.Tombstones, Tombstone{key, rev})
+	for len(s.Tombstones) > tombstonesKept {
+		s.Floor = s.Tombstones[0].Rev
+		delete(s.items, s.Tombstones[0].Key)
+		s.Tombstones = s.Tombstones[1:]
 	}
 }
 
-func without(tombs []Tomb, key string) []Tomb {
-	for i, t := range tombs {
+func without(tombstones []Tombstone, key string) []Tombstone {
+	for i, t := range tombstones {
 		if t.Key == key {
-			return append(tombs[:i:i], tombs[i+1:]...)
+			return append(tombstones[:i:i], tombstones[i+1:]...)
 		}
 	}
-	return tombs
+	return tombstones
 }
 
-// Read answers GET /fleet/v1/intent: the items changed after since, or all where since is 0, compacted or ahead. node
+// Read answers GET /fleet/v1/intent: the items changed after since, or all where since is 0, compacted or newer than the state. node
 // leaves out the shares of other nodes; "" leaves out none.
 func (s *State) Read(since uint64, node string) fleet.Intent {
 	out := fleet.Intent{Revision: s.Rev, Full: since == 0 || since < s.Floor || since > s.Rev, Items: []fleet.Item{}}
@@ -222,8 +222,8 @@
 // MayJoin says whether a run that reports so may be present: one that holds nothing yet, so that it is counted before it
 // hears of any quota, or one that has caught up.
 func (s *State) MayJoin(r fleet.Report) bool {
-	told := slices.ContainsFunc(r.Tenants, func(a fleet.TenantAck) bool { return a.UID != 0 })
-	return r.Revision == 0 && !told || s.CaughtUp(r)
+	acked := slices.ContainsFunc(r.Tenants, func(a fleet.TenantAck) bool { return a.UID != 0 })
+	return r.Revision == 0 && !acked || s.CaughtUp(r)
 }
 
 // CaughtUp says whether a run that reports so may begin to serve: it holds what is committed, and its node's share as it is now, so
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -46,9 +46,9 @@
 	return &Judge{bounds: b, nodes: map[string]*node{}, floor: map[string]uint64{}, bodies: map[string]json.RawMessage{}, calmAt: never, offered: never}
 }
 
-// Office makes the judge that of a new leader: it forgets all that is soft, and counts every bound from now. What st
+// Lead makes the judge that of a new leader: it forgets all that is soft, and counts every bound from now. What st
 // holds it goes on from.
-func (j *Judge) Office(now fleet.Time, st *State) {
+func (j *Judge) Lead(now fleet.Time, st *State) {
 	log, logged := j.log, j.logged
 	*j = *NewJudge(j.bounds)
 	j.office, j.stepped, j.ruling, j.log, j.logged = now, now, true, log, logged
@@ -127,7 +127,7 @@
 // the nodes that have a session.
 func (j *Judge) Step(now fleet.Time, st *State, in Intended, present []fleet.Member) []Command {
 	if !j.ruling {
-		j.Office(now, st)
+		j.Lead(now, st)
 	}
 	if now-j.stepped >= j.bounds.Away {
 		j.again(now)
--- a/internal/fleet/drift/play/prop_test.go
+++ b/internal/fleet/drift/play/prop_test.go
@@ -80,7 +80,7 @@
 	r.run(2 * time.Second)
 	for _, office := range []bool{false, true} {
 		if office {
-			r.j.Office(r.now, r.st)
+			r.j.Lead(r.now, r.st)
 		}
 		before, _ := json.Marshal([]any{r.j.Verdicts(r.now, 0, r.st), r.st})
 		for _, o := range old {
@@ -94,7 +94,7 @@
 	late := Command{Set: []Change{{Verdict: Verdict{Member: old[0].Member, State: Ahead}, IfRev: r.st.Verdicts[old[0].Node].Rev}}}
 	must(t, errors.Is(r.st.Apply(late, nil), fleet.ErrFenced), "a command on an older incarnation")
 	events["left|the node's last report said leaving"](r) // and what comes late does not bring back a node that left
-	r.j.Office(r.now, r.st)
+	r.j.Lead(r.now, r.st)
 	err := r.j.Observe(r.now, fleet.NodeView{Member: r.nodes[0].Member, Report: r.nodes[0].Report()})
 	must(t, errors.Is(err, fleet.ErrFenced) && r.verdict(0).State == "none", "%v: %+v", err, r.verdict(0))
 }
@@ -120,7 +120,7 @@
 			must(t, err == nil, "%v", err)
 			r.now += 7 * time.Minute // another process's clock
 			r.j = NewJudge(Defaults())
-			r.j.Office(r.now, r.st)
+			r.j.Lead(r.now, r.st)
 			r.each = func() {
 				v := r.verdict(0)
 				must(t, v.State == state && v.FirstSeenMS == first.FirstSeenMS && v.FirstRev == first.FirstRev, "%+v, then %+v", first, v)
--- a/internal/fleet/drift/play/rig_test.go
+++ b/internal/fleet/drift/play/rig_test.go
@@ -31,7 +31,7 @@
 		r.present = append(r.present, r.nodes[i].Member)
 	}
 	r.hear()
-	r.j.Office(r.now, r.st)
+	r.j.Lead(r.now, r.st)
 	return r
 }
 
--- a/internal/fleet/drift/play/table_test.go
+++ b/internal/fleet/drift/play/table_test.go
@@ -117,7 +117,7 @@
 	},
 	"quiet|2 s without a report": func(r *rig) error { r.quiet = true; return r.pass(2500 * ms) },
 	"quiet|not heard yet by this leader": func(r *rig) error {
-		r.j.Office(r.now, r.st)
+		r.j.Lead(r.now, r.st)
 		return r.pass(0)
 	},
 	"quiet|the judge was away": func(r *rig) error {
--- a/internal/fleet/drift/play/world.go
+++ b/internal/fleet/drift/play/world.go
@@ -68,7 +68,7 @@
 		w.nodes = append(w.nodes, n)
 		w.start(n)
 	}
-	w.j.Office(w.now+w.skew, w.st)
+	w.j.Lead(w.now+w.skew, w.st)
 	return w
 }
 
@@ -232,7 +232,7 @@
 	})
 	w.skew = time.Duration(w.rng.IntN(4000)-2000) * ms
 	w.j = drift.NewJudge(w.rules.Bounds)
-	w.j.Office(w.now+w.skew, w.st)
+	w.j.Lead(w.now+w.skew, w.st)
 }
 
 func (w *world) node(name string) *simNode {
--- a/internal/fleet/session/lease.go
+++ b/internal/fleet/session/lease.go
@@ -18,15 +18,15 @@
 
 // Leases are what the leader holds of the sessions, by its own clock. A new leader starts with a new one.
 type Leases struct {
-	ttl    time.Duration
-	office fleet.Time
-	by     map[string]*lease
+	ttl       time.Duration
+	leadSince fleet.Time
+	by        map[string]*lease
 }
 
-// Office starts the leases of a leader that takes office at now: every session gets a whole ttl from then. It is called
+// NewLeases starts the leases of a leader whose leadership begins at now: every session gets a whole ttl from then. It is called
 // only once the leader has applied all that its predecessors committed.
-func Office(now fleet.Time, ttl time.Duration) *Leases {
-	return &Leases{ttl: ttl, office: now, by: map[string]*lease{}}
+func NewLeases(now fleet.Time, ttl time.Duration) *Leases {
+	return &Leases{ttl: ttl, leadSince: now, by: map[string]*lease{}}
 }
 
 // Renew notes at now that the leader is about to answer a report of m. It is called after a VerifyLeader that began after the
@@ -57,7 +57,7 @@
 			h = &lease{incarnation: m.Incarnation, until: now + l.ttl} // first noticed now
 			l.by[m.Node] = h
 		}
-		if !h.ending && now >= max(h.until, l.office+l.ttl) {
+		if !h.ending && now >= max(h.until, l.leadSince+l.ttl) {
 			h.ending = true
 			out = append(out, m)
 		}
--- a/internal/fleet/session/session.go
+++ b/internal/fleet/session/session.go
@@ -13,7 +13,7 @@
 	"starlingvalve/internal/fleet"
 )
 
-// Errors of a join, beside fleet.ErrFenced. They change nothing.
+// Errors of a join, besides fleet.ErrFenced. They change nothing.
 var (
 	ErrFull    = errors.New("no slot is free")       // as many nodes are present as the settings' slots
 	ErrPending = errors.New("the session is ending") // its lapse is proposed: ask again
--- a/internal/fleet/session/session_test.go
+++ b/internal/fleet/session/session_test.go
@@ -48,11 +48,11 @@
 		}
 		leaders := []leader{}
 		var proposed []fleet.Member // lapses of the present leader, in the log and not yet applied
-		office := func() {
+		newLeader := func() {
 			c := drawClock(t, "leader")
-			leaders = append(leaders, leader{c, Office(c.at(real), ttl)})
+			leaders = append(leaders, leader{c, NewLeases(c.at(real), ttl)})
 		}
-		office()
+		newLeader()
 		var air []*flight
 		tick := func() {
 			l := leaders[len(leaders)-1]
@@ -120,7 +120,7 @@
 			"failover": func(t *rapid.T) {
 				settle(rapid.Bool().Draw(t, "its proposals were committed"))
 				failovers++
-				office()
+				newLeader()
 			},
 			"": func(t *rapid.T) {
 				if left := holder.Left(agent.at(real)); left > 0 && !state.Present(m) {
--- a/internal/fleet/session/table_test.go
+++ b/internal/fleet/session/table_test.go
@@ -46,7 +46,7 @@
 	return "report", "incarnation above the highest seen"
 }
 
-// apply runs the event as the control plane does and gives the effect in the page's words.
+// apply runs the event as the control plane does and gives the effect as the page names it.
 func (e event) apply(t *testing.T, s *State) string {
 	m := fleet.Member{Node: "n", Zone: "z", Incarnation: e.incarnation}
 	c := Command{Op: Join, Member: m, Slots: 3}
@@ -76,7 +76,7 @@
 		return "join; epoch + 1"
 	case changed:
 		return "epoch + 1"
-	case c.Op == Join && wasPresent && Office(0, ttl).Renew(0, m) == nil:
+	case c.Op == Join && wasPresent && NewLeases(0, ttl).Renew(0, m) == nil:
 		return "lease renewed"
 	}
 	return ""
--- a/internal/fleet/sim/leader.go
+++ b/internal/fleet/sim/leader.go
@@ -50,9 +50,9 @@
 	c.term, c.clock = c.terms, newClock(c.s.rng)
 	c.office, c.leases = c.clock.read(c.s.now), map[string]time.Duration{}
 	c.judge = zones.NewJudge(c.s.set)
-	c.judge.Office(c.office)
+	c.judge.Lead(c.office)
 	c.tjudge = tenants.NewJudge(tenants.Config{Slots: c.s.plan.Nodes, TTL: ttl})
-	c.tjudge.Office(c.office)
+	c.tjudge.Lead(c.office)
 	c.tick(c.term)
 }
 
--- a/internal/fleet/tenants/division.go
+++ b/internal/fleet/tenants/division.go
@@ -84,7 +84,7 @@
 	for _, n := range sortedKeys(s.Runs) {
 		sum += s.Runs[n].Most[name]
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		sum += g.Most[name]
 	}
 	return sum
@@ -98,7 +98,7 @@
 			sums[name] += r
 		}
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		for name, r := range g.Most {
 			sums[name] += r
 		}
@@ -113,7 +113,7 @@
 			return n
 		}
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		if g.Most[name] > 0 {
 			return g.Node
 		}
@@ -122,7 +122,7 @@
 }
 
 // divide carries out a division: first what runs have confirmed and which are over, then the grants. A run of a larger
-// incarnation takes its node's place and begins with nothing; its predecessor stays a ghost until it is over. Where the
+// incarnation takes its node's place and begins with nothing; its predecessor stays an orphaned lease until it is over. Where the
 // raises of a tenant would take what runs may hold over its pool, that tenant has none of them.
 func (s *State) divide(c Command, rev func() uint64) ([]string, error) {
 	d := c.Division
@@ -184,9 +184,9 @@
 	for _, r := range d.Over {
 		over[r] = true
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		if !over[g.Run] {
-			next.Ghosts = append(next.Ghosts, g)
+			next.OrphanedLeases = append(next.OrphanedLeases, g)
 		}
 	}
 	for n, l := range s.Runs {
@@ -206,7 +206,7 @@
 			continue
 		}
 		if l != nil {
-			next.Ghosts = append(next.Ghosts, Ghost{Run: Run{g.Node, l.Incarnation}, Most: l.Most})
+			next.OrphanedLeases = append(next.OrphanedLeases, OrphanedLease{Run: Run{g.Node, l.Incarnation}, Most: l.Most})
 		}
 		next.Runs[g.Node] = &Lease{Incarnation: g.Incarnation, Rates: map[string]float64{}, Most: map[string]float64{}}
 	}
@@ -224,7 +224,7 @@
 	for _, g := range d.Grants {
 		l := next.Runs[g.Node]
 		l.Rev, l.Division = rev, s.Division
-		s.unbury(keyShare + g.Node)
+		s.dropTombstone(keyShare + g.Node)
 		changed = append(changed, keyShare+g.Node)
 	}
 	for n := range s.Runs {
@@ -234,7 +234,7 @@
 	}
 	slices.Sort(changed)
 	changed = slices.Compact(changed)
-	s.Runs, s.Ghosts, s.Slots = next.Runs, next.Ghosts, next.Slots
+	s.Runs, s.OrphanedLeases, s.Slots = next.Runs, next.OrphanedLeases, next.Slots
 	s.know(runs)
 	for _, h := range d.Held {
 		for _, e := range s.Tenants {
@@ -245,7 +245,7 @@
 	}
 	for _, k := range changed {
 		if s.Runs[strings.TrimPrefix(k, keyShare)] == nil {
-			s.tomb(Tomb{Key: k, Rev: rev})
+			s.addTombstone(Tombstone{Key: k, Rev: rev})
 		}
 	}
 	return changed
--- a/internal/fleet/tenants/items.go
+++ b/internal/fleet/tenants/items.go
@@ -52,7 +52,7 @@
 // ItemsFor gives the same for one node: every tenant, and no other node's share.
 func (s *State) ItemsFor(node string) []fleet.Item { return s.items(node) }
 
-// Compacted is the revision up to which changes can no longer be told from the tombstones kept.
+// Compacted is the revision up to which changes can no longer be read from the tombstones kept.
 func (s *State) Compacted() uint64 { return s.Floor }
 
 // Item gives one item by its key: live, or Gone where its tombstone is kept; false for neither.
@@ -69,7 +69,7 @@
 		}
 		return item(key, l.Rev, fleet.Shares{Epoch: l.Division, Incarnation: l.Incarnation, Slots: s.Slots, Rates: rates}), true
 	}
-	for _, t := range s.Tombs {
+	for _, t := range s.Tombstones {
 		if t.Key == key {
 			return fleet.Item{Key: key, Rev: t.Rev, Gone: true}, true
 		}
@@ -90,7 +90,7 @@
 	for n := range s.Runs {
 		keys = append(keys, keyShare+n)
 	}
-	for _, t := range s.Tombs {
+	for _, t := range s.Tombstones {
 		keys = append(keys, t.Key)
 	}
 	slices.Sort(keys)
@@ -107,7 +107,7 @@
 
 // unknown is the error of a name that has no tenant, with why the last rollout under it was rolled back.
 func (s *State) unknown(name string) error {
-	for _, t := range s.Tombs {
+	for _, t := range s.Tombstones {
 		if t.Key == keyTenant+name && t.RolledBack != "" {
 			return fmt.Errorf("%w: tenant %q: rolled back: %s", fleet.ErrUnknown, name, t.RolledBack)
 		}
--- a/internal/fleet/tenants/judge.go
+++ b/internal/fleet/tenants/judge.go
@@ -10,23 +10,23 @@
 )
 
 // Judge is the leader's soft part: it sees what nodes report and says which commands the state is ready for. It
-// loses everything with its office; what it decides is refused by the state where it is out of date.
+// loses everything when its leadership ends; what it decides is refused by the state where it is out of date.
 type Judge struct {
-	cfg    Config
-	office fleet.Time
-	views  map[string]*view // by node
-	begun  map[string]begun // by tenant: the step that its rollout or removal is at
-	lend   lender
+	cfg       Config
+	leadSince fleet.Time
+	views     map[string]*view // by node
+	begun     map[string]begun // by tenant: the step that its rollout or removal is at
+	lend      lender
 }
 
 // view is a node's newest report, by tenant.
 type view struct {
 	fleet.NodeView
-	words map[string]word
+	reports map[string]tenantReport
 }
 
-// word is a node's word on a tenant, and what it was offered of late, requests/s.
-type word struct {
+// tenantReport is what a node last reported of a tenant, and what it was offered of late, requests/s.
+type tenantReport struct {
 	ack  *fleet.TenantAck
 	load float64
 }
@@ -36,16 +36,16 @@
 	at       fleet.Time // when this leader first saw it
 }
 
-// NewJudge makes a judge that has just taken office at 0.
+// NewJudge makes a judge whose leadership began at 0.
 func NewJudge(cfg Config) *Judge {
 	j := &Judge{cfg: cfg}
-	j.Office(0)
+	j.Lead(0)
 	return j
 }
 
-// Office begins a leader's time in office: nothing seen before counts.
-func (j *Judge) Office(now fleet.Time) {
-	j.office, j.views, j.begun, j.lend = now, map[string]*view{}, map[string]begun{}, newLender()
+// Lead begins a leadership: nothing seen before counts.
+func (j *Judge) Lead(now fleet.Time) {
+	j.leadSince, j.views, j.begun, j.lend = now, map[string]*view{}, map[string]begun{}, newLender()
 }
 
 // Observe takes a present node's newest report. Those of older incarnations, and older ones of a run, are left out.
@@ -56,7 +56,7 @@
 	}
 	part := 1.0
 	if old == nil || old.Incarnation != v.Incarnation {
-		old = &view{words: make(map[string]word, len(v.Report.Tenants))}
+		old = &view{reports: make(map[string]tenantReport, len(v.Report.Tenants))}
 		j.views[v.Node] = old
 	} else {
 		part = 1 - math.Exp(-float64(max(0, v.At-old.At))/float64(smoothing))
@@ -68,16 +68,16 @@
 		if !(x >= 0 && x <= rateLimit) {
 			x = 0
 		}
-		w, known := old.words[a.Name]
+		r, known := old.reports[a.Name]
 		if known {
-			x = w.load + part*(x-w.load)
+			x = r.load + part*(x-r.load)
 		}
-		old.words[a.Name] = word{ack: a, load: x}
+		old.reports[a.Name] = tenantReport{ack: a, load: x}
 	}
-	if len(old.words) > len(v.Report.Tenants) { // some are no more
-		for name := range old.words {
+	if len(old.reports) > len(v.Report.Tenants) { // some are no more
+		for name := range old.reports {
 			if !slices.ContainsFunc(v.Report.Tenants, func(a fleet.TenantAck) bool { return a.Name == name }) {
-				delete(old.words, name)
+				delete(old.reports, name)
 			}
 		}
 	}
@@ -164,8 +164,8 @@
 	return back, now-j.begun[name].at >= StageTimeout
 }
 
-// hasStaged says whether a node has validated and staged what is intended, by its own word with its module's digest;
-// refused, that it can't; why, in words.
+// hasStaged says whether a node has validated and staged what is intended, by its own report with its module's digest;
+// refused, that it can't; why, as text.
 func (j *Judge) hasStaged(e *Entry, name string, m fleet.Member) (ok, refused bool, why string) {
 	if !j.heard(e, m) {
 		return false, false, "has not heard of it"
@@ -190,17 +190,17 @@
 	return v != nil && v.Incarnation == m.Incarnation && v.Report.Revision >= e.Rev
 }
 
-// ack is a present run's word on this tenant, and on none that had its name before.
+// ack is a present run's report on this tenant, and on none that had its name before.
 func (j *Judge) ack(e *Entry, name string, m fleet.Member) (fleet.TenantAck, bool) {
 	v := j.views[m.Node]
 	if v == nil || v.Incarnation != m.Incarnation {
 		return fleet.TenantAck{}, false
 	}
-	w, ok := v.words[name]
-	if !ok || w.ack.UID != e.UID {
+	r, ok := v.reports[name]
+	if !ok || r.ack.UID != e.UID {
 		return fleet.TenantAck{}, false
 	}
-	return *w.ack, true
+	return *r.ack, true
 }
 
 func (j *Judge) applied(e *Entry, name string, m fleet.Member) bool {
@@ -212,5 +212,5 @@
 	return !slices.ContainsFunc(present, func(m fleet.Member) bool { return !ok(m) })
 }
 
-// trim keeps a node's words short enough for the log, and on one line.
+// trim keeps a node's text short enough for the log, and on one line.
 func trim(s string) string { return oneLine(s[:min(len(s), 200)]) }
--- a/internal/fleet/tenants/lend.go
+++ b/internal/fleet/tenants/lend.go
@@ -15,7 +15,7 @@
 	looked fleet.Time         // when a division was last thought of
 	aims   map[string]aim     // by tenant
 	prev   map[string]uint64  // present runs at the last step
-	seen   map[Run]fleet.Time // and since when each was, in this office
+	seen   map[Run]fleet.Time // and since when each was, in this leadership
 	epoch  uint64             // and its epoch
 	vanish map[Run]fleet.Time // when a leased run was first seen not to be present
 	over   map[Run]bool       // leased runs whose sessions have lapsed for certain
@@ -33,7 +33,7 @@
 
 // sessions notes which leased runs are over. A run that lapsed is over: it counted itself out before the leader did.
 // One that a larger incarnation ended may hold its lease for another TTL; so may any that vanished while this judge
-// can't tell how: it had no office yet, or the epoch moved more often than the present runs did.
+// can't tell how: it did not lead yet, or the epoch moved more often than the present runs did.
 func (j *Judge) sessions(now fleet.Time, s *State, epoch uint64, present []fleet.Member) {
 	l := &j.lend
 	cur := make(map[string]uint64, len(present))
@@ -62,7 +62,7 @@
 			l.seen[Run{n, inc}] = now
 		}
 	}
-	told := l.prev != nil && epoch-l.epoch == moves
+	allSeen := l.prev != nil && epoch-l.epoch == moves
 	leased := map[Run]bool{}
 	look := func(r Run) {
 		leased[r] = true
@@ -74,7 +74,7 @@
 		}
 		if _, ok := l.vanish[r]; !ok {
 			l.vanish[r] = now
-			l.over[r] = told && !there && l.prev[r.Node] == r.Incarnation
+			l.over[r] = allSeen && !there && l.prev[r.Node] == r.Incarnation
 		}
 		if now-l.vanish[r] >= j.cfg.TTL {
 			l.over[r] = true
@@ -83,7 +83,7 @@
 	for n, le := range s.Runs {
 		look(Run{n, le.Incarnation})
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		look(g.Run)
 	}
 	for r := range l.vanish {
@@ -123,21 +123,21 @@
 			continue
 		}
 		h := Held{Run: grants[i].Run, Revision: v.Report.Revision, Sole: now-l.seen[grants[i].Run] >= j.cfg.TTL}
-		if s.news(h, le) {
+		if s.frees(h, le) {
 			d.Held = append(d.Held, h)
 		}
 	}
 	next := s.draft(&Division{Slots: j.cfg.Slots, Held: d.Held, Over: d.Over, Grants: grants})
-	seats := make([]seat, len(present))
+	runs := make([]presentRun, len(present))
 	for i, m := range present {
-		seats[i] = seat{lease: next.Runs[m.Node], grant: &grants[i]}
+		runs[i] = presentRun{lease: next.Runs[m.Node], grant: &grants[i]}
 		if v := j.views[m.Node]; v != nil && v.Incarnation == m.Incarnation {
-			seats[i].words = v.words
+			runs[i].reports = v.reports
 		}
 	}
 	most := next.mosts()
 	for _, name := range next.names(most) {
-		j.grant(next, name, most[name], seats)
+		j.grant(next, name, most[name], runs)
 	}
 	d.Grants = slices.DeleteFunc(grants, func(g Grant) bool {
 		le := s.Runs[g.Node]
@@ -149,8 +149,8 @@
 	return d
 }
 
-// news says whether what a run holds frees anything.
-func (s *State) news(h Held, le *Lease) bool {
+// frees says whether what a run holds frees anything.
+func (s *State) frees(h Held, le *Lease) bool {
 	if h.Revision >= le.Rev {
 		for name, m := range le.Most {
 			if m > le.Rates[name] {
@@ -178,23 +178,23 @@
 	return all
 }
 
-// seat is a present run as a division sees it.
-type seat struct {
-	lease *Lease
-	words map[string]word // nil: it has not reported to this leader
-	grant *Grant
+// presentRun is a present run as a division sees it.
+type presentRun struct {
+	lease   *Lease
+	reports map[string]tenantReport // nil: it has not reported to this leader
+	grant   *Grant
 }
 
 // grant moves one tenant's parts to its aim as far as may be now: down at once, up out of what no run may hold.
-func (j *Judge) grant(next *State, name string, most float64, seats []seat) {
+func (j *Judge) grant(next *State, name string, most float64, runs []presentRun) {
 	pool := next.Pool(name)
 	if pool == 0 && most == 0 {
 		return
 	}
-	want := j.aimAt(next, name, pool, seats)
-	held := make([]float64, len(seats))
+	want := j.aimAt(next, name, pool, runs)
+	held := make([]float64, len(runs))
 	need := 0.0
-	for i, st := range seats {
+	for i, st := range runs {
 		held[i] = st.lease.Most[name]
 		need += max(0, want[i]-held[i])
 	}
@@ -202,7 +202,7 @@
 	if need > 0 {
 		part = min(1, max(0, pool-most)/need)
 	}
-	for i, st := range seats {
+	for i, st := range runs {
 		to := min(want[i], held[i])
 		to = round(to + part*max(0, want[i]-to))
 		if to != st.lease.Rates[name] {
@@ -216,24 +216,24 @@
 
 // aimAt gives each present run's part of the pool. It stays as it was while the pool and the runs are the same and
 // either every run has room, or no run's part would move by more than the hysteresis.
-func (j *Judge) aimAt(next *State, name string, pool float64, seats []seat) []float64 {
+func (j *Judge) aimAt(next *State, name string, pool float64, runs []presentRun) []float64 {
 	floor := 0.0
 	if e := next.Tenants[name]; e != nil && e.Committed != nil {
 		floor = fleet.FloorPart * e.Committed.Spec.Quota.Rate / float64(next.Slots)
 	}
-	loads := make([]float64, len(seats))
-	for i, st := range seats {
-		if st.words != nil {
-			loads[i] = max(0, st.words[name].load-floor)
+	loads := make([]float64, len(runs))
+	for i, st := range runs {
+		if st.reports != nil {
+			loads[i] = max(0, st.reports[name].load-floor)
 		} else {
 			loads[i] = st.lease.Rates[name] // nothing heard: as it is
 		}
 	}
 	old, ok := j.lend.aims[name]
 	if !ok { // a new leader goes on from what is leased, where that is nearly all
-		old = aim{pool: pool, rates: make([]float64, len(seats))}
+		old = aim{pool: pool, rates: make([]float64, len(runs))}
 		sum := 0.0
-		for i, st := range seats {
+		for i, st := range runs {
 			old.rates[i] = st.lease.Rates[name]
 			sum += old.rates[i]
 		}
@@ -243,7 +243,7 @@
 	if ok && old.pool == pool {
 		near, room := true, true
 		for i := range want {
-			near = near && math.Abs(want[i]-old.rates[i]) <= hysteresis*max(old.rates[i], pool/float64(len(seats)))
+			near = near && math.Abs(want[i]-old.rates[i]) <= hysteresis*max(old.rates[i], pool/float64(len(runs)))
 			room = room && loads[i] <= roomy*old.rates[i]
 		}
 		if near || room {
@@ -255,7 +255,7 @@
 }
 
 // fill divides a pool: where it is enough everybody gets its load and the rest evenly, else all in proportion to
-// their loads. One run's word counts for no more than the pool.
+// their loads. One run's report counts for no more than the pool.
 func fill(pool float64, loads []float64) []float64 {
 	out := make([]float64, len(loads))
 	sum := 0.0
--- a/internal/fleet/tenants/lend_test.go
+++ b/internal/fleet/tenants/lend_test.go
@@ -128,7 +128,7 @@
 		c.run(t, 100*time.Millisecond)
 	}
 	if most := c.s.most("lulu"); most > 30.001 {
-		t.Errorf("committed 50 with %g leased beside floors of 20", most)
+		t.Errorf("committed 50 with %g leased next to floors of 20", most)
 	}
 	if d := c.now - began; d > 3*time.Second {
 		t.Errorf("committed %v after it was put", d)
--- a/internal/fleet/tenants/page_test.go
+++ b/internal/fleet/tenants/page_test.go
@@ -12,7 +12,7 @@
 	"starlingvalve/internal/fleet/page"
 )
 
-// fixture is a state with two present nodes that answer as told.
+// fixture is a state with two present nodes that answer as set.
 type fixture struct {
 	s       *State
 	j       *Judge
@@ -45,7 +45,7 @@
 	return 0
 }
 
-// answer lets nodes report that they hold all that is intended, but for what change does to a node's word.
+// answer lets nodes report that they hold all that is intended, but for what change does to a node's report.
 func (f *fixture) answer(change func(node string, a *fleet.TenantAck)) {
 	f.seq++
 	for _, m := range f.present {
@@ -227,8 +227,8 @@
 		}
 	} else {
 		matched := false
-		for word, kind := range kinds {
-			if strings.HasPrefix(want, word) {
+		for prefix, kind := range kinds {
+			if strings.HasPrefix(want, prefix) {
 				matched = errors.Is(err, kind)
 			}
 		}
@@ -249,7 +249,7 @@
 		"rolled back, the": func() bool { return strings.Contains(why.Error(), "node n2: ") },
 		"quota and routes": func() bool { return e.QuotaGone },
 		"namespace": func() bool {
-			old := f.s.Tombs[0].UID
+			old := f.s.Tombstones[0].UID
 			return f.put(60, 0) == nil && f.s.Tenants["lulu"].UID > old && f.s.Tenants["lulu"].Committed == nil
 		},
 	}
--- a/internal/fleet/tenants/play/act.go
+++ b/internal/fleet/tenants/play/act.go
@@ -34,7 +34,7 @@
 			r.dead = true
 			m.start(r.name, r.disk)
 		}
-	case 8: // a successor beside a run that goes on, cut off or not
+	case 8: // a successor next to a run that goes on, cut off or not
 		if !r.dead && !r.zombie {
 			r.zombie, r.cut = true, m.pick(2) == 0
 			m.start(r.name, r.disk)
@@ -45,8 +45,8 @@
 		raw, _ := json.Marshal(m.s)
 		m.s = &tenants.State{}
 		json.Unmarshal(raw, m.s)
-		m.office = m.now
-		m.j.Office(m.now)
+		m.leadSince = m.now
+		m.j.Lead(m.now)
 	}
 	for n := m.pick(25); n >= 0 && m.breach == ""; n-- {
 		m.tick()
@@ -99,7 +99,7 @@
 	for _, l := range s.Runs {
 		sum += l.Most[name]
 	}
-	for _, g := range s.Ghosts {
+	for _, g := range s.OrphanedLeases {
 		sum += g.Most[name]
 	}
 	return sum
--- a/internal/fleet/tenants/play/model.go
+++ b/internal/fleet/tenants/play/model.go
@@ -15,7 +15,7 @@
 
 // model is a small fleet in one process: a replicated state, a leader that changes, and runs of nodes that hear late,
 // are cut off, crash, come back from their disks, or are outlived by an older run. Every choice is pick's. fault plants
-// one mistake in the parts around the core, or in what it is told.
+// one mistake in the parts around the core, or in what it is given.
 type model struct {
 	pick       func(n int) int
 	fault      string
@@ -28,7 +28,7 @@
 	queue      []event
 	committed  map[uint64]map[uint64]string // uid, generation: digest
 	staging    map[string]fleet.Time        // tenant and revision: first seen staged under this leader
-	office     fleet.Time
+	leadSince  fleet.Time
 	inc        uint64
 	nodes      []string
 	answers    map[string]copyOf // by node, while the revision is theirs
@@ -112,7 +112,7 @@
 		}
 	}
 	if c.Op == tenants.Divide && m.fault == "over" {
-		for _, g := range m.s.Ghosts {
+		for _, g := range m.s.OrphanedLeases {
 			c.Division.Over = append(c.Division.Over, g.Run)
 		}
 	}
@@ -171,7 +171,7 @@
 		}
 	}
 	for _, n := range m.nodes {
-		if s := m.sess[n]; s != nil && s.present && m.now-max(s.renewed, m.office) >= modelTTL {
+		if s := m.sess[n]; s != nil && s.present && m.now-max(s.renewed, m.leadSince) >= modelTTL {
 			s.present = false
 			m.epoch++
 		}
@@ -241,7 +241,7 @@
 			r.staged[t.Staged.Digest] = true
 		}
 	}
-	r.disk, r.held = c, c // the copy is on disk before it is told
+	r.disk, r.held = c, c // the copy is on disk before it is passed on
 }
 
 func (r *run) report(m *model) fleet.Report {
@@ -365,7 +365,7 @@
 		if _, ok := m.staging[key]; !ok {
 			m.staging[key] = m.now
 		}
-		if d := m.now - max(m.staging[key], m.office); d > tenants.StageTimeout+modelTTL {
+		if d := m.now - max(m.staging[key], m.leadSince); d > tenants.StageTimeout+modelTTL {
 			m.fail("T5: %s is being staged for %v", name, d)
 		}
 	}
--- a/internal/fleet/tenants/state.go
+++ b/internal/fleet/tenants/state.go
@@ -11,16 +11,16 @@
 // State is the replicated part: every replica's is the same, as commands carry no time and sums are taken in a
 // fixed order. It marshals to JSON and back whole. Apply alone changes it. The zero State is ready for use.
 type State struct {
-	Tenants  map[string]*Entry `json:"tenants,omitempty"`  // by name
-	Runs     map[string]*Lease `json:"runs,omitempty"`     // the newest run of each node, by node
-	Ghosts   []Ghost           `json:"ghosts,omitempty"`   // runs that have a successor and may still hold their leases
-	Known    map[string]uint64 `json:"known,omitempty"`    // nodes that were counted, by the count's number
-	Counts   uint64            `json:"counts,omitempty"`   // counts of nodes so far
-	Slots    int               `json:"slots,omitempty"`    // the fleet's whole number of nodes
-	Division uint64            `json:"division,omitempty"` // rises with every division
-	Divided  uint64            `json:"divided,omitempty"`  // revision of the newest division
-	Tombs    []Tomb            `json:"tombs,omitempty"`    // oldest first
-	Floor    uint64            `json:"floor,omitempty"`    // changes up to here may have lost their tombstone
+	Tenants        map[string]*Entry `json:"tenants,omitempty"`  // by name
+	Runs           map[string]*Lease `json:"runs,omitempty"`     // the newest run of each node, by node
+	OrphanedLeases []OrphanedLease   `json:"ghosts,omitempty"`   // runs that have a successor and may still hold their leases
+	Known          map[string]uint64 `json:"known,omitempty"`    // nodes that were counted, by the count's number
+	Counts         uint64            `json:"counts,omitempty"`   // counts of nodes so far
+	Slots          int               `json:"slots,omitempty"`    // the fleet's whole number of nodes
+	Division       uint64            `json:"division,omitempty"` // rises with every division
+	Divided        uint64            `json:"divided,omitempty"`  // revision of the newest division
+	Tombstones     []Tombstone       `json:"tombs,omitempty"`    // oldest first
+	Floor          uint64            `json:"floor,omitempty"`    // changes up to here may have lost their tombstone
 }
 
 // Entry is one tenant: its item's body, the item's revision, and the nodes that may still hold a larger quota.
@@ -40,14 +40,14 @@
 	Most        map[string]float64 `json:"most,omitempty"` // at least Rates
 }
 
-// Ghost is a run that has a successor and may hold what it was leased until the judge knows its lease to be over.
-type Ghost struct {
+// OrphanedLease is a run that has a successor and may hold what it was leased until the judge knows its lease to be over.
+type OrphanedLease struct {
 	Run
 	Most map[string]float64 `json:"most"`
 }
 
-// Tomb remembers that an item is gone, and for a tenant why its last rollout was rolled back.
-type Tomb struct {
+// Tombstone remembers that an item is gone, and for a tenant why its last rollout was rolled back.
+type Tombstone struct {
 	Key        string `json:"key"`
 	Rev        uint64 `json:"rev"`
 	UID        uint64 `json:"uid,omitempty"`
@@ -121,7 +121,7 @@
 			s.Tenants = map[string]*Entry{}
 		}
 		s.Tenants[c.Name] = e
-		s.unbury(keyTenant + c.Name)
+		s.dropTombstone(keyTenant + c.Name)
 	}
 	e.Staged = &fleet.Generation{Number: c.Generation + 1, Spec: *c.Spec, Digest: Digest(*c.Spec)}
 	e.RolledBack, e.Rev = "", r
@@ -166,7 +166,7 @@
 		}
 		e.Staged, e.RolledBack = nil, fmt.Sprintf("generation %d: node %s: %s", c.Generation, c.Node, c.Reason)
 		if e.Committed == nil {
-			return s.bury(c.Name, e, rev()), nil
+			return s.dropTenant(c.Name, e, rev()), nil
 		}
 	case Applied:
 		if !e.Applying || e.Committed.Number != c.Generation {
@@ -184,7 +184,7 @@
 		if !e.QuotaGone {
 			return wrong()
 		}
-		return s.bury(c.Name, e, rev()), nil
+		return s.dropTenant(c.Name, e, rev()), nil
 	}
 	e.Rev = rev()
 	return []string{keyTenant + c.Name}, nil
@@ -214,28 +214,28 @@
 	}
 }
 
-// bury takes a tenant away and keeps its tombstone. What runs may hold of its quota stays counted, under its name,
+// dropTenant takes a tenant away and keeps its tombstone. What runs may hold of its quota stays counted, under its name,
 // against whatever tenant comes to bear it.
-func (s *State) bury(name string, e *Entry, rev uint64) []string {
+func (s *State) dropTenant(name string, e *Entry, rev uint64) []string {
 	delete(s.Tenants, name)
-	s.tomb(Tomb{Key: keyTenant + name, Rev: rev, UID: e.UID, RolledBack: e.RolledBack})
+	s.addTombstone(Tombstone{Key: keyTenant + name, Rev: rev, UID: e.UID, RolledBack: e.RolledBack})
 	return []string{keyTenant + name}
 }
 
-func (s *State) tomb(t Tomb) {
-	s.unbury(t.Key)
-	s.Tombs = append(s.Tombs, t)
-	if n := len(s.Tombs) - tombsKept; n > 0 {
-		s.Floor = s.Tombs[n-1].Rev
-		s.Tombs = append([]Tomb(nil), s.Tombs[n:]...)
+func (s *State) addTombstone(t Tombstone) {
+	s.dropTombstone(t.Key)
+	s.Tombstones = append(s.Tombstones, t)
+	if n := len(s.Tombstones) - tombstonesKept; n > 0 {
+		s.Floor = s.Tombstones[n-1].Rev
+		s.Tombstones = append([]Tombstone(nil), s.Tombstones[n:]...)
 	}
 }
 
-// unbury forgets the tombstone of an item that is there again.
-func (s *State) unbury(key string) {
-	for i, t := range s.Tombs {
+// dropTombstone forgets the tombstone of an item that is there again.
+func (s *State) dropTombstone(key string) {
+	for i, t := range s.Tombstones {
 		if t.Key == key {
-			s.Tombs = append(s.Tombs[:i:i], s.Tombs[i+1:]...)
+			s.Tombstones = append(s.Tombstones[:i:i], s.Tombstones[i+1:]...)
 			return
 		}
 	}
--- a/internal/fleet/tenants/status.go
+++ b/internal/fleet/tenants/status.go
@@ -9,7 +9,7 @@
 
 // Phases of a node with a tenant, in NodeStatus.
 const (
-	NodeSilent   = "silent"   // no report since this leader took office
+	NodeSilent   = "silent"   // no report since this leader began to lead
 	NodeBehind   = "behind"   // does not hold what is intended
 	NodeStaged   = "staged"   // has validated the staged generation
 	NodeRefused  = "refused"  // can't stage it
@@ -68,7 +68,7 @@
 // Late is a present node that holds up a step of a rollout or removal, past ApplyTimeout.
 type Late struct {
 	Node, Tenant string
-	Want, Has    uint64 // generations committed: intended, and by the node's word
+	Want, Has    uint64 // generations committed: intended, and by the node's report
 }
 
 // Late names those that hold up what is committed, by tenant and node: it is never taken back, and so nothing but them
--- a/internal/fleet/tenants/tenants.go
+++ b/internal/fleet/tenants/tenants.go
@@ -12,17 +12,17 @@
 
 // Bounds of a rollout and of a division, by the leader's clock.
 const (
-	StageTimeout  = 10 * time.Second // a present node that has not staged by then rolls the rollout back
-	ApplyTimeout  = 10 * time.Second // a present node that has not applied by then is late, and named
-	DivideEvery   = time.Second      // at most one division in this time
-	smoothing     = 2 * time.Second  // time constant of a node's offered load
-	tombsKept     = 1000             // names and nodes gone that are remembered
-	hysteresis    = 0.15             // a run's part moves only by more than this part of it
-	roomy         = 0.8              // and not while every run's load is within this part of its part
-	keyTenant     = "tenant/"
-	keyShare      = "share/"
-	reasonTimeout = "not staged in time"
-	reasonLate    = "not applied in time"
+	StageTimeout   = 10 * time.Second // a present node that has not staged by then rolls the rollout back
+	ApplyTimeout   = 10 * time.Second // a present node that has not applied by then is late, and named
+	DivideEvery    = time.Second      // at most one division in this time
+	smoothing      = 2 * time.Second  // time constant of a node's offered load
+	tombstonesKept = 1000             // names and nodes gone that are remembered
+	hysteresis     = 0.15             // a run's part moves only by more than this part of it
+	roomy          = 0.8              // and not while every run's load is within this part of its part
+	keyTenant      = "tenant/"
+	keyShare       = "share/"
+	reasonTimeout  = "not staged in time"
+	reasonLate     = "not applied in time"
 )
 
 // ErrStale refuses a command of the judge that was decided from what has changed since: the item's revision, the
@@ -57,7 +57,7 @@
 }
 
 // Division changes leased parts. The state leaves out the raises of a tenant whose runs might hold more after them
-// than the quota leaves beside its floors, whoever decided it.
+// than the quota leaves next to its floors, whoever decided it.
 type Division struct {
 	Slots  int     `json:"slots"`            // the fleet's whole number of nodes; fixed by the first division
 	Held   []Held  `json:"held,omitempty"`   // what present runs have confirmed
@@ -98,5 +98,5 @@
 	Generation uint64 `json:"generation"` // that it serves by; 0 none
 	Staged     uint64 `json:"staged,omitempty"`
 	Reason     string `json:"reason,omitempty"` // refused: the node's own; behind: why, where it is known, or that it is late
-	AgeMS      int64  `json:"age_ms"`           // of its word; -1: it has none
+	AgeMS      int64  `json:"age_ms"`           // of its report; -1: it has none
 }
--- a/internal/fleet/zones/judge.go
+++ b/internal/fleet/zones/judge.go
@@ -57,12 +57,12 @@
 // NewJudge makes a judge that has taken office at 0 and has seen nothing.
 func NewJudge(set Settings) *Judge {
 	j := &Judge{set: set}
-	j.Office(0)
+	j.Lead(0)
 	return j
 }
 
-// Office forgets all: this process leads from now on, by evidence that comes from now on.
-func (j *Judge) Office(now fleet.Time) {
+// Lead forgets all: this process leads from now on, by evidence that comes from now on.
+func (j *Judge) Lead(now fleet.Time) {
 	*j = Judge{set: j.set, office: now, stepped: now, nodes: map[string]*seen{}, zones: map[string]*carried{},
 		found: map[string]Finding{}, backs: map[string]*comeback{}, calm: map[string]since{}, given: map[string]giving{}}
 }
--- a/internal/fleet/zones/play/judge_test.go
+++ b/internal/fleet/zones/play/judge_test.go
@@ -103,7 +103,7 @@
 		},
 		"a new leader in the middle of a return": func(t *testing.T) {
 			w := back(t, 2)
-			w.j.Office(w.now)
+			w.j.Lead(w.now)
 			n := len(w.steps)
 			w.untilPhase(fleet.Serving)
 			if got := w.steps[n]; got.at-w.steps[n-1].at < w.set.ColdTime {
--- a/internal/fleet/zones/play/schedule.go
+++ b/internal/fleet/zones/play/schedule.go
@@ -124,7 +124,7 @@
 					w.t.Fatalf("snapshot: %v", err)
 				}
 				w.now += fleet.Time(f.For%7) * time.Second // the new leader's clock is its own
-				w.j.Office(w.now)
+				w.j.Lead(w.now)
 			case f.Kind == "fewer":
 				w.listed[names[f.Zone]] = perWS
 				if on(f) {
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -27,19 +27,19 @@
 	watchSlack = 2 * time.Second
 )
 
-// Agent holds the list as last told.
+// Agent holds the list as last received.
 type Agent struct {
-	replicas []string
-	log      *slog.Logger
-	client   http.Client
-	mu       sync.Mutex
-	version  uint64
-	floor    uint64 // watches from before it get the whole list
-	entries  map[string]registry.Entry
-	changed  map[string]uint64
-	news     chan struct{}
-	goodAt   time.Time
-	Dropped  int // answers dropped as failed, stale or bad
+	replicas    []string
+	log         *slog.Logger
+	client      http.Client
+	mu          sync.Mutex
+	version     uint64
+	floor       uint64 // watches from before it get the whole list
+	entries     map[string]registry.Entry
+	changed     map[string]uint64
+	listChanged chan struct{}
+	goodAt      time.Time
+	Dropped     int // answers dropped as failed, stale or bad
 	// Rewrite gives, by id, the address this machine reaches a server at where it is not the listed one (a
 	// relay or a translation); set before serving.
 	Rewrite map[string]string
@@ -48,7 +48,7 @@
 // New makes an agent for the replicas' HTTP addresses.
 func New(replicas []string, log *slog.Logger) *Agent {
 	return &Agent{replicas: replicas, log: log, client: http.Client{Timeout: watchWait + watchSlack},
-		entries: map[string]registry.Entry{}, changed: map[string]uint64{}, news: make(chan struct{})}
+		entries: map[string]registry.Entry{}, changed: map[string]uint64{}, listChanged: make(chan struct{})}
 }
 
 // Dial sets how the replicas are reached; before Watch.
@@ -139,12 +139,12 @@
 		}
 	}
 	a.version = ans.Version
-	close(a.news)
-	a.news = make(chan struct{})
+	close(a.listChanged)
+	a.listChanged = make(chan struct{})
 	return nil
 }
 
-// ServeHTTP answers the node as PROTOCOL's agent does, at once from what it has; a watch waits for news.
+// ServeHTTP answers the node as PROTOCOL's agent does, at once from what it has; a watch waits for a change.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/registry/instances" || r.Method != http.MethodGet {
 		http.NotFound(w, r)
@@ -158,9 +158,9 @@
 	since := watch.Since
 	a.mu.Lock()
 	if watch.Watching && since >= a.version && watch.Wait > 0 {
-		news := a.news
+		changed := a.listChanged
 		a.mu.Unlock()
-		registry.Await(r.Context(), news, watch.Wait)
+		registry.Await(r.Context(), changed, watch.Wait)
 		a.mu.Lock()
 	}
 	full := !watch.Watching || since > a.version || since < a.floor
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -95,7 +95,7 @@
 	return changed, err
 }
 
-// Bump takes the next revision for a change of what is replicated beside the list. The list stays at its version.
+// Bump takes the next revision for a change of what is replicated together with the list. The list stays at its version.
 func (s *State) Bump() uint64 {
 	s.Rev++
 	return s.Rev
@@ -112,7 +112,7 @@
 		if e.State == "" || e.State == "gone" {
 			e.State = "ready"
 		}
-		// A registrant whose clock runs ahead can't start a server in the future: nodes would take it for
+		// A registrant whose clock is fast can't start a server in the future: nodes would take it for
 		// cold until then. Its renewals keep the bounded start. Leases are counted on the leader's clock alone.
 		r := s.Records[e.ID]
 		asked := e.StartedMS
@@ -204,7 +204,7 @@
 }
 
 // Read answers a whole read (since 0, watch false) or a watch from since: the entries changed after it, or the
-// whole list where since is compacted away or ahead of this list. Gone entries appear only among changes.
+// whole list where since is compacted away or newer than this list. Gone entries appear only among changes.
 func (s *State) Read(since uint64, watch bool) Answer {
 	full := !watch || since < s.Floor || since > s.Last
 	a := Answer{Version: s.Last, Full: full, Servers: []Entry{}}
@@ -235,7 +235,7 @@
 	return next
 }
 
-// withFleet is the version of a snapshot that has the fleet's state beside the list. One without has no version in it: builds
+// withFleet is the version of a snapshot that has the fleet's state next to the list. One without has no version in it: builds
 // before the fleet wrote it so.
 const withFleet = 2
 
@@ -245,7 +245,7 @@
 	Fleet   json.RawMessage `json:"fleet,omitempty"`
 }
 
-// Snapshot is the state as bytes, for raft's snapshots, with the fleet's state beside it (nil: there is none, and the bytes
+// Snapshot is the state as bytes, for raft's snapshots, with the fleet's state next to it (nil: there is none, and the bytes
 // are as they were before there was a fleet).
 func (s *State) Snapshot(fleet json.RawMessage) ([]byte, error) {
 	out := snapshot{State: *s, Fleet: fleet}
@@ -258,7 +258,7 @@
 	return json.Marshal(out)
 }
 
-// Restore replaces the state with a snapshot's and gives the fleet's state that was beside it, or nil. A snapshot of a newer
+// Restore replaces the state with a snapshot's and gives the fleet's state that was stored with it, or nil. A snapshot of a newer
 // version than this build knows is an error; an error changes nothing.
 func (s *State) Restore(raw []byte) (fleet json.RawMessage, err error) {
 	in := snapshot{State: State{keep: s.keep}}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -31,7 +31,7 @@
 		t.Errorf("a watch from a compacted revision gets the whole list: %+v", a)
 	}
 	if a := s.Read(99, true); !a.Full {
-		t.Errorf("a watch from ahead of the list gets the whole list: %+v", a)
+		t.Errorf("a watch from a revision newer than the list gets the whole list: %+v", a)
 	}
 	if s.NextExpiry() != 1300+MaxTTLMS {
 		t.Errorf("next expiry %d", s.NextExpiry())
@@ -93,7 +93,7 @@
 	}
 }
 
-// A registrant whose clock is an hour ahead: its server's start is taken as the leader's now, and its lease runs
+// A registrant whose clock is an hour fast: its server's start is taken as the leader's now, and its lease runs
 // on the leader's clock.
 func TestRegistrantClockAheadIsBounded(t *testing.T) {
 	s := New(8)
--- a/internal/registry/replica/fleetapi.go
+++ b/internal/registry/replica/fleetapi.go
@@ -20,25 +20,25 @@
 
 // intent answers a watch of the intent, from any replica that has heard from a leader within the bound. X-Waited-Ms says how
 // long it waited before it read what it answers, X-Last-Contact-Ms how long since it had heard from the leader.
-func (o *office) intent(w http.ResponseWriter, r *http.Request) {
+func (l *leadership) intent(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	watch, err := registry.ParseWatch(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	f := o.rep.fsm
+	f := l.rep.fsm
 	f.mu.Lock()
 	if watch.Watching && watch.Since == f.fleet.Rev && watch.Wait > 0 {
-		news := f.intent
+		changed := f.intentChanged
 		f.mu.Unlock()
-		registry.Await(r.Context(), news, watch.Wait)
+		registry.Await(r.Context(), changed, watch.Wait)
 		f.mu.Lock()
 	}
 	waited := time.Since(start)
 	in := f.fleet.Read(watch.Since, r.URL.Query().Get("node"))
 	f.mu.Unlock()
-	if o.stale(w) {
+	if l.stale(w) {
 		return
 	}
 	w.Header().Set("X-Waited-Ms", strconv.FormatInt(waited.Milliseconds(), 10))
@@ -46,8 +46,8 @@
 }
 
 // stale answers 503 where this replica can't vouch for what it has.
-func (o *office) stale(w http.ResponseWriter) bool {
-	age, ok := o.rep.fresh()
+func (l *leadership) stale(w http.ResponseWriter) bool {
+	age, ok := l.rep.fresh()
 	w.Header().Set("X-Last-Contact-Ms", strconv.FormatInt(age.Milliseconds(), 10))
 	if !ok {
 		http.Error(w, "stale: no leader heard from within the bound", http.StatusServiceUnavailable)
@@ -60,21 +60,21 @@
 	json.NewEncoder(w).Encode(v)
 }
 
-// inOffice runs f with the judge and the state, or answers that this replica is not in office.
-func (o *office) inOffice(w http.ResponseWriter, f func(j *control.Judge, s *control.State)) bool {
-	if o.rep.raft.State() != raft.Leader {
-		o.rep.notLeader(w)
+// whileLeading runs f with the judge and the state, or answers that this replica does not lead.
+func (l *leadership) whileLeading(w http.ResponseWriter, f func(j *control.Judge, s *control.State)) bool {
+	if l.rep.raft.State() != raft.Leader {
+		l.rep.notLeader(w)
 		return false
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.judge == nil {
-		http.Error(w, errNoOffice.Error(), http.StatusServiceUnavailable)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.judge == nil {
+		http.Error(w, errNotLeading.Error(), http.StatusServiceUnavailable)
 		return false
 	}
-	o.rep.fsm.mu.Lock()
-	defer o.rep.fsm.mu.Unlock()
-	f(o.judge, o.rep.fsm.fleet)
+	l.rep.fsm.mu.Lock()
+	defer l.rep.fsm.mu.Unlock()
+	f(l.judge, l.rep.fsm.fleet)
 	return true
 }
 
@@ -86,13 +86,13 @@
 	Finding   *zones.Finding  `json:"finding,omitempty"`
 }
 
-func (o *office) zones(w http.ResponseWriter, _ *http.Request) {
+func (l *leadership) zones(w http.ResponseWriter, _ *http.Request) {
 	var out struct {
 		Revision uint64         `json:"revision"`
 		Present  []fleet.Member `json:"present"`
 		Zones    []zoneView     `json:"zones"`
 	}
-	ok := o.inOffice(w, func(j *control.Judge, s *control.State) {
+	ok := l.whileLeading(w, func(j *control.Judge, s *control.State) {
 		out.Revision, out.Present, out.Zones = s.Rev, s.Session.List(), []zoneView{}
 		at := map[string]int{}
 		for _, it := range s.Zones.Items() {
@@ -114,27 +114,27 @@
 }
 
 // tenants lists every tenant, by name.
-func (o *office) tenants(w http.ResponseWriter, _ *http.Request) {
+func (l *leadership) tenants(w http.ResponseWriter, _ *http.Request) {
 	out := struct {
 		Revision uint64                  `json:"revision"`
 		Tenants  map[string]fleet.Tenant `json:"tenants"`
 	}{Tenants: map[string]fleet.Tenant{}}
-	o.rep.fsm.mu.Lock()
-	out.Revision = o.rep.fsm.fleet.Rev
-	for name, e := range o.rep.fsm.fleet.Tenants.Tenants {
+	l.rep.fsm.mu.Lock()
+	out.Revision = l.rep.fsm.fleet.Rev
+	for name, e := range l.rep.fsm.fleet.Tenants.Tenants {
 		out.Tenants[name] = e.Tenant
 	}
-	o.rep.fsm.mu.Unlock()
-	if !o.stale(w) {
+	l.rep.fsm.mu.Unlock()
+	if !l.stale(w) {
 		show(w, out)
 	}
 }
 
-func (o *office) tenant(w http.ResponseWriter, r *http.Request) {
-	o.rep.fsm.mu.Lock()
-	t, err := o.rep.fsm.fleet.Tenants.Tenant(r.PathValue("name"))
-	o.rep.fsm.mu.Unlock()
-	if o.stale(w) {
+func (l *leadership) tenant(w http.ResponseWriter, r *http.Request) {
+	l.rep.fsm.mu.Lock()
+	t, err := l.rep.fsm.fleet.Tenants.Tenant(r.PathValue("name"))
+	l.rep.fsm.mu.Unlock()
+	if l.stale(w) {
 		return
 	}
 	if err != nil {
@@ -145,8 +145,8 @@
 }
 
 // putTenant proposes a tenant's next generation.
-func (o *office) putTenant(w http.ResponseWriter, r *http.Request) {
-	raw, ok := o.body(w, r, "tenant", fleet.TenantLimit)
+func (l *leadership) putTenant(w http.ResponseWriter, r *http.Request) {
+	raw, ok := l.body(w, r, "tenant", fleet.TenantLimit)
 	if !ok {
 		return
 	}
@@ -156,36 +156,36 @@
 		err = fmt.Errorf("%w: spec.name: %.64q, the path names %.64q", fleet.ErrInvalid, spec.Name, name)
 	}
 	if err != nil {
-		o.refuse(w, "tenant", err)
+		l.refuse(w, "tenant", err)
 		return
 	}
-	o.operate(w, r, tenants.Command{Op: tenants.Put, Name: name, Generation: g, Spec: &spec}, g+1)
+	l.operate(w, r, tenants.Command{Op: tenants.Put, Name: name, Generation: g, Spec: &spec}, g+1)
 }
 
 // deleteTenant begins a tenant's removal at the generation that the operator read.
-func (o *office) deleteTenant(w http.ResponseWriter, r *http.Request) {
+func (l *leadership) deleteTenant(w http.ResponseWriter, r *http.Request) {
 	g, err := strconv.ParseUint(r.URL.Query().Get("generation"), 10, 64)
 	if err != nil {
-		o.refuse(w, "tenant", fmt.Errorf("%w: generation: %.40q is not a whole number", fleet.ErrInvalid, r.URL.Query().Get("generation")))
+		l.refuse(w, "tenant", fmt.Errorf("%w: generation: %.40q is not a whole number", fleet.ErrInvalid, r.URL.Query().Get("generation")))
 		return
 	}
-	o.operate(w, r, tenants.Command{Op: tenants.Delete, Name: r.PathValue("name"), Generation: g}, g)
+	l.operate(w, r, tenants.Command{Op: tenants.Delete, Name: r.PathValue("name"), Generation: g}, g)
 }
 
 // operate commits an operator's command and answers with the generation that it is about.
-func (o *office) operate(w http.ResponseWriter, _ *http.Request, c tenants.Command, generation uint64) {
-	if o.rep.raft.State() != raft.Leader {
-		o.rep.notLeader(w)
+func (l *leadership) operate(w http.ResponseWriter, _ *http.Request, c tenants.Command, generation uint64) {
+	if l.rep.raft.State() != raft.Leader {
+		l.rep.notLeader(w)
 		return
 	}
-	a, err := o.proposeFleet(control.Command{Tenants: &c})
+	a, err := l.proposeFleet(control.Command{Tenants: &c})
 	switch {
 	case err != nil:
-		o.rep.notCommitted(w, err)
+		l.rep.notCommitted(w, err)
 	case a.err != nil:
 		var fe *tenants.FieldError
 		if errors.As(a.err, &fe) {
-			o.refuse(w, "tenant", a.err)
+			l.refuse(w, "tenant", a.err)
 			return
 		}
 		http.Error(w, a.err.Error(), code(a.err))
@@ -195,7 +195,7 @@
 }
 
 // tenantStatus says how far each present node is with a tenant.
-func (o *office) tenantStatus(w http.ResponseWriter, r *http.Request) {
+func (l *leadership) tenantStatus(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	var out struct {
 		Name       string               `json:"name"`
@@ -204,12 +204,12 @@
 		Nodes      []tenants.NodeStatus `json:"nodes"`
 	}
 	var err error
-	ok := o.inOffice(w, func(j *control.Judge, s *control.State) {
+	ok := l.whileLeading(w, func(j *control.Judge, s *control.State) {
 		out.Name, out.Phase = name, s.Tenants.Phase(name)
 		if e := s.Tenants.Tenants[name]; e != nil {
 			out.RolledBack = e.RolledBack
 		}
-		out.Nodes, err = j.Status(o.now(), s, name)
+		out.Nodes, err = j.Status(l.now(), s, name)
 	})
 	if !ok {
 		return
--- a/internal/registry/replica/fleetdrift.go
+++ b/internal/registry/replica/fleetdrift.go
@@ -16,23 +16,23 @@
 
 // drift answers GET /fleet/v1/drift: the verdicts, of one node or in one state where asked, and as a watch those changed after
 // since (docs/drift.md).
-func (o *office) drift(w http.ResponseWriter, r *http.Request) {
+func (l *leadership) drift(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	watch, err := registry.ParseWatch(q)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if o.rep.raft.State() != raft.Leader {
-		o.rep.notLeader(w)
+	if l.rep.raft.State() != raft.Leader {
+		l.rep.notLeader(w)
 		return
 	}
-	f := o.rep.fsm
+	f := l.rep.fsm
 	f.mu.Lock()
 	if watch.Watching && watch.Since >= f.fleet.Drift.Rev && watch.Wait > 0 {
-		news := f.drift
+		changed := f.driftChanged
 		f.mu.Unlock()
-		registry.Await(r.Context(), news, watch.Wait)
+		registry.Await(r.Context(), changed, watch.Wait)
 		f.mu.Lock()
 	}
 	f.mu.Unlock()
@@ -42,9 +42,9 @@
 		Verdicts []drift.Verdict `json:"verdicts"`
 		Log      []drift.Entry   `json:"log"`
 	}{Verdicts: []drift.Verdict{}, Log: []drift.Entry{}}
-	ok := o.inOffice(w, func(j *control.Judge, s *control.State) {
-		out.Revision, out.Summary = s.Drift.Rev, j.Drift(o.now(), s)
-		for _, v := range j.Verdicts(o.now(), time.Now().UnixMilli(), s) {
+	ok := l.whileLeading(w, func(j *control.Judge, s *control.State) {
+		out.Revision, out.Summary = s.Drift.Rev, j.Drift(l.now(), s)
+		for _, v := range j.Verdicts(l.now(), time.Now().UnixMilli(), s) {
 			if node := q.Get("node"); node != "" && node != v.Node {
 				continue
 			}
--- a/internal/registry/replica/fleetmetrics.go
+++ b/internal/registry/replica/fleetmetrics.go
@@ -15,7 +15,7 @@
 // fleetMetrics are what GET /metrics of a replica with a fleet shows.
 type fleetMetrics struct {
 	handler  http.Handler
-	office   prometheus.Gauge
+	leading  prometheus.Gauge
 	sessions prometheus.Gauge
 	revision prometheus.Gauge
 	step     prometheus.Histogram
@@ -41,7 +41,7 @@
 		reg.MustRegister(c)
 		return c
 	}
-	m := &fleetMetrics{office: gauge("fleet_office", "1 while this replica leads and judges."),
+	m := &fleetMetrics{leading: gauge("fleet_office", "1 while this replica leads and judges."),
 		sessions: gauge("fleet_sessions", "Nodes present, as the leader last saw."),
 		revision: gauge("fleet_revision", "Revision of the newest change of the intent, as the leader last saw."),
 		reports:  counter("fleet_reports_total", "Reports of nodes by what became of them.", "result"),
--- a/internal/registry/replica/fleetreport.go
+++ b/internal/registry/replica/fleetreport.go
@@ -17,23 +17,23 @@
 )
 
 // body reads a request's body up to limit. A longer one is refused whole, counted, and said at a bounded rate.
-func (o *office) body(w http.ResponseWriter, r *http.Request, path string, limit int64) ([]byte, bool) {
+func (l *leadership) body(w http.ResponseWriter, r *http.Request, path string, limit int64) ([]byte, bool) {
 	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, false // the caller has gone
 	}
 	if int64(len(raw)) > limit {
-		o.refuse(w, path, fmt.Errorf("%w: body over %d bytes", fleet.ErrInvalid, limit))
+		l.refuse(w, path, fmt.Errorf("%w: body over %d bytes", fleet.ErrInvalid, limit))
 		return nil, false
 	}
 	return raw, true
 }
 
 // refuse answers a bad body.
-func (o *office) refuse(w http.ResponseWriter, path string, err error) {
-	o.m.bad.WithLabelValues(path).Inc()
-	if skipped, ok := o.quiet.ok(); ok {
-		o.rep.cfg.Log.Warn("bad body refused", "path", path, "err", err, "more", skipped)
+func (l *leadership) refuse(w http.ResponseWriter, path string, err error) {
+	l.m.bad.WithLabelValues(path).Inc()
+	if skipped, ok := l.quiet.ok(); ok {
+		l.rep.cfg.Log.Warn("bad body refused", "path", path, "err", err, "more", skipped)
 	}
 	http.Error(w, err.Error(), http.StatusBadRequest)
 }
@@ -54,85 +54,85 @@
 
 // report takes a node's report: it joins the run where it is not present and may be, and answers only once this replica was
 // confirmed as the leader after the report came, as the answer renews a lease (docs/fleet.md, "Sessions").
-func (o *office) report(w http.ResponseWriter, r *http.Request) {
-	if o.rep.raft.State() != raft.Leader {
-		o.rep.notLeader(w)
+func (l *leadership) report(w http.ResponseWriter, r *http.Request) {
+	if l.rep.raft.State() != raft.Leader {
+		l.rep.notLeader(w)
 		return
 	}
-	raw, ok := o.body(w, r, "report", fleet.ReportLimit)
+	raw, ok := l.body(w, r, "report", fleet.ReportLimit)
 	if !ok {
 		return
 	}
 	rep, err := fleet.DecodeReport(raw)
 	if err != nil {
-		o.refuse(w, "report", err)
+		l.refuse(w, "report", err)
 		return
 	}
-	at := o.now()
-	cmd, err := o.admit(rep)
+	at := l.now()
+	cmd, err := l.admit(rep)
 	if err == nil && cmd != nil {
 		var a applied
-		if a, err = o.proposeFleet(*cmd); err != nil {
-			o.m.reports.WithLabelValues("lost").Inc()
-			o.rep.notCommitted(w, err)
+		if a, err = l.proposeFleet(*cmd); err != nil {
+			l.m.reports.WithLabelValues("lost").Inc()
+			l.rep.notCommitted(w, err)
 			return
 		}
 		if errors.Is(a.err, session.ErrFull) {
-			if skipped, ok := o.quiet.ok(); ok {
-				o.rep.cfg.Log.Error("no slot is free", "node", rep.Node, "zone", rep.Zone, "slots", o.set.Slots, "more", skipped)
+			if skipped, ok := l.quiet.ok(); ok {
+				l.rep.cfg.Log.Error("no slot is free", "node", rep.Node, "zone", rep.Zone, "slots", l.set.Slots, "more", skipped)
 			}
 		} else if !errors.Is(a.err, control.ErrStale) { // not caught up any more: it is out until its next report
 			err = a.err
 		}
 	}
 	if err == nil {
-		if verr := o.verify.ask(); verr != nil {
-			o.m.reports.WithLabelValues("unverified").Inc()
-			o.rep.notLeader(w)
+		if verr := l.verify.ask(); verr != nil {
+			l.m.reports.WithLabelValues("unverified").Inc()
+			l.rep.notLeader(w)
 			return
 		}
 	}
 	var ans fleet.ReportAnswer
 	if err == nil {
-		ans, err = o.answer(at, rep)
+		ans, err = l.answer(at, rep)
 	}
 	switch {
 	case err != nil && code(err) == http.StatusConflict:
-		o.m.reports.WithLabelValues("fenced").Inc()
+		l.m.reports.WithLabelValues("fenced").Inc()
 		http.Error(w, err.Error(), http.StatusConflict)
 	case err != nil:
-		o.m.reports.WithLabelValues("refused").Inc()
+		l.m.reports.WithLabelValues("refused").Inc()
 		http.Error(w, err.Error(), code(err))
 	default:
-		o.m.reports.WithLabelValues(map[bool]string{false: "held", true: "out"}[ans.TTLMS == 0]).Inc()
+		l.m.reports.WithLabelValues(map[bool]string{false: "held", true: "out"}[ans.TTLMS == 0]).Inc()
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(ans)
 	}
 }
 
-var errNoOffice = errors.New("this replica has not taken office yet")
+var errNotLeading = errors.New("this replica does not lead yet")
 
 // admit says what must be committed before the report can be answered.
-func (o *office) admit(rep fleet.Report) (*control.Command, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.judge == nil {
-		return nil, errNoOffice
+func (l *leadership) admit(rep fleet.Report) (*control.Command, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.judge == nil {
+		return nil, errNotLeading
 	}
-	o.rep.fsm.mu.Lock()
-	defer o.rep.fsm.mu.Unlock()
-	c, _, err := o.judge.Admit(o.rep.fsm.fleet, rep)
+	l.rep.fsm.mu.Lock()
+	defer l.rep.fsm.mu.Unlock()
+	c, _, err := l.judge.Admit(l.rep.fsm.fleet, rep)
 	return c, err
 }
 
 // answer gives the answer to a report that came at at, for which this replica has been confirmed as the leader since.
-func (o *office) answer(at fleet.Time, rep fleet.Report) (fleet.ReportAnswer, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.judge == nil || o.rep.raft.CurrentTerm() != o.term {
-		return fleet.ReportAnswer{}, errNoOffice
+func (l *leadership) answer(at fleet.Time, rep fleet.Report) (fleet.ReportAnswer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.judge == nil || l.rep.raft.CurrentTerm() != l.term {
+		return fleet.ReportAnswer{}, errNotLeading
 	}
-	o.rep.fsm.mu.Lock()
-	defer o.rep.fsm.mu.Unlock()
-	return o.judge.Report(o.now(), at, o.rep.fsm.fleet, rep)
+	l.rep.fsm.mu.Lock()
+	defer l.rep.fsm.mu.Unlock()
+	return l.judge.Report(l.now(), at, l.rep.fsm.fleet, rep)
 }
--- a/internal/registry/replica/fsm.go
+++ b/internal/registry/replica/fsm.go
@@ -19,17 +19,17 @@
 // fsm is the state machine that raft feeds: the list and the fleet, under the list's revision. Every replica applies the
 // fleet's commands, whether or not it was started with the fleet's settings.
 type fsm struct {
-	mu     sync.Mutex
-	state  *registry.State
-	news   chan struct{} // closed at each change of the list
-	fleet  *control.State
-	intent chan struct{} // closed at each change of an item of the intent
-	drift  chan struct{} // closed at each change of a verdict
+	mu            sync.Mutex
+	state         *registry.State
+	listChanged   chan struct{} // closed at each change of the list
+	fleet         *control.State
+	intentChanged chan struct{} // closed at each change of an item of the intent
+	driftChanged  chan struct{} // closed at each change of a verdict
 }
 
 func newFSM(keep int) *fsm {
-	return &fsm{state: registry.New(keep), news: make(chan struct{}), fleet: control.New(), intent: make(chan struct{}),
-		drift: make(chan struct{})}
+	return &fsm{state: registry.New(keep), listChanged: make(chan struct{}), fleet: control.New(), intentChanged: make(chan struct{}),
+		driftChanged: make(chan struct{})}
 }
 
 type applied struct {
@@ -50,7 +50,7 @@
 	}
 	changed, err := f.state.Apply(c)
 	if changed {
-		renew(&f.news)
+		renew(&f.listChanged)
 	}
 	return applied{changed: changed, err: err}
 }
@@ -62,10 +62,10 @@
 	}
 	ch, err := f.fleet.Apply(c, f.state.Bump)
 	if ch.Items {
-		renew(&f.intent)
+		renew(&f.intentChanged)
 	}
 	if ch.Drift {
-		renew(&f.drift)
+		renew(&f.driftChanged)
 	}
 	return applied{changed: ch.Rev != 0, rev: ch.Rev, err: err}
 }
@@ -139,8 +139,8 @@
 		}
 	}
 	f.state, f.fleet = list, fleet
-	renew(&f.news)
-	renew(&f.intent)
-	renew(&f.drift)
+	renew(&f.listChanged)
+	renew(&f.intentChanged)
+	renew(&f.driftChanged)
 	return nil
 }
--- a/internal/registry/replica/office.go
+++ b/internal/registry/replica/leadership.go
@@ -18,8 +18,8 @@
 // stepEvery is how often the leader judges.
 const stepEvery = 100 * time.Millisecond
 
-// office is a replica's fleet half (listd serve --fleet): while it leads, a judge that decides, and the fleet's paths.
-type office struct {
+// leadership is a replica's fleet half (listd serve --fleet): while it leads, a judge that decides, and the fleet's paths.
+type leadership struct {
 	rep   *Replica
 	set   control.Settings
 	m     *fleetMetrics
@@ -27,7 +27,7 @@
 	quiet quiet     // of complaints on bad bodies
 
 	mu    sync.Mutex     // taken before the fsm's
-	judge *control.Judge // nil: this replica is not in office
+	judge *control.Judge // nil: this replica does not lead
 	term  uint64         // that the judge is of
 	// of drift's log of repairs: the last entry that was logged; and when nodes were last counted
 	logged  uint64
@@ -36,113 +36,113 @@
 	verify batch
 }
 
-func newOffice(rep *Replica, set control.Settings) *office {
-	o := &office{rep: rep, set: set, m: newFleetMetrics(), zero: time.Now()}
-	o.verify.check = func() error { return rep.raft.VerifyLeader().Error() }
-	return o
+func newLeadership(rep *Replica, set control.Settings) *leadership {
+	l := &leadership{rep: rep, set: set, m: newFleetMetrics(), zero: time.Now()}
+	l.verify.check = func() error { return rep.raft.VerifyLeader().Error() }
+	return l
 }
 
 // routes puts the fleet's paths on mux.
-func (o *office) routes(mux *http.ServeMux) {
-	mux.HandleFunc("GET /fleet/v1/intent", o.intent)
-	mux.HandleFunc("POST /fleet/v1/report", o.report)
-	mux.HandleFunc("GET /fleet/v1/zones", o.zones)
-	mux.HandleFunc("GET /fleet/v1/tenants", o.tenants)
-	mux.HandleFunc("GET /fleet/v1/tenants/{name}", o.tenant)
-	mux.HandleFunc("PUT /fleet/v1/tenants/{name}", o.putTenant)
-	mux.HandleFunc("DELETE /fleet/v1/tenants/{name}", o.deleteTenant)
-	mux.HandleFunc("GET /fleet/v1/tenants/{name}/status", o.tenantStatus)
-	mux.HandleFunc("GET /fleet/v1/drift", o.drift)
-	mux.Handle("GET /metrics", o.m.handler)
+func (l *leadership) routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /fleet/v1/intent", l.intent)
+	mux.HandleFunc("POST /fleet/v1/report", l.report)
+	mux.HandleFunc("GET /fleet/v1/zones", l.zones)
+	mux.HandleFunc("GET /fleet/v1/tenants", l.tenants)
+	mux.HandleFunc("GET /fleet/v1/tenants/{name}", l.tenant)
+	mux.HandleFunc("PUT /fleet/v1/tenants/{name}", l.putTenant)
+	mux.HandleFunc("DELETE /fleet/v1/tenants/{name}", l.deleteTenant)
+	mux.HandleFunc("GET /fleet/v1/tenants/{name}/status", l.tenantStatus)
+	mux.HandleFunc("GET /fleet/v1/drift", l.drift)
+	mux.Handle("GET /metrics", l.m.handler)
 }
 
 // now reads the leader's monotonic clock.
-func (o *office) now() fleet.Time { return time.Since(o.zero) }
+func (l *leadership) now() fleet.Time { return time.Since(l.zero) }
 
 // run judges while this replica leads.
-func (o *office) run() {
+func (l *leadership) run() {
 	t := time.NewTicker(stepEvery)
 	defer t.Stop()
 	for {
 		select {
-		case <-o.rep.done:
+		case <-l.rep.done:
 			return
 		case <-t.C:
 		}
-		if o.take() {
-			o.step()
+		if l.lead() {
+			l.step()
 		}
 	}
 }
 
-// take says whether this replica is in office, and puts it there where it has come to lead: with a new judge, once all that was
-// committed before is applied.
-func (o *office) take() bool {
-	r := o.rep.raft
+// lead says whether this replica leads. Where it has just been elected it begins with a new judge, once all that was committed
+// before is applied.
+func (l *leadership) lead() bool {
+	r := l.rep.raft
 	term := r.CurrentTerm()
 	if r.State() != raft.Leader {
-		o.leave("not the leader")
+		l.end("not the leader")
 		return false
 	}
-	o.mu.Lock()
-	in := o.judge != nil && o.term == term
-	o.mu.Unlock()
+	l.mu.Lock()
+	in := l.judge != nil && l.term == term
+	l.mu.Unlock()
 	if in {
 		return true
 	}
 	if err := r.Barrier(5 * time.Second).Error(); err != nil || r.CurrentTerm() != term {
-		o.leave("lost the lead before taking office")
+		l.end("lost the lead before it began to judge")
 		return false
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.rep.fsm.mu.Lock()
-	o.judge, o.term, o.logged = control.Office(o.set, o.now(), o.rep.fsm.fleet), term, 0
-	o.rep.fsm.mu.Unlock()
-	o.m.office.Set(1)
-	o.rep.cfg.Log.Info("takes office", "term", term)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rep.fsm.mu.Lock()
+	l.judge, l.term, l.logged = control.NewJudge(l.set, l.now(), l.rep.fsm.fleet), term, 0
+	l.rep.fsm.mu.Unlock()
+	l.m.leading.Set(1)
+	l.rep.cfg.Log.Info("leadership begins", "term", term)
 	return true
 }
 
-// leave ends the office: what the judge knew is forgotten.
-func (o *office) leave(why string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.judge != nil {
-		o.judge = nil
-		o.m.office.Set(0)
-		o.rep.cfg.Log.Info("leaves office", "term", o.term, "reason", why)
+// end gives the leadership up: what the judge knew is forgotten.
+func (l *leadership) end(why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.judge != nil {
+		l.judge = nil
+		l.m.leading.Set(0)
+		l.rep.cfg.Log.Info("leadership ends", "term", l.term, "reason", why)
 	}
 }
 
 // step judges once and sees its commands through.
-func (o *office) step() {
+func (l *leadership) step() {
 	start := time.Now()
-	o.mu.Lock()
-	judge := o.judge
+	l.mu.Lock()
+	judge := l.judge
 	if judge == nil {
-		o.mu.Unlock()
+		l.mu.Unlock()
 		return
 	}
-	o.rep.fsm.mu.Lock()
-	now := o.now()
-	cmds := judge.Step(now, o.rep.fsm.fleet, o.rep.fsm.servers())
+	l.rep.fsm.mu.Lock()
+	now := l.now()
+	cmds := judge.Step(now, l.rep.fsm.fleet, l.rep.fsm.servers())
 	tallies := make([][]drift.Tally, len(cmds))
 	for i, c := range cmds {
 		if c.Drift != nil {
 			c.Drift.AtMS = time.Now().UnixMilli()
-			tallies[i] = c.Drift.Tally(&o.rep.fsm.fleet.Drift)
+			tallies[i] = c.Drift.Tally(&l.rep.fsm.fleet.Drift)
 		}
 	}
-	o.note(judge, now)
-	o.m.sessions.Set(float64(len(o.rep.fsm.fleet.Session.Members)))
-	o.m.revision.Set(float64(o.rep.fsm.fleet.Rev))
-	o.rep.fsm.mu.Unlock()
-	o.mu.Unlock()
-	o.m.step.Observe(time.Since(start).Seconds())
+	l.note(judge, now)
+	l.m.sessions.Set(float64(len(l.rep.fsm.fleet.Session.Members)))
+	l.m.revision.Set(float64(l.rep.fsm.fleet.Rev))
+	l.rep.fsm.mu.Unlock()
+	l.mu.Unlock()
+	l.m.step.Observe(time.Since(start).Seconds())
 	futures := make([]raft.ApplyFuture, len(cmds))
 	for i, c := range cmds {
-		futures[i] = o.rep.raft.Apply(fleetCommand(c), 5*time.Second)
+		futures[i] = l.rep.raft.Apply(fleetCommand(c), 5*time.Second)
 	}
 	lost := false
 	for i, c := range cmds {
@@ -150,53 +150,53 @@
 			// What becomes of it is not known: it may yet be committed. The judge, which holds back the sessions
 			// that it may end, goes with it; the next one comes after all that is committed is applied.
 			lost = true
-			o.m.commands.WithLabelValues(core(c), "lost").Inc()
+			l.m.commands.WithLabelValues(core(c), "lost").Inc()
 			continue
 		}
 		a := futures[i].Response().(applied)
-		o.outcome(c, a)
+		l.outcome(c, a)
 		if a.err == nil && a.changed {
-			o.m.tally(tallies[i])
+			l.m.tally(tallies[i])
 		}
-		o.mu.Lock()
+		l.mu.Lock()
 		judge.Settled(c)
-		o.mu.Unlock()
+		l.mu.Unlock()
 	}
 	if lost {
-		o.leave("a command's outcome is not known")
+		l.end("a command's outcome is not known")
 	}
 }
 
 // note logs the repairs that were begun, and counts what drifts once a second. The caller holds both locks.
-func (o *office) note(judge *control.Judge, now fleet.Time) {
-	for _, e := range judge.Repairs(o.logged) {
-		o.logged = e.Seq
-		o.m.repairs.WithLabelValues(e.Act).Inc()
-		o.rep.cfg.Log.Warn("drift", "act", e.Act, "node", e.Node, "reason", e.Why, "keys", e.Keys)
+func (l *leadership) note(judge *control.Judge, now fleet.Time) {
+	for _, e := range judge.Repairs(l.logged) {
+		l.logged = e.Seq
+		l.m.repairs.WithLabelValues(e.Act).Inc()
+		l.rep.cfg.Log.Warn("drift", "act", e.Act, "node", e.Node, "reason", e.Why, "keys", e.Keys)
 	}
-	if now-o.counted < time.Second {
+	if now-l.counted < time.Second {
 		return
 	}
-	o.counted = now
-	sum := judge.Drift(now, o.rep.fsm.fleet)
-	o.m.drift.Reset()
+	l.counted = now
+	sum := judge.Drift(now, l.rep.fsm.fleet)
+	l.m.drift.Reset()
 	for state, n := range sum.States {
-		o.m.drift.WithLabelValues(state).Set(float64(n))
+		l.m.drift.WithLabelValues(state).Set(float64(n))
 	}
-	o.m.suspect.Set(map[bool]float64{true: 1}[sum.Suspect])
+	l.m.suspect.Set(map[bool]float64{true: 1}[sum.Suspect])
 }
 
 // outcome counts and logs what a command of the judge came to.
-func (o *office) outcome(c control.Command, a applied) {
-	log, result := o.rep.cfg.Log, "applied"
+func (l *leadership) outcome(c control.Command, a applied) {
+	log, result := l.rep.cfg.Log, "applied"
 	if a.err != nil {
 		result = "refused"
-		if skipped, ok := o.quiet.ok(); ok && errors.Is(a.err, fleet.ErrInvalid) {
+		if skipped, ok := l.quiet.ok(); ok && errors.Is(a.err, fleet.ErrInvalid) {
 			log.Warn("the judge's command refused", "core", core(c), "err", a.err, "more", skipped)
 		}
 		log.Debug("command refused", "core", core(c), "err", a.err)
 	}
-	o.m.commands.WithLabelValues(core(c), result).Inc()
+	l.m.commands.WithLabelValues(core(c), result).Inc()
 	if a.err != nil || !a.changed {
 		return
 	}
@@ -235,13 +235,13 @@
 }
 
 // proposeFleet has a command committed and applied; the error is raft's, the applied one the state's.
-func (o *office) proposeFleet(c control.Command) (applied, error) {
-	fut := o.rep.raft.Apply(fleetCommand(c), 5*time.Second)
+func (l *leadership) proposeFleet(c control.Command) (applied, error) {
+	fut := l.rep.raft.Apply(fleetCommand(c), 5*time.Second)
 	if err := fut.Error(); err != nil {
 		return applied{}, err
 	}
 	a := fut.Response().(applied)
-	o.outcome(c, a)
+	l.outcome(c, a)
 	return a, nil
 }
 
--- a/internal/registry/replica/list.go
+++ b/internal/registry/replica/list.go
@@ -54,9 +54,9 @@
 	}
 	rep.fsm.mu.Lock()
 	if watch.Watching && watch.Since >= rep.fsm.state.Last && watch.Wait > 0 {
-		news := rep.fsm.news
+		changed := rep.fsm.listChanged
 		rep.fsm.mu.Unlock()
-		registry.Await(r.Context(), news, watch.Wait)
+		registry.Await(r.Context(), changed, watch.Wait)
 		rep.fsm.mu.Lock()
 	}
 	a := rep.fsm.state.Read(watch.Since, watch.Watching)
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -126,9 +126,9 @@
 	mux.HandleFunc("GET /registry/v1/status", rep.status)
 	rep.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	if cfg.Fleet != nil {
-		o := newOffice(rep, *cfg.Fleet)
-		o.routes(mux)
-		go o.run()
+		l := newLeadership(rep, *cfg.Fleet)
+		l.routes(mux)
+		go l.run()
 	}
 	go rep.http.Serve(ln)
 	go rep.sweep()
--- a/internal/registry/versions_test.go
+++ b/internal/registry/versions_test.go
@@ -33,7 +33,7 @@
 }
 
 // A log and a snapshot that builds before the fleet wrote (testdata/v1-*) still restore, to the same list and on to the same
-// bytes; with the fleet's state beside it the list's answers stay the same.
+// bytes; with the fleet's state next to it the list's answers stay the same.
 func TestOldLogAndSnapshotRestore(t *testing.T) {
 	s := replay(t, "testdata/v1-commands.jsonl")
 	old, err := os.ReadFile("testdata/v1-snapshot.json")
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -30,12 +30,12 @@
 	return w, nil
 }
 
-// Await waits for news to close, d to pass or ctx to end.
-func Await(ctx context.Context, news <-chan struct{}, d time.Duration) {
+// Await waits for changed to close, d to pass or ctx to end.
+func Await(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-news:
+	case <-changed:
 	case <-t.C:
 	case <-ctx.Done():
 	}
