Count a rollout by the present nodes of the tenant's scope and by its epoch

Every present node counted for every tenant, and any join or leave refused what was decided before it: with 550 services that is mostly nodes that never hold the tenant. A join now names the run's services, and a report with others than its session's is refused with one line. Staging, commit, application, drain, status and what is late count the present members of the tenant's scope against that scope's epoch. Commands of such tenants say "scoped"; those without are refused by the fleet's epoch as before, so an old log replays to the same state. Leases go to runs of the scope; what a run is leased outside of it is withdrawn. A tenant's service can't change by a rollout.

--- /dev/null
+++ b/internal/fleet/control/guard.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// present is who is present, with their scopes.
+func (s *State) present() tenants.Present {
+	return tenants.Present{Epoch: s.Session.ScopeEpoch, Members: s.Session.List(), Services: s.Session.ServicesByNode()}
+}
+
+// Guard is a digest of all that a run of these services must hold before it may be present: the committed generations of its
+// scope, and its node's share. A join names it, so that it is refused where any of it has changed since the run was looked
+// at. It costs what the scope holds. Without services it is the digest that joins named before there were scopes.
+func (s *State) Guard(node string, services []string) uint64 {
+	var names []string
+	for name := range s.Tenants.InScope(services) {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	digest := xxhash.New()
+	var line []byte
+	for _, name := range names {
+		line = appendGuard(line[:0], name, s.Tenants.Tenants[name])
+		digest.Write(line)
+	}
+	digest.Write(append(strconv.AppendUint(line[:0], s.shareRev(node), 10), '\n'))
+	return digest.Sum64()
+}
+
+// appendGuard appends a tenant's line of the guard: name, uid, generation, and how far its removal is.
+func appendGuard(line []byte, name string, e *tenants.Entry) []byte {
+	generation := uint64(0)
+	if e.Committed != nil {
+		generation = e.Committed.Number
+	}
+	line = strconv.AppendQuote(line, name)
+	line = strconv.AppendUint(append(line, ' '), e.UID, 10)
+	line = strconv.AppendUint(append(line, ' '), generation, 10)
+	line = strconv.AppendBool(append(line, ' '), e.Removing)
+	line = strconv.AppendBool(append(line, ' '), e.QuotaGone)
+	return append(line, '\n')
+}
+
+// shareRev is the revision of the item of a node's share, or of its end; 0: there is none.
+func (s *State) shareRev(node string) uint64 {
+	it, _ := s.Item("share/" + node)
+	return it.Rev
+}
+
+// MayJoin says whether a run that reports so may be present: one that holds nothing yet, so that it is counted before it
+// hears of any quota, or one that has caught up.
+func (s *State) MayJoin(r fleet.Report) bool {
+	acked := slices.ContainsFunc(r.Tenants, func(a fleet.TenantAck) bool { return a.UID != 0 })
+	return r.Revision == 0 && !acked || s.CaughtUp(r)
+}
+
+// CaughtUp says whether a run that reports so may begin to serve: it holds what is committed in its scope and nothing outside
+// of it, and its node's share as it is now, so that a lease renewed never wakes an older share.
+func (s *State) CaughtUp(r fleet.Report) bool {
+	if r.Revision < s.Floor || r.Revision < s.shareRev(r.Node) {
+		return false
+	}
+	for _, e := range s.Tenants.InScope(r.Services) {
+		if (e.Removing || e.QuotaGone) && r.Revision < e.Rev {
+			return false
+		}
+	}
+	return tenants.CaughtUp(&s.Tenants, r)
+}
--- a/internal/fleet/control/state.go
+++ b/internal/fleet/control/state.go
@@ -7,12 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"sort"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/drift"
 	"starlingvalve/internal/fleet/session"
@@ -99,7 +96,7 @@
 	var err error
 	switch {
 	case c.Session != nil:
-		if c.Session.Op == session.Join && c.Guard != s.Guard(c.Session.Member.Node) {
+		if c.Session.Op == session.Join && c.Guard != s.Guard(c.Session.Member.Node, c.Session.Services) {
 			return ch, fmt.Errorf("%w: %s is not caught up any more", ErrStale, c.Session.Member.Node)
 		}
 		var changed bool
@@ -113,7 +110,7 @@
 		if c.Tenants.Op == tenants.Divide && c.Tenants.Epoch != s.Session.Epoch {
 			return ch, fmt.Errorf("%w: division at epoch %d, it is %d", ErrStale, c.Tenants.Epoch, s.Session.Epoch)
 		}
-		keys, err = s.Tenants.Apply(*c.Tenants, s.Session.Epoch, take)
+		keys, err = s.Tenants.Apply(*c.Tenants, s.Session.ScopeEpoch, take)
 	case c.Drift != nil: // parts that came too late change nothing, and the others stand
 		if err = s.Drift.Apply(*c.Drift, take); ch.Rev != 0 {
 			ch.Drift, err = true, nil
@@ -197,45 +194,3 @@
 	it, ok := s.items[key]
 	return it, ok
 }
-
-// Guard is a digest of all that a run must hold before it may be present: the committed generations, and its
-// node's share. A join names it, so that it is refused where any of it has changed since the run was looked at.
-func (s *State) Guard(node string) uint64 {
-	h := xxhash.New()
-	names := make([]string, 0, len(s.Tenants.Tenants))
-	for name := range s.Tenants.Tenants {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		e := s.Tenants.Tenants[name]
-		g := uint64(0)
-		if e.Committed != nil {
-			g = e.Committed.Number
-		}
-		fmt.Fprintf(h, "%q %d %d %t %t\n", name, e.UID, g, e.Removing, e.QuotaGone)
-	}
-	fmt.Fprintf(h, "%d\n", s.items["share/"+node].Rev)
-	return h.Sum64()
-}
-
-// MayJoin says whether a run that reports so may be present: one that holds nothing yet, so that it is counted before it
-// hears of any quota, or one that has caught up.
-func (s *State) MayJoin(r fleet.Report) bool {
-	acked := slices.ContainsFunc(r.Tenants, func(a fleet.TenantAck) bool { return a.UID != 0 })
-	return r.Revision == 0 && !acked || s.CaughtUp(r)
-}
-
-// CaughtUp says whether a run that reports so may begin to serve: it holds what is committed, and its node's share as it is now, so
-// that a lease renewed never wakes an older share.
-func (s *State) CaughtUp(r fleet.Report) bool {
-	if r.Revision < s.Floor || r.Revision < s.items["share/"+r.Node].Rev {
-		return false
-	}
-	for _, e := range s.Tenants.Tenants {
-		if (e.Removing || e.QuotaGone) && r.Revision < e.Rev {
-			return false
-		}
-	}
-	return tenants.CaughtUp(&s.Tenants, r)
-}
--- a/internal/fleet/decode.go
+++ b/internal/fleet/decode.go
@@ -98,7 +98,7 @@
 
 func (r *Report) check() error {
 	if err := first(name("node", r.Node), name("zone", r.Zone), number("window_ms", r.WindowMS, msMost),
-		text("root", r.Root, 16), text("list_root", r.ListRoot, 16)); err != nil {
+		text("root", r.Root, 16), text("list_root", r.ListRoot, 16), ValidScope(r.Services)); err != nil {
 		return err
 	}
 	if r.Incarnation == 0 {
--- a/internal/fleet/sim/tenants.go
+++ b/internal/fleet/sim/tenants.go
@@ -64,7 +64,7 @@
 	if e := c.tenants.Tenants[cmd.Name]; e != nil {
 		staged = e.Staged
 	}
-	changed, err := c.tenants.Apply(cmd, c.epoch, func() uint64 { c.rev++; return c.rev })
+	changed, err := c.tenants.Apply(cmd, c.epochOf, func() uint64 { c.rev++; return c.rev })
 	if err != nil {
 		return err
 	}
@@ -194,3 +194,5 @@
 		}
 	}
 }
+
+func (c *control) epochOf(string) uint64 { return c.epoch }
--- a/internal/fleet/tenants/lend.go
+++ b/internal/fleet/tenants/lend.go
@@ -21,10 +21,11 @@
 	over   map[Run]bool       // leased runs whose sessions have lapsed for certain
 }
 
-// aim is what a tenant's division moves to, and for what pool it was made. All are dropped when the runs change.
+// aim is what a tenant's division moves to, and for what pool and service it was made. All are dropped when the runs change.
 type aim struct {
-	pool  float64
-	rates []float64 // by present run, in order
+	pool    float64
+	service string
+	rates   []float64 // by run present in the scope, in order
 }
 
 func newLender() lender {
@@ -49,7 +50,7 @@
 			moves++
 		}
 	}
-	if moves > 0 {
+	if moves > 0 || epoch != l.epoch { // a run that is back may have another scope
 		clear(l.aims)
 	}
 	for r := range l.seen {
@@ -96,8 +97,9 @@
 }
 
 // divide decides one division, or none: it looks once in DivideEvery, and changes only what is to change.
-func (j *Judge) divide(now fleet.Time, s *State, epoch uint64, present []fleet.Member) *Division {
-	j.sessions(now, s, epoch, present)
+func (j *Judge) divide(now fleet.Time, s *State, r *roster) *Division {
+	present := r.Members
+	j.sessions(now, s, r.Epoch(""), present)
 	l := &j.lend
 	if j.cfg.Slots <= 0 || l.began && now-l.looked < DivideEvery {
 		return nil
@@ -137,7 +139,18 @@
 	}
 	most := next.mosts()
 	for _, name := range next.names(most) {
-		j.grant(next, name, most[name], runs)
+		service := ""
+		if e := next.Tenants[name]; e != nil {
+			service = e.Service()
+		}
+		scope := make([]presentRun, 0, len(runs))
+		for _, i := range r.of(service).positions {
+			scope = append(scope, runs[i])
+		}
+		j.grant(next, name, service, most[name], scope)
+	}
+	for i, m := range present {
+		runs[i].withdraw(next, r.Services[m.Node])
 	}
 	d.Grants = slices.DeleteFunc(grants, func(g Grant) bool {
 		le := s.Runs[g.Node]
@@ -185,13 +198,31 @@
 	grant   *Grant
 }
 
+// set has the division lease a rate to the run.
+func (p presentRun) set(name string, rate float64) {
+	if p.grant.Rates == nil {
+		p.grant.Rates = map[string]float64{}
+	}
+	p.grant.Rates[name] = rate
+}
+
+// withdraw takes from a run of these services what it is leased of tenants outside of them: its scope was another before,
+// or the tenant's name was.
+func (p presentRun) withdraw(next *State, services []string) {
+	for name := range p.lease.Rates {
+		if e := next.Tenants[name]; e != nil && !fleet.Serves(services, e.Service()) {
+			p.set(name, 0)
+		}
+	}
+}
+
 // grant moves one tenant's parts to its aim as far as may be now: down at once, up out of what no run may hold.
-func (j *Judge) grant(next *State, name string, most float64, runs []presentRun) {
+func (j *Judge) grant(next *State, name, service string, most float64, runs []presentRun) {
 	pool := next.Pool(name)
 	if pool == 0 && most == 0 {
 		return
 	}
-	want := j.aimAt(next, name, pool, runs)
+	want := j.aimAt(next, name, service, pool, runs)
 	held := make([]float64, len(runs))
 	need := 0.0
 	for i, st := range runs {
@@ -206,17 +237,14 @@
 		to := min(want[i], held[i])
 		to = round(to + part*max(0, want[i]-to))
 		if to != st.lease.Rates[name] {
-			if st.grant.Rates == nil {
-				st.grant.Rates = map[string]float64{}
-			}
-			st.grant.Rates[name] = to
+			st.set(name, to)
 		}
 	}
 }
 
-// aimAt gives each present run's part of the pool. It stays as it was while the pool and the runs are the same and
+// aimAt gives the part of the pool of each run present in the scope. It stays as it was while the pool and the runs are the same and
 // either every run has room, or no run's part would move by more than the hysteresis.
-func (j *Judge) aimAt(next *State, name string, pool float64, runs []presentRun) []float64 {
+func (j *Judge) aimAt(next *State, name, service string, pool float64, runs []presentRun) []float64 {
 	floor := 0.0
 	if e := next.Tenants[name]; e != nil && e.Committed != nil {
 		floor = fleet.FloorPart * e.Committed.Spec.Quota.Rate / float64(next.Slots)
@@ -230,8 +258,8 @@
 		}
 	}
 	old, ok := j.lend.aims[name]
-	if !ok { // a new leader goes on from what is leased, where that is nearly all
-		old = aim{pool: pool, rates: make([]float64, len(runs))}
+	if ok = ok && old.service == service; !ok { // a new leader goes on from what is leased, where that is nearly all
+		old = aim{pool: pool, service: service, rates: make([]float64, len(runs))}
 		sum := 0.0
 		for i, st := range runs {
 			old.rates[i] = st.lease.Rates[name]
@@ -250,7 +278,7 @@
 			want = old.rates
 		}
 	}
-	j.lend.aims[name] = aim{pool: pool, rates: want}
+	j.lend.aims[name] = aim{pool: pool, service: service, rates: want}
 	return want
 }
 
--- a/internal/fleet/tenants/play/play_test.go
+++ b/internal/fleet/tenants/play/play_test.go
@@ -37,6 +37,8 @@
 		{"run", "T3", "a run takes its predecessor's lease for its own"},
 		{"lease", "T3", "a run goes on with its lease past its end"},
 		{"epoch", "T5", "a commit does not mind who joined since"},
+		{"outside", "T5", "a judge counts nodes that are outside of the scope"},
+		{"inside", "T5", "a judge forgets nodes that are inside of the scope"},
 		{"liar", "T5", "an agent acknowledges what its module refused"},
 	} {
 		t.Run(f.fault, func(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/tenants/play/scope.go
@@ -0,0 +1,44 @@
+package play
+
+import (
+	"maps"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// The services that tenants may be of, and the scopes that runs may have.
+var (
+	modelServices = []string{"", "perfume", "retail"}
+	modelScopes   = [][]string{nil, {"perfume"}, {"retail"}, {"perfume", "retail"}, {"mail"}}
+)
+
+// within is the part of a copy that a node of these services holds.
+func (c copyOf) within(services []string) copyOf {
+	c.tenants = maps.Clone(c.tenants)
+	maps.DeleteFunc(c.tenants, func(_ string, t fleet.Tenant) bool { return !fleet.Serves(services, service(t)) })
+	return c
+}
+
+func service(t fleet.Tenant) string { return (&tenants.Entry{Tenant: t}).Service() }
+
+// counts says whether a run is present and serves a tenant.
+func (m *model) counts(r *run, t fleet.Tenant) bool {
+	return m.sessions.Present(r.member()) && fleet.Serves(r.services, service(t))
+}
+
+func (r *run) member() fleet.Member { return fleet.Member{Node: r.name, Zone: "z", Incarnation: r.inc} }
+
+// present is who is present, as the judge is to count them.
+func (m *model) present() tenants.Present {
+	p := tenants.Present{Epoch: m.sessions.ScopeEpoch, Members: m.sessions.List(), Services: maps.Clone(m.sessions.ServicesByNode())}
+	for node := range p.Services {
+		switch m.fault {
+		case "outside":
+			delete(p.Services, node)
+		case "inside":
+			p.Services[node] = []string{"mail"}
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/fleet/tenants/scope.go
@@ -0,0 +1,154 @@
+package tenants
+
+import (
+	"encoding/json"
+	"iter"
+	"slices"
+	"strings"
+
+	"starlingvalve/internal/fleet"
+)
+
+// EpochOf gives the session epoch of a service's scope (session.State.ScopeEpoch); of no service, the fleet's.
+type EpochOf func(service string) uint64
+
+// Present is who is present, as the judge counts them.
+type Present struct {
+	Epoch    EpochOf
+	Members  []fleet.Member
+	Services map[string][]string // of members that have a scope, by node
+}
+
+// Service is the tenant's, whose nodes alone hold it; none: every node holds it. It is the same in all generations.
+func (e *Entry) Service() string {
+	switch {
+	case e.Committed != nil:
+		return e.Committed.Spec.Service
+	case e.Staged != nil:
+		return e.Staged.Spec.Service
+	}
+	return ""
+}
+
+// serviceIndex holds the tenants by service and name.
+type serviceIndex map[string]map[string]*Entry
+
+func (x *serviceIndex) add(service, name string, e *Entry) {
+	if *x == nil {
+		*x = serviceIndex{}
+	}
+	if (*x)[service] == nil {
+		(*x)[service] = map[string]*Entry{}
+	}
+	(*x)[service][name] = e
+}
+
+func (x serviceIndex) remove(service, name string) {
+	delete(x[service], name)
+	if len(x[service]) == 0 {
+		delete(x, service)
+	}
+}
+
+// UnmarshalJSON reads a snapshot, and makes the index anew.
+func (s *State) UnmarshalJSON(raw []byte) error {
+	type plain State
+	if err := json.Unmarshal(raw, (*plain)(s)); err != nil {
+		return err
+	}
+	s.index = nil
+	for name, e := range s.Tenants {
+		s.index.add(e.Service(), name, e)
+	}
+	return nil
+}
+
+// InScope gives the tenants that a node of these services holds, in no order; no services: all. It costs what it gives.
+func (s *State) InScope(services []string) iter.Seq2[string, *Entry] {
+	return func(yield func(string, *Entry) bool) {
+		if len(services) == 0 {
+			for name, e := range s.Tenants {
+				if !yield(name, e) {
+					return
+				}
+			}
+			return
+		}
+		for name, e := range s.index[""] {
+			if !yield(name, e) {
+				return
+			}
+		}
+		for _, service := range services {
+			for name, e := range s.index[service] {
+				if !yield(name, e) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// roster is who is present in each scope, worked out once a step and only for the scopes asked for.
+type roster struct {
+	Present
+	whole   group
+	every   []int            // positions of the members without a scope
+	scoped  map[string][]int // positions of the members whose scope names a service
+	byScope map[string]*group
+}
+
+// group is the present members of one scope, by node.
+type group struct {
+	members   []fleet.Member
+	runs      []Run
+	positions []int // among all present members
+}
+
+func newRoster(p Present) *roster {
+	p.Members = slices.Clone(p.Members)
+	slices.SortFunc(p.Members, byNode)
+	r := &roster{Present: p, scoped: map[string][]int{}, byScope: map[string]*group{}}
+	for i, m := range p.Members {
+		r.whole.add(m, i)
+		services := p.Services[m.Node]
+		if len(services) == 0 {
+			r.every = append(r.every, i)
+		}
+		for _, service := range services {
+			r.scoped[service] = append(r.scoped[service], i)
+		}
+	}
+	return r
+}
+
+// of gives the members that serve a service; of no service, all.
+func (r *roster) of(service string) *group {
+	if service == "" || len(r.every) == len(r.Members) {
+		return &r.whole
+	}
+	g := r.byScope[service]
+	if g == nil {
+		g = &group{}
+		positions := slices.Concat(r.every, r.scoped[service])
+		slices.Sort(positions)
+		for _, i := range positions {
+			g.add(r.Members[i], i)
+		}
+		r.byScope[service] = g
+	}
+	return g
+}
+
+func (g *group) add(m fleet.Member, position int) {
+	g.members = append(g.members, m)
+	g.runs = append(g.runs, Run{m.Node, m.Incarnation})
+	g.positions = append(g.positions, position)
+}
+
+func byNode(a, b fleet.Member) int { return strings.Compare(a.Node, b.Node) }
+
+// all says whether ok holds for every member.
+func (g *group) all(ok func(fleet.Member) bool) bool {
+	return !slices.ContainsFunc(g.members, func(m fleet.Member) bool { return !ok(m) })
+}
--- a/internal/fleet/tenants/status.go
+++ b/internal/fleet/tenants/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"starlingvalve/internal/fleet"
 )
@@ -18,12 +17,13 @@
 	NodeRemoved  = "removed"  // takes no new requests; none is open
 )
 
-// Status gives each present node's phase with a tenant, by node; fleet.ErrUnknown wrapped for a name that has none.
-func (j *Judge) Status(now fleet.Time, s *State, name string, present []fleet.Member) ([]NodeStatus, error) {
+// Status gives the phase with a tenant of each node present in its scope, by node; fleet.ErrUnknown wrapped for a name that has none.
+func (j *Judge) Status(now fleet.Time, s *State, name string, p Present) ([]NodeStatus, error) {
 	e := s.Tenants[name]
 	if e == nil {
 		return nil, s.unknown(name)
 	}
+	present := newRoster(p).of(e.Service()).members
 	out := make([]NodeStatus, 0, len(present))
 	for _, m := range present {
 		st := NodeStatus{Node: m.Node, Phase: NodeSilent, AgeMS: -1}
@@ -38,7 +38,6 @@
 		}
 		out = append(out, st)
 	}
-	slices.SortFunc(out, func(a, b NodeStatus) int { return strings.Compare(a.Node, b.Node) })
 	return out, nil
 }
 
@@ -65,7 +64,7 @@
 	return NodeBehind, ""
 }
 
-// Late is a present node that holds up a step of a rollout or removal, past ApplyTimeout.
+// Late is a node present in a tenant's scope that holds up a step of a rollout or removal, past ApplyTimeout.
 type Late struct {
 	Node, Tenant string
 	Want, Has    uint64 // generations committed: intended, and by the node's report
@@ -73,13 +72,14 @@
 
 // Late names those that hold up what is committed, by tenant and node: it is never taken back, and so nothing but them
 // stands in its way. A node that still has requests of a removed tenant open is not among them.
-func (j *Judge) Late(now fleet.Time, s *State, present []fleet.Member) (out []Late) {
+func (j *Judge) Late(now fleet.Time, s *State, p Present) (out []Late) {
+	r := newRoster(p)
 	for _, name := range sortedKeys(j.begun) {
 		e := s.Tenants[name]
 		if b := j.begun[name]; e == nil || b.rev != e.Rev || now-b.at < ApplyTimeout {
 			continue
 		}
-		for _, m := range present {
+		for _, m := range r.of(e.Service()).members {
 			if j.late(s, e, name, m) {
 				l := Late{Node: m.Node, Tenant: name}
 				if e.Committed != nil {
@@ -106,9 +106,9 @@
 	return false
 }
 
-// Follows says whether a node that reports so holds up nothing: it has applied all that is committed.
+// Follows says whether a node that reports so holds up nothing: it has applied all that is committed in its scope.
 func Follows(s *State, r fleet.Report) bool {
-	for name, e := range s.Tenants {
+	for name, e := range s.InScope(r.Services) {
 		if !e.Applying && !e.Removing && !e.QuotaGone {
 			continue
 		}
@@ -124,19 +124,20 @@
 	return true
 }
 
-// CaughtUp says whether a node that reports so may begin to serve: of every committed tenant it holds the present
-// generation, or while that is being applied its predecessor, and none of a tenant that is no more. It is asked before a
+// CaughtUp says whether a node that reports so may begin to serve: of every committed tenant of its scope it holds the present
+// generation, or while that is being applied its predecessor, and none of a tenant that is no more or is outside of it. It is asked before a
 // run becomes present; until then the leader answers its reports with Out (T2, T4).
 // Tenants of the node's own settings have UID 0 and don't count until intent names them.
 func CaughtUp(s *State, r fleet.Report) bool {
 	acks := map[string]fleet.TenantAck{}
 	for _, a := range r.Tenants {
 		acks[a.Name] = a
-		if s.Tenants[a.Name] == nil && a.Committed > 0 && a.UID != 0 {
+		e := s.Tenants[a.Name]
+		if (e == nil || !fleet.Serves(r.Services, e.Service())) && a.Committed > 0 && a.UID != 0 {
 			return false
 		}
 	}
-	for name, e := range s.Tenants {
+	for name, e := range s.InScope(r.Services) {
 		if e.Committed == nil || e.QuotaGone {
 			continue
 		}
--- a/internal/fleet/tenants/tenants.go
+++ b/internal/fleet/tenants/tenants.go
@@ -33,11 +33,11 @@
 const (
 	Put      = "put"      // propose Spec over Generation (0: the name is free)
 	Delete   = "delete"   // remove the tenant at Generation: no new requests
-	Commit   = "commit"   // staged on all of Runs, the present ones at Epoch
+	Commit   = "commit"   // staged on all of Runs, those present in the scope at Epoch
 	Rollback = "rollback" // Node refused, or did not stage in time, for Reason
 	Applied  = "applied"  // all of Runs serve by the committed generation: its predecessor is retired
-	Drained  = "drained"  // removal: no present node has requests of it open; its quota goes
-	Unquoted = "unquoted" // removal: all present nodes hold that its quota is gone; its namespace goes
+	Drained  = "drained"  // removal: no node present in the scope has requests of it open; its quota goes
+	Unquoted = "unquoted" // removal: all nodes present in the scope hold that its quota is gone; its namespace goes
 	Divide   = "divide"   // change leased parts of quotas: Division
 )
 
@@ -50,7 +50,8 @@
 	UID        uint64      `json:"uid,omitempty"`        // the judge's: of the tenant meant
 	IfRev      uint64      `json:"if_rev,omitempty"`     // the judge's: revision of the item that it decided from
 	Epoch      uint64      `json:"epoch,omitempty"`      // the judge's: session epoch that Runs were counted at
-	Runs       []Run       `json:"runs,omitempty"`       // commit, applied: the present runs
+	Scoped     bool        `json:"scoped,omitempty"`     // Epoch is that of the tenant's scope, and not the fleet's
+	Runs       []Run       `json:"runs,omitempty"`       // commit, applied: the present runs of the tenant's scope
 	Node       string      `json:"node,omitempty"`       // rollback
 	Reason     string      `json:"reason,omitempty"`     // rollback
 	Division   *Division   `json:"division,omitempty"`   // divide
