Call a node's judgement of a zone its vote, and a leader's time its leadership

The simulated fault "office" of zones/play is "new leader"; the draws stay the same.

go test -p 2 ./internal/fleet/zones/... ./internal/fleet/page: pass.

--- a/internal/fleet/zones/back.go
+++ b/internal/fleet/zones/back.go
@@ -268,7 +268,7 @@
 	return 2*lost > tried && (lost >= 2 || len(e.Trial) == 1 && lost == 1)
 }
 
-// stepLost tells whether the attempts of this step are lost: BackFrom of the newest, by no one node's or zone's word.
+// stepLost tells whether the attempts of this step are lost: BackFrom of the newest, by no one node's or zone's vote.
 func (j *Judge) stepLost(v view, y, x string, rev uint64) bool {
 	var all []tries
 	zones := 0
--- a/internal/fleet/zones/evidence.go
+++ b/internal/fleet/zones/evidence.go
@@ -72,11 +72,11 @@
 		c.Servers <= c.Attempts && c.Listed >= 0 && c.Listed <= mostCount && c.Sent >= 0 && c.Sent <= mostCount
 }
 
-// word is what a node says of a zone.
-type word int8
+// vote is what a node's evidence says of a zone.
+type vote int8
 
 const (
-	none word = iota
+	none vote = iota
 	fails
 	mixed
 	well
@@ -87,7 +87,7 @@
 	fleet.Member
 	rev   uint64
 	ready bool
-	fault bool // it sees every zone fail that it tried: its word is not counted
+	fault bool // it sees every zone fail that it tried: its vote is not counted
 	zones map[string]count
 }
 
@@ -95,7 +95,7 @@
 type count struct {
 	attempts, lost, ok, lostServers, listed int
 	rate                                    float64 // answers/s
-	word                                    word
+	vote                                    vote
 	answered                                bool // the newest of its windows with attempts had an answer
 }
 
@@ -152,7 +152,7 @@
 }
 
 // count adds up a node's newest windows on a zone, back over Look, of those that began at revision from or later.
-// The word is of the newest of them that are enough for one.
+// The vote is of the newest of them that are enough for one.
 func (set *Settings) count(now fleet.Time, n *seen, zone string, from uint64) (c count) {
 	var length fleet.Time
 	servers, most := 0, 0
@@ -171,14 +171,14 @@
 		if c.listed == 0 {
 			c.listed = z.Listed
 		}
-		if c.word == none && (most >= 2 || servers >= 3 || c.listed == 1 && servers > 0) {
+		if c.vote == none && (most >= 2 || servers >= 3 || c.listed == 1 && servers > 0) {
 			switch part := float64(c.lostServers) / float64(servers); {
 			case part >= set.FailPart:
-				c.word = fails
+				c.vote = fails
 			case part < 0.5:
-				c.word = well
+				c.vote = well
 			default:
-				c.word = mixed
+				c.vote = mixed
 			}
 		}
 	}
@@ -193,7 +193,7 @@
 	fail, ok := 0, 0
 	for _, c := range zones {
 		switch {
-		case c.word == fails:
+		case c.vote == fails:
 			fail++
 		default:
 			ok += c.ok
--- a/internal/fleet/zones/findings.go
+++ b/internal/fleet/zones/findings.go
@@ -7,11 +7,11 @@
 )
 
 // allLost is the share of the fleet's attempts lost from which a zone is lost, though its nodes have but one server of it
-// in use and so no word on it. It holds without any one node's and any one zone's attempts, and for most nodes.
+// in use and so no vote on it. It holds without any one node's and any one zone's attempts, and for most nodes.
 const allLost = 0.9
 
-// votes are how many nodes have a word on a zone, and which.
-type votes struct{ fail, well, words int }
+// votes are how many nodes have a vote on a zone, and which.
+type votes struct{ fail, well, cast int }
 
 // poll gives the votes on zone y by the zone of the nodes, and of all.
 func (v view) poll(y string) (by map[string]votes, all votes) {
@@ -19,16 +19,16 @@
 	for i := range v.sights {
 		s := &v.sights[i]
 		c := s.zones[y]
-		w := c.word
-		if w == none && c.answered { // too little for a word against the zone, and none that it fails
+		w := c.vote
+		if w == none && c.answered { // too little for a vote against the zone, and none that it fails
 			w = well
 		}
 		if w == none || s.fault {
 			continue
 		}
 		t := by[s.Zone]
-		t.words++
-		all.words++
+		t.cast++
+		all.cast++
 		switch w {
 		case fails:
 			t.fail++
@@ -54,12 +54,12 @@
 	for x, t := range by {
 		if x != y && set.observer(x) {
 			heard++
-			if 2*t.fail > t.words {
+			if 2*t.fail > t.cast {
 				agree++
 			}
 		}
 	}
-	return 2*all.fail > all.words && all.fail >= 2 && (heard == 0 || 2*agree > heard) && (others < 2 || agree >= 2)
+	return 2*all.fail > all.cast && all.fail >= 2 && (heard == 0 || 2*agree > heard) && (others < 2 || agree >= 2)
 }
 
 // observer tells whether zone x counts for the quorum of zones.
@@ -68,8 +68,8 @@
 // cutOff tells whether zone x's nodes see a zone fail while the others see it well.
 func cutOff(v view, x string, by map[string]votes, all votes) bool {
 	own := by[x]
-	return 2*own.fail > own.words && (own.fail >= 2 || own.fail == 1 && v.present[x] == 1) &&
-		2*(all.well-own.well) > all.words-own.words
+	return 2*own.fail > own.cast && (own.fail >= 2 || own.fail == 1 && v.present[x] == 1) &&
+		2*(all.well-own.well) > all.cast-own.cast
 }
 
 // tries are a node's attempts at a zone, for shares of the fleet's.
@@ -78,7 +78,7 @@
 	attempts, lost, lostServers float64
 }
 
-// lossShare gives the share of the attempts lost that holds without any one node's word and without any one zone's; and
+// lossShare gives the share of the attempts lost that holds without any one node's vote and without any one zone's; and
 // how many attempts of how many nodes it is of. Where two zones could speak and only one does, it is 0.
 func lossShare(all []tries, zones int) (p float64, attempts float64, nodes int) {
 	n := make([]float64, len(all))
@@ -148,13 +148,13 @@
 // find gives every finding of now, by key. The hold of each runs from when it was first found without a gap.
 func (j *Judge) find(v view, s *State) map[string]Finding {
 	out := map[string]Finding{}
-	add := func(key, event string, nodes, words int, p float64, hold fleet.Time) {
-		out[key] = Finding{Key: key, Event: event, Nodes: nodes, Words: words, Lost: p, hold: hold}
+	add := func(key, event string, nodes, votes int, p float64, hold fleet.Time) {
+		out[key] = Finding{Key: key, Event: event, Nodes: nodes, Votes: votes, Lost: p, hold: hold}
 	}
 	for _, y := range v.zones {
 		by, all := v.poll(y)
 		if j.set.lost(v, y, by, all) {
-			add(Key(y, ""), Lost, all.fail, all.words, 1, j.set.Hold)
+			add(Key(y, ""), Lost, all.fail, all.cast, 1, j.set.Hold)
 			continue
 		}
 		if p, nodes, hold := j.set.gray(v, y); p >= allLost && 2*nodes > len(v.sights) {
@@ -165,7 +165,7 @@
 		}
 		for x := range v.present {
 			if cutOff(v, x, by, all) {
-				add(Key(y, x), CutOff, by[x].fail, by[x].words, 1, j.set.CutHold)
+				add(Key(y, x), CutOff, by[x].fail, by[x].cast, 1, j.set.CutHold)
 			}
 		}
 	}
--- a/internal/fleet/zones/judge.go
+++ b/internal/fleet/zones/judge.go
@@ -17,17 +17,17 @@
 // Judge is the leader's soft knowledge: what nodes reported of late, findings that must hold, hold-offs that run. It is
 // not safe for concurrent use. Times are the leader's monotonic clock.
 type Judge struct {
-	set     Settings
-	office  fleet.Time
-	stepped fleet.Time
-	nodes   map[string]*seen
-	zones   map[string]*carried
-	total   []sample // of all zones
-	found   map[string]Finding
-	backs   map[string]*comeback // by key: directives in force
-	calm    map[string]since     // by key: zones served again
-	given   map[string]giving    // by key: what a change was last given on
-	slots   int                  // what budgets are divided by now
+	set       Settings
+	leadSince fleet.Time
+	stepped   fleet.Time
+	nodes     map[string]*seen
+	zones     map[string]*carried
+	total     []sample // of all zones
+	found     map[string]Finding
+	backs     map[string]*comeback // by key: directives in force
+	calm      map[string]since     // by key: zones served again
+	given     map[string]giving    // by key: what a change was last given on
+	slots     int                  // what budgets are divided by now
 }
 
 // since is a revision and when it was first seen.
@@ -49,12 +49,12 @@
 	Since fleet.Time `json:"since"`          // by the leader's clock
 	Held  string     `json:"held,omitempty"` // why nothing is done about it: "hold", "panic", "room"
 	Nodes int        `json:"nodes"`          // that see it so
-	Words int        `json:"words"`          // nodes that have a word on the zone
+	Votes int        `json:"words"`          // nodes that have a vote on the zone
 	Lost  float64    `json:"lost"`           // share of the fleet's attempts lost
 	hold  fleet.Time // how long it must hold
 }
 
-// NewJudge makes a judge that has taken office at 0 and has seen nothing.
+// NewJudge makes a judge whose leadership began at 0 and has seen nothing.
 func NewJudge(set Settings) *Judge {
 	j := &Judge{set: set}
 	j.Lead(0)
@@ -63,15 +63,15 @@
 
 // Lead forgets all: this process leads from now on, by evidence that comes from now on.
 func (j *Judge) Lead(now fleet.Time) {
-	*j = Judge{set: j.set, office: now, stepped: now, nodes: map[string]*seen{}, zones: map[string]*carried{},
+	*j = Judge{set: j.set, leadSince: now, stepped: now, nodes: map[string]*seen{}, zones: map[string]*carried{},
 		found: map[string]Finding{}, backs: map[string]*comeback{}, calm: map[string]since{}, given: map[string]giving{}}
 }
 
 // Observe takes a present node's newest report. One that is not newer than the last of its incarnation, or of an older
 // incarnation, changes nothing; a count that no honest node can have is dropped.
 func (j *Judge) Observe(now fleet.Time, v fleet.NodeView) {
-	n, news := j.take(now, v)
-	if !news || len(n.windows) == 0 {
+	n, newer := j.take(now, v)
+	if !newer || len(n.windows) == 0 {
 		return
 	}
 	w := n.windows[len(n.windows)-1]
@@ -94,7 +94,7 @@
 	j.follow(now, s)
 	j.found = j.find(v, s)
 	j.stepped = now
-	if !v.fit() || now-j.office < j.set.Look {
+	if !v.fit() || now-j.leadSince < j.set.Look {
 		for key, f := range j.found {
 			f.Held = "hold"
 			j.found[key] = f
--- a/internal/fleet/zones/play/judge_test.go
+++ b/internal/fleet/zones/play/judge_test.go
@@ -97,7 +97,7 @@
 			w.run(10*sec, nil)
 			for key := range w.s.Directives {
 				if !strings.HasSuffix(key, "@nowhere") {
-					t.Errorf("%s left by its word", key)
+					t.Errorf("%s left by its vote", key)
 				}
 			}
 		},
--- a/internal/fleet/zones/play/property_test.go
+++ b/internal/fleet/zones/play/property_test.go
@@ -63,7 +63,7 @@
 		from       int // the schedule to begin with, to save time
 		mutate     func(*world)
 	}{
-		{"one node's word counts for all", "Z1", 13, func(w *world) {
+		{"one node's vote counts for all", "Z1", 13, func(w *world) {
 			twist := w.twist
 			w.twist = func(n *wnode, v *fleet.NodeView) {
 				twist(n, v)
@@ -74,7 +74,7 @@
 				}
 			}
 		}},
-		{"one zone's word is enough", "Z1", 51, func(w *world) {
+		{"one zone's vote is enough", "Z1", 51, func(w *world) {
 			w.set.Region = map[string]string{"a": "r"} // the others are no observers
 			w.set.FailPart = 0.01
 			w.j = NewJudge(w.set)
--- a/internal/fleet/zones/play/schedule.go
+++ b/internal/fleet/zones/play/schedule.go
@@ -33,7 +33,7 @@
 	P          float64
 }
 
-var kinds = []string{"kill", "kill", "gray", "cut", "deaf", "slow", "restart", "office", "mute", "replay", "fewer", "twice"}
+var kinds = []string{"kill", "kill", "gray", "cut", "deaf", "slow", "restart", "new leader", "mute", "replay", "fewer", "twice"}
 
 // breach ends a run that broke a rule.
 type breach string
@@ -117,7 +117,7 @@
 				n.down, n.seq, n.last = false, 0, w.now
 				n.Incarnation++
 				n.clear()
-			case f.Kind == "office" && on(f) && w.now.Milliseconds()-int64(f.At) < int64(tick.Milliseconds()):
+			case f.Kind == "new leader" && on(f) && w.now.Milliseconds()-int64(f.At) < int64(tick.Milliseconds()):
 				raw, _ := json.Marshal(w.s)
 				w.s = zones.State{}
 				if err := json.Unmarshal(raw, &w.s); err != nil {
--- a/internal/fleet/zones/settings.go
+++ b/internal/fleet/zones/settings.go
@@ -1,6 +1,6 @@
 // Package zones decides when the fleet leaves a zone or region and how it returns (docs/fleet.md, "Zones"). It is a
 // pure core: no I/O, no clock, no goroutine. State is replicated and knows no time; Judge is the leader's own soft
-// knowledge, is told the time, and gives the commands that change State.
+// knowledge, is given the time, and gives the commands that change State.
 package zones
 
 import (
--- a/internal/fleet/zones/thin_test.go
+++ b/internal/fleet/zones/thin_test.go
@@ -9,7 +9,7 @@
 	"starlingvalve/internal/fleet"
 )
 
-// Nodes that have one server of a zone in use have no word on it: together they see it lost, but not by one zone's
+// Nodes that have one server of a zone in use have no vote on it: together they see it lost, but not by one zone's
 // attempts, few nodes', or a part of them.
 func TestThinEvidenceAddsUp(t *testing.T) {
 	for name, c := range map[string]struct {
