--- a/internal/fleet/drift/behaviour.go
+++ b/internal/fleet/drift/behaviour.go
@@ -16,7 +16,7 @@
 )
 
 // behave looks whether the counts of the node's new report fit what it holds. Only what the node held at the report
-// before already is asked of it: then the whole window lies after it was told.
+// before already is asked of it: then the whole window lies after the node had it.
 func (n *node) behave(b *book) {
 	before := n.suspects
 	n.suspects = n.misfits(b)
--- a/internal/fleet/drift/canonical.go
+++ b/internal/fleet/drift/canonical.go
@@ -1,7 +1,7 @@
 // Package drift compares what the control plane intended with what each node's decision module holds, names what
 // differs and plans its repair (docs/drift.md). It is a pure core: no I/O, no clock, no goroutine; the caller passes
 // its own monotonic time. State is the part that raft replicates, Judge the soft part at the leader, Local an
-// agent's word on its own node.
+// agent's verdict on its own node.
 package drift
 
 import (
--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -41,7 +41,7 @@
 	return held, err
 }
 
-// goneKept is for how many revisions an item that is gone and no longer told of is remembered.
+// goneKept is for how many revisions an item that is gone and no longer listed is remembered.
 const goneKept = 1000
 
 // versionsKept is how many versions of an item are remembered, for nodes that are a little behind.
@@ -155,7 +155,7 @@
 	for key, e := range b.entries {
 		switch {
 		case seen[key] || b.noList && isList(key):
-		case !e.last().gone: // without a word: at some revision since the last
+		case !e.last().gone: // without notice: at some revision since the last
 			b.add(key, version{rev: b.seen + 1, sure: newest, gone: true, seen: now})
 		case e.last().rev+goneKept < newest:
 			b.remove(e)
--- a/internal/fleet/drift/export_test.go
+++ b/internal/fleet/drift/export_test.go
@@ -7,8 +7,8 @@
 	"starlingvalve/internal/fleet"
 )
 
-// Tell gives a module what is intended, as the node does: in the words of fleet.ZoneBody and fleet.TenantBody.
-func Tell(m *decide.Module, at decide.Time, in Intended, self fleet.Member) {
+// Feed gives a module what is intended, as the node does: by fleet.ZoneBody and fleet.TenantBody.
+func Feed(m *decide.Module, at decide.Time, in Intended, self fleet.Member) {
 	b := book{}
 	b.ingest(0, in)
 	var list []decide.Server
@@ -28,26 +28,26 @@
 		zones[e.zone] = true
 	}
 	for zone := range zones {
-		told := decide.ZoneTold{Zone: zone, Revision: in.Revision, Intent: in.Revision, Serving: true}
+		update := decide.ZoneTold{Zone: zone, Revision: in.Revision, Intent: in.Revision, Serving: true}
 		if d, rev := b.directive(zone, in.Revision, self); d != nil {
 			h := fleet.ZoneBody(rev, *d, self.Node)
-			told = decide.ZoneTold{Zone: zone, Revision: rev, Intent: in.Revision, Share: h.Share, Floor: h.Floor, Rate: h.Rate, Trial: h.Trial, Valid: time.Duration(h.ValidMS) * time.Millisecond}
+			update = decide.ZoneTold{Zone: zone, Revision: rev, Intent: in.Revision, Share: h.Share, Floor: h.Floor, Rate: h.Rate, Trial: h.Trial, Valid: time.Duration(h.ValidMS) * time.Millisecond}
 		}
-		m.Handle(at, told)
+		m.Handle(at, update)
 	}
 	for _, e := range b.tenants {
 		v := e.last()
-		told := decide.TenantTold{Name: e.key[len(fleet.KeyTenant):], Revision: v.rev, Gone: v.gone}
+		update := decide.TenantTold{Name: e.key[len(fleet.KeyTenant):], Revision: v.rev, Gone: v.gone}
 		if !v.gone {
-			told.UID, told.Removing, told.QuotaGone = v.tenant.UID, v.tenant.Removing, v.tenant.QuotaGone
+			update.UID, update.Removing, update.QuotaGone = v.tenant.UID, v.tenant.Removing, v.tenant.QuotaGone
 			if r := fleet.TenantBody(v.rev, *v.tenant).Committed; r != nil {
-				told.Committed = &decide.TenantRules{Generation: r.Generation, Digest: r.Digest, Classes: r.Classes, Rate: r.Rate, Burst: r.Burst, ClassRates: r.ClassRates, RefuseElse: r.RefuseElse}
+				update.Committed = &decide.TenantRules{Generation: r.Generation, Digest: r.Digest, Classes: r.Classes, Rate: r.Rate, Burst: r.Burst, ClassRates: r.ClassRates, RefuseElse: r.RefuseElse}
 				for _, x := range r.Routes {
-					told.Committed.Routes = append(told.Committed.Routes, decide.TenantRoute{Zone: x.Zone, Kind: x.Kind, ID: x.ID, Weight: x.Weight})
+					update.Committed.Routes = append(update.Committed.Routes, decide.TenantRoute{Zone: x.Zone, Kind: x.Kind, ID: x.ID, Weight: x.Weight})
 				}
 			}
 		}
-		m.Handle(at, told)
+		m.Handle(at, update)
 	}
 	if s := b.shares[self.Node].last().shares; s != nil {
 		m.Handle(at, decide.ShareTold{Epoch: s.Epoch, Slots: s.Slots, Rates: s.Rates, Valid: time.Hour})
--- a/internal/fleet/drift/intent_test.go
+++ b/internal/fleet/drift/intent_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// What was changed twice between two looks, or went without a word, is not known for the revisions between; before
+// What was changed twice between two looks, or went without notice, is not known for the revisions between; before
 // and after, it is.
 func TestBookBetweenLooks(t *testing.T) {
 	for key, change := range map[string]func(*play.Intent){
--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -21,13 +21,13 @@
 // Judge is the leader's soft part. All times are readings of the leader's own monotonic clock. It is not safe for
 // concurrent use.
 type Judge struct {
-	bounds  Bounds
-	book    book
-	nodes   map[string]*node
-	floor   map[string]uint64 // incarnations of nodes that are not in nodes
-	office  fleet.Time
-	stepped fleet.Time
-	ruling  bool
+	bounds    Bounds
+	book      book
+	nodes     map[string]*node
+	floor     map[string]uint64 // incarnations of nodes that are not in nodes
+	leadSince fleet.Time
+	stepped   fleet.Time
+	ruling    bool
 
 	bodies    map[string]json.RawMessage // settings by digest
 	candidate string                     // settings that most nodes hold, and since when
@@ -41,7 +41,7 @@
 	logged          uint64
 }
 
-// NewJudge makes a judge that is not in office.
+// NewJudge makes a judge that does not lead yet.
 func NewJudge(b Bounds) *Judge {
 	return &Judge{bounds: b, nodes: map[string]*node{}, floor: map[string]uint64{}, bodies: map[string]json.RawMessage{}, calmAt: never, offered: never}
 }
@@ -51,7 +51,7 @@
 func (j *Judge) Lead(now fleet.Time, st *State) {
 	log, logged := j.log, j.logged
 	*j = *NewJudge(j.bounds)
-	j.office, j.stepped, j.ruling, j.log, j.logged = now, now, true, log, logged
+	j.leadSince, j.stepped, j.ruling, j.log, j.logged = now, now, true, log, logged
 	maps.Copy(j.floor, st.Incarnations)
 	for name, v := range st.Verdicts {
 		n := j.meet(now, v.Member)
@@ -73,7 +73,7 @@
 
 // again counts every bound from now: the judge itself was away.
 func (j *Judge) again(now fleet.Time) {
-	j.office, j.since = now, now
+	j.leadSince, j.since = now, now
 	for _, n := range j.nodes {
 		n.counts(now)
 		n.born = now
@@ -161,7 +161,7 @@
 			n.compare(now, &j.book)
 		}
 		j.settings(n, st)
-		j.show(now, n, n.find(now, j.office, &j.bounds, &j.book))
+		j.show(now, n, n.find(now, j.leadSince, &j.bounds, &j.book))
 		if here[name] {
 			if Drifts(n.shown.state) {
 				drifting++
--- a/internal/fleet/drift/module_test.go
+++ b/internal/fleet/drift/module_test.go
@@ -11,8 +11,8 @@
 	"starlingvalve/internal/fleet/drift/play"
 )
 
-// What a real module holds after it was told is what is expected of it, fact by fact; and a module that missed
-// the last telling differs in just that.
+// What a real module holds after it was given the intent is what is expected of it, fact by fact; and a module that missed
+// the last update differs in just that.
 func TestModuleHoldsWhatIsExpected(t *testing.T) {
 	c, self := play.Seed(1), fleet.Member{Node: "n000", Zone: "z1", Incarnation: 1}
 	c.Put("zone/z3", fleet.Directive{Phase: fleet.Returning, Share: 0.4, Floor: 0.1, Budget: 30, Slots: 7, ValidMS: 5000})
@@ -21,7 +21,7 @@
 	c.Put("tenant/t9", fleet.Tenant{UID: c.In.Revision + 1, Committed: &fleet.Generation{Number: 3, Digest: "0a", Spec: spec}})
 	m := decide.New(decide.Settings{Nodes: 1, Zone: "z1", Zones: []string{"z1", "z2", "z3"}, Fleet: true, MaxAttempts: 3, MaxOpen: 100,
 		Classes: []decide.Class{{Name: "read", Worth: 1, Aim: time.Second, Deadline: 2 * time.Second, Effect: decide.Safe}}}, 1)
-	Tell(m, time.Second, c.In, self)
+	Feed(m, time.Second, c.In, self)
 	check := func(want ...string) {
 		t.Helper()
 		var held []fleet.Held
@@ -45,20 +45,20 @@
 	c.Serve("s4", "gone")
 	c.Serve("s5", "draining")
 	check("server/s4", "server/s5", "tenant/t2", "zone/z2")
-	Tell(m, 2*time.Second, c.In, self)
+	Feed(m, 2*time.Second, c.In, self)
 	check()
 	for epoch, rates := range []map[string]float64{{"t0": 2}, {}, nil} {
 		c.Put("share/n000", fleet.Shares{Epoch: uint64(epoch + 2), Slots: 3, Rates: rates})
 		check("share")
-		Tell(m, 3*time.Second, c.In, self)
+		Feed(m, 3*time.Second, c.In, self)
 		check()
 	}
 	c.Put("share/n000", fleet.Shares{Epoch: 9, Slots: 3, Rates: map[string]float64{"t0": 2}})
-	Tell(m, 3*time.Second, c.In, self)
+	Feed(m, 3*time.Second, c.In, self)
 	check()
 	c.Drop("share/n000")
 	check("share")
-	m.Handle(3*time.Second, decide.ShareTold{Epoch: 9, Slots: 3}) // as internal/node tells a share that is gone
+	m.Handle(3*time.Second, decide.ShareTold{Epoch: 9, Slots: 3}) // as internal/node feeds a share that is gone
 	check()
 	at := slices.IndexFunc(m.Holds(), func(f decide.Fact) bool { return f.Key == fleet.KeySettings })
 	got, want := play.Fact("settings", m.Holds()[at].Value), play.Fact("settings", fleet.HeldSettings{Nodes: 1, MaxAttempts: 3, MaxOpen: 100,
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -12,10 +12,10 @@
 type node struct {
 	fleet.Member
 	born    fleet.Time // when the judge first met its name
-	heard   bool       // a report has come since the judge took office
+	heard   bool       // a report has come since the judge began to lead
 	report  fleet.Report
 	at      fleet.Time // when the last report came
-	back    fleet.Time // since when it is counted: its first report after silence, of this incarnation, in this office
+	back    fleet.Time // since when it is counted: its first report after silence, of this incarnation, in this leadership
 	prevRev uint64     // revision of the report before; 0: there is none
 	reports uint64     // since its verdict was last written
 	start   [2]uint64  // revision and list version of the first report that is counted
@@ -31,7 +31,7 @@
 	behaviour []Difference // and the one before as well
 	excess    map[string]float64
 
-	settings string // digest of its settings; "" none told
+	settings string // digest of its settings; "" none reported
 	local    []Override
 	from     Override // of its settings: who and since when
 
@@ -84,7 +84,7 @@
 // itemsMost is how many items a verdict lists.
 const itemsMost = 32
 
-// Evidence of a verdict, in the words of the page's state table.
+// Evidence of a verdict, in the terms of the page's state table.
 const (
 	whySame     = "all as intended"
 	whyBan      = "a ban"
@@ -209,11 +209,11 @@
 }
 
 // find judges the node at now. The first that holds counts. An empty state says nothing new.
-func (n *node) find(now, office fleet.Time, bd *Bounds, b *book) finding {
-	if quiet := now - max(n.at, n.born, office); quiet >= bd.Fresh {
+func (n *node) find(now, leadSince fleet.Time, bd *Bounds, b *book) finding {
+	if quiet := now - max(n.at, n.born, leadSince); quiet >= bd.Fresh {
 		return finding{state: Silent, items: n.shown.items, more: n.shown.more, overrides: n.shown.overrides, evidence: whyQuiet}
 	}
-	if !n.heard || n.at < office {
+	if !n.heard || n.at < leadSince {
 		return finding{}
 	}
 	newer := b.above(&n.report)
--- a/internal/fleet/drift/play/intent.go
+++ b/internal/fleet/drift/play/intent.go
@@ -76,7 +76,7 @@
 
 func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
 
-// Module is a node's process as a play has it: what it was told, and a planted fault over it.
+// Module is a node's process as a play has it: what it was sent, and a planted fault over it.
 type Module struct {
 	fleet.Member
 	seq, rev   uint64
@@ -85,7 +85,7 @@
 	local      []fleet.Held
 	Want       []string
 	deaf, mute bool                            // takes nothing more; answers no wants
-	Plant      func([]fleet.Held) []fleet.Held // what it holds in place of what it was told
+	Plant      func([]fleet.Held) []fleet.Held // what it holds in place of what it was sent
 	counts     func(*fleet.Report)
 	leaving    bool
 }
--- a/internal/fleet/drift/play/play.go
+++ b/internal/fleet/drift/play/play.go
@@ -1,4 +1,4 @@
-// Package play is a fleet in simulated time around the core of the drift detector: nodes that hold what they were told
+// Package play is a fleet in simulated time around the core of the drift detector: nodes that hold what they were sent
 // or something else that is planted, a network that loses, doubles and delays, and leaders that change. All of a play
 // comes of its seed, so it can be played again. It does no I/O and reads no clock. The detector's tests and the lab's
 // simulate command are played on it (docs/drift.md).
@@ -14,7 +14,7 @@
 // Outcome is what a play came to.
 type Outcome struct {
 	Seed    uint64
-	Planted string        // the drift that was planted, in words
+	Planted string        // the drift that was planted, as text
 	Stuck   bool          // it shows as an item that is outstanding past its bound
 	Found   bool          // it was named, by state, item and field
 	Took    time.Duration // from the plant to its being named; of no meaning where it was missed
--- a/internal/fleet/drift/play/prop_test.go
+++ b/internal/fleet/drift/play/prop_test.go
@@ -66,68 +66,68 @@
 
 // What a replayed report of an earlier incarnation, or an earlier one of this, changes: nothing.
 func TestReplaysChangeNothing(t *testing.T) {
-	r := newRig(12)
+	h := newHarness(12)
 	var old []fleet.Report
-	r.nodes[0].Plant = above // the earlier run drifted
-	r.run(2 * time.Second)
+	h.nodes[0].Plant = above // the earlier run drifted
+	h.run(2 * time.Second)
 	for range 3 {
-		old = append(old, r.nodes[0].Report())
-		r.send(r.nodes[0])
+		old = append(old, h.nodes[0].Report())
+		h.send(h.nodes[0])
 	}
-	r.nodes[0].Incarnation += 5
-	r.present[0].Incarnation += 5
-	r.mend()
-	r.run(2 * time.Second)
-	for _, office := range []bool{false, true} {
-		if office {
-			r.j.Lead(r.now, r.st)
+	h.nodes[0].Incarnation += 5
+	h.present[0].Incarnation += 5
+	h.mend()
+	h.run(2 * time.Second)
+	for _, newLeader := range []bool{false, true} {
+		if newLeader {
+			h.j.Lead(h.now, h.st)
 		}
-		before, _ := json.Marshal([]any{r.j.Verdicts(r.now, 0, r.st), r.st})
+		before, _ := json.Marshal([]any{h.j.Verdicts(h.now, 0, h.st), h.st})
 		for _, o := range old {
-			err := r.j.Observe(r.now, fleet.NodeView{Member: o.Member, Report: o})
+			err := h.j.Observe(h.now, fleet.NodeView{Member: o.Member, Report: o})
 			must(t, errors.Is(err, fleet.ErrFenced), "replay: %v", err)
 		}
-		r.step()
-		after, _ := json.Marshal([]any{r.j.Verdicts(r.now, 0, r.st), r.st})
+		h.step()
+		after, _ := json.Marshal([]any{h.j.Verdicts(h.now, 0, h.st), h.st})
 		must(t, cmp.Equal(before, after), "%s", cmp.Diff(string(before), string(after)))
 	}
-	late := Command{Set: []Change{{Verdict: Verdict{Member: old[0].Member, State: Ahead}, IfRev: r.st.Verdicts[old[0].Node].Rev}}}
-	must(t, errors.Is(r.st.Apply(late, nil), fleet.ErrFenced), "a command on an older incarnation")
-	events["left|the node's last report said leaving"](r) // and what comes late does not bring back a node that left
-	r.j.Lead(r.now, r.st)
-	err := r.j.Observe(r.now, fleet.NodeView{Member: r.nodes[0].Member, Report: r.nodes[0].Report()})
-	must(t, errors.Is(err, fleet.ErrFenced) && r.verdict(0).State == "none", "%v: %+v", err, r.verdict(0))
+	late := Command{Set: []Change{{Verdict: Verdict{Member: old[0].Member, State: Ahead}, IfRev: h.st.Verdicts[old[0].Node].Rev}}}
+	must(t, errors.Is(h.st.Apply(late, nil), fleet.ErrFenced), "a command on an older incarnation")
+	events["left|the node's last report said leaving"](h) // and what comes late does not bring back a node that left
+	h.j.Lead(h.now, h.st)
+	err := h.j.Observe(h.now, fleet.NodeView{Member: h.nodes[0].Member, Report: h.nodes[0].Report()})
+	must(t, errors.Is(err, fleet.ErrFenced) && h.verdict(0).State == "none", "%v: %+v", err, h.verdict(0))
 }
 
 // The verdict and its first-seen outlive three failovers and a snapshot; at no time is another state shown.
 func TestFirstSeenSurvivesFailover(t *testing.T) {
 	for _, state := range []string{Stuck, Diverged, Ahead, Overridden, "behaviour"} {
-		r := newRig(12)
-		r.run(5 * time.Second)
+		h := newHarness(12)
+		h.run(5 * time.Second)
 		if state == "behaviour" {
-			state, r.nodes[0].counts = Diverged, sent(1, 1<<30)
-			r.run(3 * time.Second)
+			state, h.nodes[0].counts = Diverged, sent(1, 1<<30)
+			h.run(3 * time.Second)
 		} else {
-			starts[state](r)
+			starts[state](h)
 		}
-		r.run(time.Second)
-		first := r.verdict(0)
+		h.run(time.Second)
+		first := h.verdict(0)
 		must(t, first.State == state && first.FirstSeenMS > 0, "%s: %+v", state, first)
 		for range 3 {
-			snapshot, _ := json.Marshal(r.st)
-			r.st = &State{}
-			err := json.Unmarshal(snapshot, r.st)
+			snapshot, _ := json.Marshal(h.st)
+			h.st = &State{}
+			err := json.Unmarshal(snapshot, h.st)
 			must(t, err == nil, "%v", err)
-			r.now += 7 * time.Minute // another process's clock
-			r.j = NewJudge(Defaults())
-			r.j.Lead(r.now, r.st)
-			r.each = func() {
-				v := r.verdict(0)
+			h.now += 7 * time.Minute // another process's clock
+			h.j = NewJudge(Defaults())
+			h.j.Lead(h.now, h.st)
+			h.each = func() {
+				v := h.verdict(0)
 				must(t, v.State == state && v.FirstSeenMS == first.FirstSeenMS && v.FirstRev == first.FirstRev, "%+v, then %+v", first, v)
 			}
-			r.run(5 * time.Second)
+			h.run(5 * time.Second)
 		}
-		must(t, r.verdict(0).Count > first.Count, "count %d, then %d", first.Count, r.verdict(0).Count)
+		must(t, h.verdict(0).Count > first.Count, "count %d, then %d", first.Count, h.verdict(0).Count)
 	}
 }
 
--- a/internal/fleet/drift/play/world.go
+++ b/internal/fleet/drift/play/world.go
@@ -224,7 +224,7 @@
 	}
 }
 
-// failover puts another leader in office, with another clock and nothing but what is replicated.
+// failover elects another leader, with another clock and nothing but what is replicated.
 func (w *world) failover() {
 	w.commands = nil
 	w.old = slices.DeleteFunc(w.old, func(r fleet.Report) bool { // a new leader takes the first it hears of a run
--- a/internal/fleet/drift/tally.go
+++ b/internal/fleet/drift/tally.go
@@ -16,7 +16,7 @@
 	ForMS int64          // how long that lasted, from when it was first seen, by the leaders' wall clocks, ms
 }
 
-// Tally gives what a command means beside the state as it is before the command. It is for people: nothing is decided by it.
+// Tally gives what a command means next to the state as it is before the command. It is for people: nothing is decided by it.
 func (c Command) Tally(st *State) (out []Tally) {
 	end := func(t *Tally, old *Verdict) {
 		if old != nil && Drifts(old.State) && old.State != t.State {
--- a/internal/fleet/drift/view.go
+++ b/internal/fleet/drift/view.go
@@ -9,7 +9,7 @@
 
 // Verdicts gives what is thought of every node now, by name: st's verdicts with what the judge has seen since. wallMS is
 // the wall clock at now, Unix ms, for the times that people read. A node that st has in step and that has not yet
-// been heard in this office is shown as catching up.
+// been heard in this leadership is shown as catching up.
 func (j *Judge) Verdicts(now fleet.Time, wallMS int64, st *State) []Verdict {
 	names := slices.Collect(maps.Keys(j.nodes))
 	for name := range st.Verdicts {
@@ -26,7 +26,7 @@
 			v = *old
 		}
 		switch {
-		case n == nil || old != nil && (n.shown.state == "" || (!n.heard || n.at < j.office) && n.shown.state == old.State):
+		case n == nil || old != nil && (n.shown.state == "" || (!n.heard || n.at < j.leadSince) && n.shown.state == old.State):
 			if v.State == InStep {
 				v.State, v.Evidence = CatchingUp, whyUnheard
 			}
@@ -40,7 +40,7 @@
 				v.FirstRev, v.FirstSeenMS, v.Count = n.shownRev, wallMS-(now-n.shownAt).Milliseconds(), 0
 			}
 			v.State, v.Items, v.More, v.Overrides, v.Evidence = n.shown.state, n.shown.items, n.shown.more, n.shown.overrides, n.shown.evidence
-			v.LastRev, v.LastSeenMS = j.book.rev, wallMS-max(0, now-max(n.at, j.office)).Milliseconds()
+			v.LastRev, v.LastSeenMS = j.book.rev, wallMS-max(0, now-max(n.at, j.leadSince)).Milliseconds()
 			v.Count += n.reports
 		}
 		out = append(out, v)
@@ -83,7 +83,7 @@
 }
 
 // Step judges the node by the agent's copy. caughtUp says that a replica has answered since the agent's start:
-// until then its copy may be older than what the node holds, and nothing is said to be ahead of it.
+// until then its copy may be older than what the node holds, and nothing is said to be newer than it.
 func (l *Local) Step(now fleet.Time, in Intended, m fleet.Member, caughtUp bool) {
 	l.j.bounds.Ahead = Defaults().Ahead
 	if !caughtUp {
