Use the field's terms in the simulated fleet: leadership, votes, updates

Renames only, in internal/fleet/sim: control.leadSince, module.directed and updateZones, and the comments that spoke of offices and of nodes told.

go test -p 2 ./internal/fleet/sim: pass.

--- a/internal/fleet/sim/leader.go
+++ b/internal/fleet/sim/leader.go
@@ -35,24 +35,24 @@
 	rev      uint64
 	intent   *intent
 
-	term   int // of the leader; 0 while there is none
-	terms  int
-	clock  clock
-	judge  *zones.Judge
-	tjudge *tenants.Judge
-	office time.Duration            // by its clock
-	leases map[string]time.Duration // until, by its clock
+	term      int // of the leader; 0 while there is none
+	terms     int
+	clock     clock
+	judge     *zones.Judge
+	tjudge    *tenants.Judge
+	leadSince time.Duration            // by its clock
+	leases    map[string]time.Duration // until, by its clock
 }
 
-// lead puts a new leader into office.
+// lead elects a new leader.
 func (c *control) lead() {
 	c.terms++
 	c.term, c.clock = c.terms, newClock(c.s.rng)
-	c.office, c.leases = c.clock.read(c.s.now), map[string]time.Duration{}
+	c.leadSince, c.leases = c.clock.read(c.s.now), map[string]time.Duration{}
 	c.judge = zones.NewJudge(c.s.set)
-	c.judge.Lead(c.office)
+	c.judge.Lead(c.leadSince)
 	c.tjudge = tenants.NewJudge(tenants.Config{Slots: c.s.plan.Nodes, TTL: ttl})
-	c.tjudge.Lead(c.office)
+	c.tjudge.Lead(c.leadSince)
 	c.tick(c.term)
 }
 
@@ -62,7 +62,7 @@
 	}
 	s, now := c.s, c.clock.read(c.s.now)
 	for _, name := range slices.Sorted(maps.Keys(c.sessions)) {
-		if ss := c.sessions[name]; ss.present && now >= max(c.leases[name], c.office+ttl) {
+		if ss := c.sessions[name]; ss.present && now >= max(c.leases[name], c.leadSince+ttl) {
 			ss.present = false
 			c.epoch++
 		}
@@ -111,7 +111,7 @@
 	c.publish()
 }
 
-// publish tells every node's agent of the newest intent.
+// publish sends the newest intent to every node's agent.
 func (c *control) publish() {
 	it := &intent{c.rev, maps.Clone(c.state.Directives), map[string]fleet.Tenant{}, map[string]fleet.Shares{}}
 	for name, e := range c.tenants.Tenants {
@@ -143,7 +143,7 @@
 	if r.Incarnation > ss.highest || !ss.present {
 		share, _ := c.tenants.Item(fleet.KeyShare + "/" + r.Node) // or that it is gone
 		if !c.s.hooks.rejoin && (!tenants.CaughtUp(&c.tenants, r) || r.Revision < max(share.Rev, c.tenants.Compacted())) {
-			return // it is told to say that it is not ready
+			return // it is answered as out, and says that it is not ready
 		}
 		c.epoch++
 		*ss = session{member: r.Member, highest: r.Incarnation, present: true}
--- a/internal/fleet/sim/module.go
+++ b/internal/fleet/sim/module.go
@@ -17,7 +17,7 @@
 	m        *decide.Module
 	open     map[decide.RequestID]int // attempts so far
 	over     map[decide.RequestID]bool
-	told     map[string]bool // zones that a directive was told of
+	directed map[string]bool // zones that had a directive at the last update
 	synced   bool
 	requests int
 }
@@ -34,7 +34,7 @@
 		OverloadFactor: 1, OverloadTime: coldSpan, HoldOffs: true, MaxHoldOff: time.Second, Fleet: true,
 		Classes: []decide.Class{{Name: "browse", Worth: 1, Aim: time.Second, Deadline: patience, Effect: decide.Safe}}}
 	d := &module{n: n, run: n.run, m: decide.New(set, int64(n.s.plan.Seed)*1000+int64(n.i)), open: map[decide.RequestID]int{},
-		over: map[decide.RequestID]bool{}, told: map[string]bool{}}
+		over: map[decide.RequestID]bool{}, directed: map[string]bool{}}
 	n.module = d
 	var list []decide.Server
 	for z, y := range n.s.zones {
@@ -43,7 +43,7 @@
 		}
 	}
 	d.feed(decide.ListUpdate{Kind: decide.ListFull, Version: 1, Entries: list})
-	d.tell()
+	d.updateZones()
 	d.arrivals()
 }
 
@@ -113,12 +113,12 @@
 	}
 }
 
-// tell gives the module what its node holds, with its age.
-func (d *module) tell() {
+// updateZones gives the module what its node holds, with its age.
+func (d *module) updateZones() {
 	n := d.n
 	age := n.clock.read(n.s.now) - n.confirmed
 	for z, y := range n.s.zones {
-		told := decide.ZoneTold{Zone: y, Revision: n.held.rev, Intent: n.held.rev, Serving: true, Share: 1, Floor: 1, Age: age}
+		update := decide.ZoneTold{Zone: y, Revision: n.held.rev, Intent: n.held.rev, Serving: true, Share: 1, Floor: 1, Age: age}
 		e, every := n.held.directives[n.keys[z][0]]
 		own, has := n.held.directives[n.keys[z][1]]
 		if has && (!every || fleet.Narrower(e.Directive, own.Directive)) {
@@ -126,13 +126,13 @@
 		}
 		if every || has {
 			h := fleet.ZoneBody(e.Rev, e.Directive, n.name)
-			told = decide.ZoneTold{Zone: y, Revision: e.Rev, Intent: n.held.rev, Share: h.Share, Floor: h.Floor, Rate: h.Rate, Trial: h.Trial,
+			update = decide.ZoneTold{Zone: y, Revision: e.Rev, Intent: n.held.rev, Share: h.Share, Floor: h.Floor, Rate: h.Rate, Trial: h.Trial,
 				Age: age, Valid: time.Duration(h.ValidMS) * time.Millisecond}
-		} else if !d.told[y] {
+		} else if !d.directed[y] {
 			continue
 		}
-		d.told[y] = every || has
-		d.feed(told)
+		d.directed[y] = every || has
+		d.feed(update)
 	}
 	if !d.synced {
 		d.synced = true
--- a/internal/fleet/sim/node.go
+++ b/internal/fleet/sim/node.go
@@ -133,7 +133,7 @@
 	}
 	n.held, n.confirmed = it, n.clock.read(n.s.now)
 	if n.module != nil {
-		n.module.tell()
+		n.module.updateZones()
 	}
 	n.s.heard(n)
 }
--- a/internal/fleet/sim/sim_test.go
+++ b/internal/fleet/sim/sim_test.go
@@ -62,7 +62,7 @@
 		from       uint64 // the seed to begin with, to save time
 		plant      func(*Sim)
 	}{
-		{"one node's word counts for all", "Z1", 17, func(s *Sim) {
+		{"one node's vote counts for all", "Z1", 17, func(s *Sim) {
 			s.hooks.observe = func(c *control, now time.Duration, r fleet.Report) {
 				for _, n := range s.nodes {
 					if !s.lying(r.Node) {
--- a/internal/fleet/sim/tenants.go
+++ b/internal/fleet/sim/tenants.go
@@ -103,7 +103,7 @@
 	})
 }
 
-// acknowledge puts the node's word on its tenants into a report.
+// acknowledge puts what the node holds of its tenants into a report.
 func (n *node) acknowledge(r *fleet.Report) {
 	for _, name := range slices.Sorted(maps.Keys(n.held.tenants)) {
 		t := n.held.tenants[name]
