Call what the checker reads changes, not what was told

The exported type and field Told stay, as the lab uses them.

go test -p 2 ./internal/invariants ./internal/lab/report: pass.

--- a/internal/invariants/fleet.go
+++ b/internal/invariants/fleet.go
@@ -62,7 +62,7 @@
 	Lives      int                      // of nodes, for the tokens that each life starts with
 }
 
-// Bounds of the pages: how long a node has to stop after a directive is told, and drift to be found.
+// Bounds of the pages: how long a node has to stop after a directive is sent, and drift to be found.
 const (
 	zoneBound  = time.Second
 	driftBound = 8 * time.Second // silent after 2 s, asked and named for 3 s, and the reports' rhythm
@@ -106,10 +106,10 @@
 
 // barred gives the directive of key that has kept node from its zone for the bound at the time at, with none about
 // then (the nodes may hear a little before the lab) that does not.
-func barred(told []Told, node int, at time.Duration) (Told, bool) {
+func barred(changes []Told, node int, at time.Duration) (Told, bool) {
 	var last Told
 	found := false
-	for _, t := range told {
+	for _, t := range changes {
 		if t.At > at+zoneBound {
 			break
 		}
@@ -155,11 +155,11 @@
 	return out
 }
 
-// steady gives the told that has held for the bound about the time at; none where it changed.
-func steady(told []Told, at time.Duration) (Told, bool) {
+// steady gives the change that has held for the bound about the time at; none where it changed.
+func steady(changes []Told, at time.Duration) (Told, bool) {
 	var last Told
 	found := false
-	for _, t := range told {
+	for _, t := range changes {
 		if t.At > at+zoneBound {
 			break
 		}
@@ -183,8 +183,8 @@
 		}
 	}
 	for server, as := range byServer {
-		told := byKey["zone/"+r.Fleet.ServerZone[server]]
-		if len(told) == 0 {
+		changes := byKey["zone/"+r.Fleet.ServerZone[server]]
+		if len(changes) == 0 {
 			continue
 		}
 		sort.Slice(as, func(i, j int) bool { return as[i].Start < as[j].Start })
@@ -193,7 +193,7 @@
 			for as[first].Start <= a.Start-time.Second {
 				first++
 			}
-			budget, bound := budgetAbout(told, a.Start-time.Second, a.Start)
+			budget, bound := budgetAbout(changes, a.Start-time.Second, a.Start)
 			if n := i - first + 1; bound && float64(n) > budget+3*math.Sqrt(budget)+3 {
 				out = append(out, Breach{"Z-budget", a.ID, a.Start, fmt.Sprintf("%s got %d requests in a second, its budget is %.1f", server, n, budget)})
 				break // one for each server
@@ -203,10 +203,10 @@
 	return out
 }
 
-// leftAt is when the first directive of those that hold at at was told; 0 where none holds.
-func leftAt(told []Told, at time.Duration) time.Duration {
+// leftAt is when the first directive of those that hold at at was seen; 0 where none holds.
+func leftAt(changes []Told, at time.Duration) time.Duration {
 	since := time.Duration(0)
-	for _, t := range told {
+	for _, t := range changes {
 		switch {
 		case t.At > at:
 			return since
@@ -228,13 +228,13 @@
 
 // budgetAbout is the largest budget that held from a bound before from to a bound after to; false where at some time
 // there was none.
-func budgetAbout(told []Told, from, to time.Duration) (float64, bool) {
+func budgetAbout(changes []Told, from, to time.Duration) (float64, bool) {
 	budget, bound := 0.0, false
-	for i, t := range told {
+	for i, t := range changes {
 		if t.At > to+zoneBound {
 			break
 		}
-		if i+1 < len(told) && told[i+1].At <= from-zoneBound {
+		if i+1 < len(changes) && changes[i+1].At <= from-zoneBound {
 			continue // over by then
 		}
 		if i == 0 && t.At > from-zoneBound || t.Gone || t.Phase == "serving" || t.Budget <= 0 && t.Share > 0 {
--- a/internal/invariants/fleet_state.go
+++ b/internal/invariants/fleet_state.go
@@ -21,14 +21,14 @@
 		if name == "" {
 			continue
 		}
-		told := byKey["tenant/"+name]
+		changes := byKey["tenant/"+name]
 		if !seen[a.ID] {
 			seen[a.ID] = true
 			begun[name] = append(begun[name], a.Start)
 		}
 		now, ok, ever := Told{}, false, false
-		soon := r.Fleet.Settings[name] && len(told) == 0
-		for _, t := range told {
+		soon := r.Fleet.Settings[name] && len(changes) == 0
+		for _, t := range changes {
 			if t.At <= a.Start {
 				now, ok, ever = t, true, ever || t.Committed
 			}
@@ -42,7 +42,7 @@
 			if a.Start > now.At+r.Slack && !r.excused("after-grace", a.Node, now.At, a.Start) {
 				out = append(out, Breach{"T-removed", a.ID, a.Start, fmt.Sprintf("node %d sent on a request of %s, removed at %v", a.Node, name, now.At)})
 			}
-		case r.Fleet.Settings[name] && !ever: // the settings' word goes on
+		case r.Fleet.Settings[name] && !ever: // the settings go on
 		default:
 			out = append(out, Breach{"T-uncommitted", a.ID, a.Start, fmt.Sprintf("node %d sent on a request of %s, which had no committed generation",
 				a.Node, name)})
@@ -56,14 +56,14 @@
 
 // quota plays a tenant's first attempts into a bucket that its quota drains, over all nodes: more than the burst, and a
 // token and chance's one for each life of a node, is over.
-func (r Run) quota(name string, told []Told, begun []time.Duration) []Breach {
+func (r Run) quota(name string, changes []Told, begun []time.Duration) []Breach {
 	sort.Slice(begun, func(i, j int) bool { return begun[i] < begun[j] })
 	level, last := 0.0, time.Duration(0)
 	for _, at := range begun {
 		rate, burst, on := 0.0, 0.0, false
-		for i, t := range told {
+		for i, t := range changes {
 			// A generation counts from when it was seen until the next had been for the bound.
-			if t.At > at || !t.Committed || i+1 < len(told) && told[i+1].At+r.Slack < at {
+			if t.At > at || !t.Committed || i+1 < len(changes) && changes[i+1].At+r.Slack < at {
 				continue
 			}
 			rate, burst, on = max(rate, t.Rate), max(burst, t.Burst), true
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -6,7 +6,7 @@
 //
 // The rules are the bench's (DESIGN, "Hard rules"): one final answer per request taken; a fragile class never runs
 // twice; one attempt out at a time per request; nothing new to a draining or gone server after the grace; no cold
-// app server pushed over by nodes told of its start; nothing reaches an app server that no client sent.
+// app server pushed over by nodes that knew of its start; nothing reaches an app server that no client sent.
 package invariants
 
 import (
@@ -186,27 +186,27 @@
 	return out
 }
 
-// coldFalls finds the falls of which over two thirds came from nodes that had been told of the start.
+// coldFalls finds the falls of which over two thirds came from nodes that knew of the start.
 func (r Run) coldFalls() []Breach {
 	var out []Breach
 	for _, f := range r.Falls {
-		told := time.Duration(-1)
+		readyAt := time.Duration(-1)
 		for _, c := range r.Changes {
-			if c.Server == f.Server && c.State == "ready" && c.At >= f.Start && (told < 0 || c.At < told) {
-				told = c.At
+			if c.Server == f.Server && c.State == "ready" && c.At >= f.Start && (readyAt < 0 || c.At < readyAt) {
+				readyAt = c.At
 			}
 		}
-		if told < 0 {
-			continue // nobody was
+		if readyAt < 0 {
+			continue // nobody knew
 		}
 		n := 0
 		for _, p := range f.Got {
-			if p.At > told+r.Slack && !r.excused("after-grace", p.Node, told, p.At) {
+			if p.At > readyAt+r.Slack && !r.excused("after-grace", p.Node, readyAt, p.At) {
 				n++
 			}
 		}
 		if 3*n > 2*len(f.Got) {
-			out = append(out, Breach{"cold-fall", "", f.At, fmt.Sprintf("%s, up since %v, got %d requests where it bears %.0f; %d of nodes told",
+			out = append(out, Breach{"cold-fall", "", f.At, fmt.Sprintf("%s, up since %v, got %d requests where it bears %.0f; %d of nodes that knew",
 				f.Server, f.Start, len(f.Got), f.Allowed, n)})
 		}
 	}
--- a/internal/invariants/invariants_test.go
+++ b/internal/invariants/invariants_test.go
@@ -94,16 +94,16 @@
 	}
 }
 
-// A fall is no breach where a third or more came from nodes that were not told: too early, cut off, or nobody was.
-func TestFallsOfUntoldNodes(t *testing.T) {
+// A fall is no breach where a third or more came from nodes that did not know of the start: too early, cut off, or nobody did.
+func TestFallsOfUnawareNodes(t *testing.T) {
 	fall := Fall{Server: "s3", Start: 90 * ms, At: 300 * ms, Got: []Part{{0, 140 * ms}, {0, 200 * ms}, {1, 300 * ms}}}
-	told := []Change{{Server: "s3", State: "ready", At: 100 * ms}}
+	ready := []Change{{Server: "s3", State: "ready", At: 100 * ms}}
 	deaf := []Excuse{{Node: 1, Rule: "after-grace", From: 50 * ms, To: time.Second}}
 	for _, c := range []struct {
 		changes []Change
 		excuses []Excuse
 		n       int
-	}{{told, nil, 0}, {[]Change{{Server: "s3", State: "ready", At: 80 * ms}}, nil, 0}, {nil, nil, 0}} {
+	}{{ready, nil, 0}, {[]Change{{Server: "s3", State: "ready", At: 80 * ms}}, nil, 0}, {nil, nil, 0}} {
 		r := clean()
 		r.Falls, r.Changes, r.Excuses = []Fall{fall}, c.changes, c.excuses
 		if b := Check(r); len(b) != c.n {
@@ -112,9 +112,9 @@
 	}
 	fall.Got[0].At = 160 * ms
 	r := clean()
-	r.Falls, r.Changes = []Fall{fall}, told
+	r.Falls, r.Changes = []Fall{fall}, ready
 	if b := Check(r); len(b) != 1 {
-		t.Errorf("all told: %v", b)
+		t.Errorf("all know: %v", b)
 	}
 	if r.Excuses = deaf; len(Check(r)) != 0 {
 		t.Errorf("a third deaf: %v", Check(r))
