Give the tenant command's test an epoch for each scope

tenants.State.Apply and Judge.Step take the epochs of scopes; the test's one leader has one epoch for all, as before. go vet ./... is clean.

--- a/cmd/listd/tenants_test.go
+++ b/cmd/listd/tenants_test.go
@@ -26,8 +26,10 @@
 	race  string // a TOML that another operator puts before the next PUT
 }
 
+func firstEpoch(string) uint64 { return 1 }
+
 func (l *leaderStandIn) apply(c tenants.Command) error {
-	_, err := l.s.Apply(c, 1, func() uint64 { l.rev++; return l.rev })
+	_, err := l.s.Apply(c, firstEpoch, func() uint64 { l.rev++; return l.rev })
 	return err
 }
 
@@ -73,7 +75,7 @@
 func (l *leaderStandIn) settle() {
 	j := tenants.NewJudge(tenants.Config{Slots: 1})
 	for range 3 {
-		for _, c := range j.Step(0, &l.s, 1, nil) {
+		for _, c := range j.Step(0, &l.s, tenants.Present{Epoch: firstEpoch}) {
 			l.apply(c)
 		}
 	}
