Give some nodes of the simulated fleet a scope, and tenants a service

The simulator counted presence by itself. It now keeps the real session state, so that the epochs of scopes are played too; two plans of three give scopes to some nodes, from a random stream of their own. Its rules T2 and T5 look at the present nodes of a tenant's scope; a judge that forgets nodes inside of the scope is planted and found by T5.

--- a/internal/fleet/sim/node.go
+++ b/internal/fleet/sim/node.go
@@ -131,7 +131,7 @@
 	if it.rev < n.held.rev {
 		n.s.breach("revision", "%s goes back from %d to %d", n.name, n.held.rev, it.rev)
 	}
-	n.held, n.confirmed = it, n.clock.read(n.s.now)
+	n.held, n.confirmed = it.within(n.services()), n.clock.read(n.s.now)
 	if n.module != nil {
 		n.module.updateZones()
 	}
@@ -148,7 +148,7 @@
 
 func (n *node) report() {
 	now := n.clock.read(n.s.now)
-	r := fleet.Report{Member: n.member(), Revision: n.held.rev, Ready: true, WindowMS: (now - n.since).Milliseconds()}
+	r := fleet.Report{Member: n.member(), Services: n.services(), Revision: n.held.rev, Ready: true, WindowMS: (now - n.since).Milliseconds()}
 	n.seq++
 	r.Seq = n.seq
 	if n.module != nil {
--- a/internal/fleet/sim/plan.go
+++ b/internal/fleet/sim/plan.go
@@ -16,20 +16,22 @@
 	Zones   int           `json:"zones"`
 	Servers int           `json:"servers"` // of a zone
 	For     time.Duration `json:"for"`
-	Loss    float64       `json:"loss"`   // of every message of the control plane, and of every attempt
-	Jitter  time.Duration `json:"jitter"` // of a message's delay, at most
-	Module  bool          `json:"module"` // requests are decided by the module, else in a simple way of the simulator's own
-	Alone   bool          `json:"alone"`  // the control plane gives no directives: each node judges for itself
+	Loss    float64       `json:"loss"`             // of every message of the control plane, and of every attempt
+	Jitter  time.Duration `json:"jitter"`           // of a message's delay, at most
+	Module  bool          `json:"module"`           // requests are decided by the module, else in a simple way of the simulator's own
+	Alone   bool          `json:"alone"`            // the control plane gives no directives: each node judges for itself
+	Scopes  [][]string    `json:"scopes,omitempty"` // of the nodes, in turn: the services of each, none for every service
 	Faults  []Fault       `json:"faults"`
 	Changes []Change      `json:"changes"`
 }
 
 // Change is what an operator does with a tenant: a new quota, or its removal.
 type Change struct {
-	At     time.Duration `json:"at"`
-	Tenant string        `json:"tenant"`
-	Rate   float64       `json:"rate"`   // requests/s; 0 removes it
-	Refuse bool          `json:"refuse"` // one node refuses it
+	At      time.Duration `json:"at"`
+	Tenant  string        `json:"tenant"`
+	Service string        `json:"service,omitempty"`
+	Rate    float64       `json:"rate"`   // requests/s; 0 removes it
+	Refuse  bool          `json:"refuse"` // one node refuses it
 }
 
 // Kinds of faults.
@@ -91,15 +93,39 @@
 		}
 		p.Changes = append(p.Changes, c)
 	}
+	p.drawScopes()
 	return p
 }
 
+// drawScopes gives two plans of three scopes to some nodes, and to a tenant its service. It draws from a stream of its own, so
+// that a seed's faults are the same with and without.
+func (p *Plan) drawScopes() {
+	r := rand.New(rand.NewPCG(p.Seed, 0x5c09e))
+	if r.IntN(3) == 0 {
+		return
+	}
+	every := [][]string{nil, {"perfume"}, {"retail"}, {"perfume", "retail"}}
+	for range 2 + r.IntN(4) {
+		p.Scopes = append(p.Scopes, every[r.IntN(len(every))])
+	}
+	services := map[string]string{"amouage": "perfume"}
+	if r.IntN(2) == 0 {
+		services["lulu"] = "retail"
+	}
+	for i := range p.Changes {
+		p.Changes[i].Service = services[p.Changes[i].Tenant]
+	}
+}
+
 // Calm is the plan of a zone's loss and return with no other fault.
 func Calm(seed uint64, nodes int) Plan {
 	p := Draw(seed, nodes)
 	p.Zones, p.Servers, p.Loss, p.Jitter, p.Faults = 3, 4, 0, 5*time.Millisecond, p.Faults[:1]
 	p.Faults[0].Zone %= p.Zones
-	p.Changes = p.Changes[:2]
+	p.Scopes, p.Changes = nil, p.Changes[:2]
+	for i := range p.Changes {
+		p.Changes[i].Service = ""
+	}
 	return p
 }
 
--- a/internal/fleet/sim/sim.go
+++ b/internal/fleet/sim/sim.go
@@ -47,6 +47,7 @@
 	takeOld bool
 	rejoin  bool // a run is present again before it has heard what was intended meanwhile
 	staged  bool // nodes serve by what is staged
+	forgets bool // the judge of the tenants counts no node with a scope
 	ageless bool
 	greed   float64 // what a node multiplies its rates by
 }
@@ -66,7 +67,7 @@
 	Spread   []int64 `json:"spread_ms,omitempty"` // from the first of them to the last
 	Unheard  int     `json:"unheard"`             // losses for which that many never stopped
 	Returned []int64 `json:"returned_ms,omitempty"`
-	Onboard  []int64 `json:"onboard_ms,omitempty"` // from a tenant's change to its being applied on every present node
+	Onboard  []int64 `json:"onboard_ms,omitempty"` // from a tenant's change to its being applied on every node present in its scope
 	Undone   int     `json:"undone"`               // changes that were rolled back, refused, or not applied by the end
 	Falls    int     `json:"cold_falls"`
 	Wrong    int     `json:"wrong_leaves"`
@@ -96,7 +97,7 @@
 		}
 		s.servers = append(s.servers, all)
 	}
-	s.control = &control{s: s, sessions: map[string]*session{}, intent: &intent{}}
+	s.control = &control{s: s, intent: &intent{}}
 	if plant != nil {
 		plant(s)
 	}
--- a/internal/fleet/sim/sim_test.go
+++ b/internal/fleet/sim/sim_test.go
@@ -23,6 +23,15 @@
 	if sum.Steps < 100 || sum.Losses < 40 || sum.Onboard.P50 == 0 {
 		t.Errorf("nothing much was played: %+v", sum)
 	}
+	scoped := 0
+	for seed := uint64(1); seed <= 40; seed++ {
+		if len(Draw(seed, 30).Scopes) > 0 {
+			scoped++
+		}
+	}
+	if scoped < 10 || scoped > 35 {
+		t.Errorf("%d of 40 plans have scopes", scoped)
+	}
 }
 
 // TestCalm: a zone's loss and return with no other fault, by its figures.
@@ -85,6 +94,7 @@
 		{"a directive never ages", "Z5", 15, func(s *Sim) { s.hooks.ageless = true }},
 		{"an agent takes older intent", "revision", 0, func(s *Sim) { s.hooks.takeOld = true }},
 		{"a node serves by what is staged", "T1", 0, func(s *Sim) { s.hooks.staged = true }},
+		{"the judge forgets nodes of the scope", "T5", 0, func(s *Sim) { s.hooks.forgets = true }},
 		{"a run is back before it has heard what changed", "T3", 0, func(s *Sim) { s.hooks.rejoin = true }},
 		{"an agent counts to the whole ttl and more", "session", 8, func(s *Sim) { s.holdPart = 1.15 }},
 		{"all of a cold zone at once", "cold", 52, entry(func(e *zones.Entry) {
