Expect of a node only the tenants of its scope, in the drift detector

A node with a scope holds the tenants of its services and those without one; compared with all items it would be called diverged for the rest, and stuck for changes that it never hears of. What is expected and what is outstanding now go by the services that the node's report names; a name that moves to another service is outstanding at the nodes of the first until they have dropped it. Without services nothing is judged otherwise. fleet.Tenant.Service names a tenant's service in one place. go test ./internal/fleet/drift passes, with TestExpectInScope, TestJudgedInScope and TestNameMovesOutOfTheScope.

--- a/internal/fleet/drift/expect.go
+++ b/internal/fleet/drift/expect.go
@@ -30,12 +30,13 @@
 }
 
 // Expect gives what a node's module holds once it has taken all of in, in key order, with bodies; local facts are
-// not among them. An error is an item whose body can't be read: nothing can be said of that item.
-func Expect(in Intended, m fleet.Member) ([]fleet.Held, error) {
+// not among them. services are the node's scope; none: every tenant. An error is an item whose body can't be read: nothing
+// can be said of that item.
+func Expect(in Intended, m fleet.Member, services ...string) ([]fleet.Held, error) {
 	var b book
 	err := b.ingest(0, in)
 	list := b.list(b.seen)
-	held, _ := b.expect(in.Revision, m)
+	held, _ := b.expect(in.Revision, m, services)
 	held = append(held, list...)
 	slices.SortFunc(held, func(a, b fleet.Held) int { return strings.Compare(a.Key, b.Key) })
 	return held, err
@@ -263,7 +264,7 @@
 
 // expect gives what a node holds of zones, tenants and its share at revision n; whole is false where some of it is
 // not known for that revision.
-func (b *book) expect(n uint64, m fleet.Member) (held []fleet.Held, whole bool) {
+func (b *book) expect(n uint64, m fleet.Member, services []string) (held []fleet.Held, whole bool) {
 	whole = true
 	for i := 0; i < len(b.zones); {
 		zone := b.zones[i].zone
@@ -298,7 +299,9 @@
 		}
 	}
 	for _, e := range b.tenants {
-		add(e)
+		if !e.outside(n, services) {
+			add(e)
+		}
 	}
 	if e := b.shares[m.Node]; e != nil {
 		add(e)
@@ -359,7 +362,7 @@
 
 // outstanding gives the earliest revision above n of what a node is to hold, with when it was first seen, and the
 // keys of all such. list says which of the two.
-func (b *book) outstanding(n uint64, m fleet.Member, list bool) (rev uint64, seen fleet.Time, keys []string) {
+func (b *book) outstanding(n uint64, m fleet.Member, services []string, list bool) (rev uint64, seen fleet.Time, keys []string) {
 	look := func(e *entry) {
 		if e == nil || e.last().rev <= n {
 			return
@@ -386,7 +389,9 @@
 			}
 		}
 		for _, e := range b.tenants {
-			look(e)
+			if e.movedAfter(n, services) {
+				look(e)
+			}
 		}
 	}
 	look(b.shares[m.Node])
--- a/internal/fleet/drift/export_test.go
+++ b/internal/fleet/drift/export_test.go
@@ -59,8 +59,8 @@
 
 func (b *Book) Ingest(in Intended) { b.b.ingest(0, in) }
 
-func (b *Book) Expect(rev uint64, self fleet.Member) ([]fleet.Held, bool) {
-	return b.b.expect(rev, self)
+func (b *Book) Expect(rev uint64, self fleet.Member, services ...string) ([]fleet.Held, bool) {
+	return b.b.expect(rev, self, services)
 }
 
 // Node is what the judge has of a node.
--- a/internal/fleet/drift/node.go
+++ b/internal/fleet/drift/node.go
@@ -121,7 +121,7 @@
 	}
 	if e := &n.expected; e.tree == nil || e.rev != r.Revision || e.gen != b.gen {
 		*e = expected{rev: r.Revision, gen: b.gen}
-		e.held, e.whole = b.expect(r.Revision, n.Member)
+		e.held, e.whole = b.expect(r.Revision, n.Member, r.Services)
 		e.tree = NewTree(e.held)
 	}
 	if e := &n.expected; e.whole {
@@ -196,7 +196,7 @@
 			*l = lag{}
 			continue
 		}
-		rev, seen, keys := b.outstanding(at, n.Member, i == 1)
+		rev, seen, keys := b.outstanding(at, n.Member, n.report.Services, i == 1)
 		switch {
 		case rev == 0:
 			*l = lag{}
--- /dev/null
+++ b/internal/fleet/drift/scope_test.go
@@ -0,0 +1,123 @@
+package drift_test
+
+import (
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	. "starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/fleet/drift/play"
+)
+
+// scopedNode is a node of one service that reports what it holds of an intent, and an agent's judge of it.
+type scopedNode struct {
+	member fleet.Member
+	seq    uint64
+	now    fleet.Time
+	held   []fleet.Held
+	at     uint64 // revision that it holds
+	want   []string
+	judge  *Local
+}
+
+func newScopedNode() *scopedNode {
+	return &scopedNode{member: fleet.Member{Node: "n000", Zone: "z1", Incarnation: 5}, judge: NewLocal(Defaults())}
+}
+
+// take has the node hold what is intended for its scope.
+func (n *scopedNode) take(t *testing.T, in Intended) {
+	t.Helper()
+	held, err := Expect(in, n.member, "billing")
+	must(t, err == nil, "%v", err)
+	n.held, n.at = held, in.Revision
+}
+
+// run has the node report for some seconds, and gives the verdict.
+func (n *scopedNode) run(t *testing.T, in Intended) Verdict {
+	t.Helper()
+	for range 70 {
+		n.now += 100 * time.Millisecond
+		n.seq++
+		r := fleet.Report{Member: n.member, Services: []string{"billing"}, Seq: n.seq, Revision: n.at, List: in.Revision, WindowMS: 100}
+		Fill(&r, n.held, n.want)
+		must(t, n.judge.Observe(n.now, r) == nil, "refused")
+		_, n.want = n.judge.Answer(n.member.Node)
+		n.judge.Step(n.now, in, n.member, true)
+	}
+	v, ok := n.judge.Verdict(n.now, 0, n.member.Node)
+	must(t, ok, "no verdict")
+	return v
+}
+
+func scoped(uid, generation uint64, service string) fleet.Tenant {
+	tenant := play.Brand(uid, generation, 100)
+	tenant.Committed.Spec.Service = service
+	return tenant
+}
+
+// scopedIntent has tenants without a service, of billing and of search.
+func scopedIntent() *play.Intent {
+	c := play.Seed(1)
+	c.Put("tenant/bill", scoped(90, 1, "billing"))
+	c.Put("tenant/find", scoped(91, 1, "search"))
+	return c
+}
+
+// Of a node with a scope only the tenants of its services, and those without a service, are expected.
+func TestExpectInScope(t *testing.T) {
+	c := scopedIntent()
+	held, err := Expect(c.In, fleet.Member{Node: "n000", Zone: "z1"}, "billing")
+	must(t, err == nil, "%v", err)
+	must(t, BodyOf(held, "tenant/t0") != nil && BodyOf(held, "tenant/bill") != nil, "%v", held)
+	must(t, BodyOf(held, "tenant/find") == nil, "a tenant of another service is expected: %v", held)
+	whole, _ := Expect(c.In, fleet.Member{Node: "n000", Zone: "z1"})
+	must(t, len(whole) == len(held)+1, "%d facts without a scope, %d with", len(whole), len(held))
+}
+
+// A node that holds its scope is in step, whatever changes outside of it, also where it has not heard of that; what it lacks
+// inside, and what it holds outside, is named.
+func TestJudgedInScope(t *testing.T) {
+	c, n := scopedIntent(), newScopedNode()
+	n.take(t, c.In)
+	v := n.run(t, c.In)
+	must(t, v.State == InStep, "%+v", v)
+	c.Put("tenant/find", scoped(91, 2, "search"))
+	c.Drop("tenant/find")
+	v = n.run(t, c.In)
+	must(t, v.State == CatchingUp || v.State == InStep, "after a change outside of its scope: %+v", v)
+	n.take(t, c.In)
+	v = n.run(t, c.In)
+	must(t, v.State == InStep, "%+v", v)
+
+	c.Put("tenant/bill", scoped(90, 2, "billing"))
+	v = n.run(t, c.In)
+	must(t, v.State == Stuck && play.Has(v.Items, "tenant/bill", "rev"), "after a change inside of its scope: %+v", v)
+	n.take(t, c.In)
+	v = n.run(t, c.In)
+	must(t, v.State == InStep, "%+v", v)
+
+	n.held = play.Plant("tenant/bill", nil)(n.held)
+	v = n.run(t, c.In)
+	must(t, v.State == Diverged && play.Has(v.Items, "tenant/bill", ""), "without a tenant of its scope: %+v", v)
+
+	c.Put("tenant/find", scoped(c.In.Revision+1, 1, "search"))
+	n.take(t, c.In)
+	n.held = play.Plant("tenant/find", fleet.HeldTenant{UID: c.In.Revision, Rev: c.In.Revision})(n.held)
+	v = n.run(t, c.In)
+	must(t, v.State == Diverged && play.Has(v.Items, "tenant/find", ""), "with a tenant outside of its scope: %+v", v)
+}
+
+// A name that is removed and named again in another service is outstanding at a node of the first, until it has dropped it.
+func TestNameMovesOutOfTheScope(t *testing.T) {
+	c, n := scopedIntent(), newScopedNode()
+	n.take(t, c.In)
+	must(t, n.run(t, c.In).State == InStep, "not in step")
+	c.Drop("tenant/bill")
+	c.Put("tenant/bill", scoped(c.In.Revision+1, 1, "search"))
+	v := n.run(t, c.In)
+	must(t, v.State == Stuck && play.Has(v.Items, "tenant/bill", "rev"), "%+v", v)
+	n.take(t, c.In)
+	must(t, BodyOf(n.held, "tenant/bill") == nil, "it holds the tenant that has its name now")
+	v = n.run(t, c.In)
+	must(t, v.State == InStep, "%+v", v)
+}
--- a/internal/fleet/scope.go
+++ b/internal/fleet/scope.go
@@ -17,6 +17,17 @@
 	return len(services) == 0 || service == "" || slices.Contains(services, service)
 }
 
+// Service is the tenant's: the same in all its generations. None: every node holds it.
+func (t *Tenant) Service() string {
+	switch {
+	case t.Committed != nil:
+		return t.Committed.Spec.Service
+	case t.Staged != nil:
+		return t.Staged.Spec.Service
+	}
+	return ""
+}
+
 // ValidScope checks the services that a node names: sorted, each once, within the limits. The error wraps ErrInvalid.
 func ValidScope(services []string) error {
 	if len(services) > ScopeLimit {
--- a/internal/fleet/sim/leader.go
+++ b/internal/fleet/sim/leader.go
@@ -25,12 +25,10 @@
 	}
 	scoped := *it
 	scoped.tenants = maps.Clone(it.tenants)
-	maps.DeleteFunc(scoped.tenants, func(_ string, t fleet.Tenant) bool { return !fleet.Serves(services, service(t)) })
+	maps.DeleteFunc(scoped.tenants, func(_ string, t fleet.Tenant) bool { return !fleet.Serves(services, t.Service()) })
 	return &scoped
 }
 
-func service(t fleet.Tenant) string { return (&tenants.Entry{Tenant: t}).Service() }
-
 // control is the replicated state and the leader of the moment.
 type control struct {
 	s        *Sim
--- a/internal/fleet/sim/tenants.go
+++ b/internal/fleet/sim/tenants.go
@@ -144,7 +144,7 @@
 		r.heard[n.i] = true
 		all := true
 		for _, o := range s.nodes {
-			all = all && (r.heard[o.i] || !s.control.counts(o, service(t)))
+			all = all && (r.heard[o.i] || !s.control.counts(o, t.Service()))
 		}
 		if all {
 			r.done = s.now
--- a/internal/fleet/tenants/play/scope.go
+++ b/internal/fleet/tenants/play/scope.go
@@ -16,15 +16,13 @@
 // within is the part of a copy that a node of these services holds.
 func (c copyOf) within(services []string) copyOf {
 	c.tenants = maps.Clone(c.tenants)
-	maps.DeleteFunc(c.tenants, func(_ string, t fleet.Tenant) bool { return !fleet.Serves(services, service(t)) })
+	maps.DeleteFunc(c.tenants, func(_ string, t fleet.Tenant) bool { return !fleet.Serves(services, t.Service()) })
 	return c
 }
 
-func service(t fleet.Tenant) string { return (&tenants.Entry{Tenant: t}).Service() }
-
 // counts says whether a run is present and serves a tenant.
 func (m *model) counts(r *run, t fleet.Tenant) bool {
-	return m.sessions.Present(r.member()) && fleet.Serves(r.services, service(t))
+	return m.sessions.Present(r.member()) && fleet.Serves(r.services, t.Service())
 }
 
 func (r *run) member() fleet.Member { return fleet.Member{Node: r.name, Zone: "z", Incarnation: r.inc} }
--- a/internal/fleet/tenants/scope.go
+++ b/internal/fleet/tenants/scope.go
@@ -19,17 +19,6 @@
 	Services map[string][]string // of members that have a scope, by node
 }
 
-// Service is the tenant's, whose nodes alone hold it; none: every node holds it. It is the same in all generations.
-func (e *Entry) Service() string {
-	switch {
-	case e.Committed != nil:
-		return e.Committed.Spec.Service
-	case e.Staged != nil:
-		return e.Staged.Spec.Service
-	}
-	return ""
-}
-
 // serviceIndex holds the tenants by service and name.
 type serviceIndex map[string]map[string]*Entry
 
