Test scoped rollouts in the composed control plane

The control plane's random schedule now restarts nodes with other scopes and names tenants in several services.

--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -12,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"starlingvalve/internal/fleet"
-	"starlingvalve/internal/fleet/session"
 	"starlingvalve/internal/fleet/tenants"
 )
 
@@ -26,140 +24,28 @@
 time_ms = 5000
 `
 
-// rig is a fleet in one process: nodes that hold what they last read, one leader, and a clock of its own.
-type rig struct {
-	set   Settings
-	state *State
-	judge *Judge
-	now   fleet.Time
-	rev   uint64
-	nodes []*node
-}
-
-type node struct {
-	fleet.Member
-	seq, revision uint64
-	held          map[string]fleet.Item
-	serves        map[string]uint64 // committed generation by tenant
-}
-
-func newRig(t interface{ Fatal(...any) }, n int) *rig {
-	set, err := ParseSettings(fileText)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &rig{set: set, state: New()}
-	r.judge = NewJudge(set, 0, r.state)
-	for i := range n {
-		r.nodes = append(r.nodes, &node{})
-		r.boot(i)
-	}
-	return r
-}
-
-func (r *rig) boot(i int) {
-	r.rev++ // incarnations only have to rise
-	*r.nodes[i] = node{Member: fleet.Member{Node: fmt.Sprint("n", i), Zone: "z" + string(rune('a'+i%3)), Incarnation: r.rev},
-		held: map[string]fleet.Item{}, serves: map[string]uint64{}}
-}
-
-func (r *rig) apply(c Command) error {
-	_, err := r.state.Apply(c, func() uint64 { r.rev++; return r.rev })
-	return err
-}
-
-func (r *rig) put(name string, generation uint64, rate float64) error {
-	return r.apply(Command{Tenants: &tenants.Command{Op: tenants.Put, Name: name, Generation: generation,
-		Spec: &fleet.Spec{Name: name, Quota: fleet.Quota{Rate: rate, Burst: 1}}}})
-}
-
-// read has a node take the newest intent.
-func (n *node) read(s *State) {
-	in := s.Read(n.revision, n.Node)
-	if in.Full {
-		n.held = map[string]fleet.Item{}
-	}
-	for _, it := range in.Items {
-		if it.Gone {
-			delete(n.held, it.Key)
-		} else {
-			n.held[it.Key] = it
-		}
-	}
-	n.revision = in.Revision
-	n.serves = map[string]uint64{}
-	for key, it := range n.held {
-		if t, ok := n.tenant(key, it); ok && t.Committed != nil && !t.Removing {
-			n.serves[strings.TrimPrefix(key, "tenant/")] = t.Committed.Number
-		}
-	}
-}
-
-func (n *node) tenant(key string, it fleet.Item) (t fleet.Tenant, ok bool) {
-	if !strings.HasPrefix(key, "tenant/") {
-		return t, false
-	}
-	return t, json.Unmarshal(it.Body, &t) == nil
-}
-
-func (n *node) report() fleet.Report {
-	n.seq++
-	rep := fleet.Report{Member: n.Member, Seq: n.seq, Revision: n.revision, Ready: true, WindowMS: 100}
-	for key, it := range n.held {
-		if t, ok := n.tenant(key, it); ok {
-			a := fleet.TenantAck{Name: strings.TrimPrefix(key, "tenant/"), UID: t.UID}
-			if t.Committed != nil {
-				a.Committed, a.Digest = t.Committed.Number, t.Committed.Digest
-			}
-			if t.Staged != nil {
-				a.Staged, a.Digest = t.Staged.Number, t.Staged.Digest
-			}
-			rep.Tenants = append(rep.Tenants, a)
-		}
-	}
-	return rep
-}
-
-// hear brings a report to the leader.
-func (r *rig) hear(rep fleet.Report) (fleet.ReportAnswer, error) {
-	c, _, err := r.judge.Admit(r.state, rep)
-	if err != nil {
-		return fleet.ReportAnswer{}, err
-	}
-	if c != nil {
-		if err := r.apply(*c); err != nil && !errors.Is(err, session.ErrFull) {
-			return fleet.ReportAnswer{}, err
-		}
-	}
-	return r.judge.Report(r.now, r.now, r.state, rep)
-}
-
-// step has the leader judge, and its commands applied.
-func (r *rig) step(d time.Duration) {
-	r.now += d
-	for _, c := range r.judge.Step(r.now, r.state, nil) {
-		r.apply(c)
-		r.judge.Settled(c)
-	}
-}
-
 // Random schedules of reads, reports, restarts, silences, operators, failovers and snapshots: whoever reads only changes holds what
 // a whole read gives; a restored snapshot is the same state and goes on the same; present nodes serve at most two
 // adjacent generations of a tenant (T2), and what runs are leased stays within the quota (T3).
 func TestFleetState(t *testing.T) {
 	rollouts, joins := 0, uint64(0)
 	rapid.Check(t, func(t *rapid.T) {
-		r := newRig(t, 4)
+		r := newTestFleet(t, 4)
 		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		services := rapid.SampledFrom([]string{"", "billing", "search"})
+		scopes := rapid.SampledFrom([][]string{nil, {"billing"}, {"search"}, {"billing", "search"}, {"mail"}})
 		who := rapid.IntRange(0, len(r.nodes)-1)
 		t.Repeat(map[string]func(*rapid.T){
 			"put": func(t *rapid.T) {
 				name := names.Draw(t, "name")
-				g := uint64(0)
-				if e := r.state.Tenants.Tenants[name]; e != nil && e.Committed != nil {
-					g = e.Committed.Number
+				service, g := services.Draw(t, "service"), uint64(0)
+				if e := r.state.Tenants.Tenants[name]; e != nil {
+					service = e.Service()
+					if e.Committed != nil {
+						g = e.Committed.Number
+					}
 				}
-				r.put(name, g, float64(rapid.IntRange(1, 100).Draw(t, "rate")))
+				r.putIn(service, name, g, float64(rapid.IntRange(1, 100).Draw(t, "rate")))
 			},
 			"delete": func(t *rapid.T) {
 				name := names.Draw(t, "name")
@@ -169,7 +55,7 @@
 			},
 			"read":    func(t *rapid.T) { r.nodes[who.Draw(t, "node")].read(r.state) },
 			"report":  func(t *rapid.T) { r.hear(r.nodes[who.Draw(t, "node")].report()) },
-			"restart": func(t *rapid.T) { r.boot(who.Draw(t, "node")) },
+			"restart": func(t *rapid.T) { r.boot(who.Draw(t, "node"), scopes.Draw(t, "scope")...) },
 			"leave": func(t *rapid.T) {
 				rep := r.nodes[who.Draw(t, "node")].report()
 				rep.Leaving = true
@@ -238,7 +124,9 @@
 					c.read(r.state)
 					whole := map[string]fleet.Item{}
 					for _, it := range r.state.Read(0, n.Node).Items {
-						whole[it.Key] = it
+						if n.keeps(it) {
+							whole[it.Key] = it
+						}
 					}
 					if d := cmp.Diff(whole, c.held); d != "" {
 						t.Fatalf("%s, reading changes, holds otherwise: %s", n.Node, d)
@@ -255,7 +143,7 @@
 // A run that holds nothing is present, and out until it has caught up; one that was away is present again only with what is
 // committed now, and what is committed between its report and its join refuses the join.
 func TestJoinIsGuarded(t *testing.T) {
-	r := newRig(t, 3)
+	r := newTestFleet(t, 3)
 	all := func() {
 		for range 4 {
 			for _, n := range r.nodes[:2] {
@@ -355,7 +243,7 @@
 // one to four times a second each.
 func BenchmarkStep(b *testing.B) {
 	for _, size := range [][2]int{{50, 10}, {300, 10}, {300, 200}} {
-		r := newRig(b, size[0])
+		r := newTestFleet(b, size[0])
 		r.judge = NewJudge(r.set, 0, r.state)
 		r.judge.set.Slots, r.judge.set.Zones.Slots = size[0], size[0]
 		all := func() {
--- a/internal/fleet/control/late_test.go
+++ b/internal/fleet/control/late_test.go
@@ -16,7 +16,7 @@
 func TestLateNodeIsPassed(t *testing.T) {
 	for name, deaf := range map[string]bool{"deaf": true, "goes on by the old one": false} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 12)
+			r := newTestFleet(t, 12)
 			r.set.Slots = 30
 			r.judge = NewJudge(r.set, 0, r.state)
 			late, stays := r.nodes[11], false
--- /dev/null
+++ b/internal/fleet/control/scope_join_test.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/session"
+)
+
+// A join is refused where its scope has changed since the run was looked at, and not where anything else has. A run that holds
+// a tenant outside of its scope is not caught up.
+func TestGuardInScope(t *testing.T) {
+	f := newScopedFleet(t, []string{"billing"}, []string{"search"}, nil)
+	f.mustPut(t, "billing", "b", 10)
+	f.mustPut(t, "search", "s", 10)
+	f.until(t, "settled", func() bool { return f.settled("b")() && f.settled("s")() }, f.nodes...)
+	f.boot(0, "billing")
+	joining, rest := f.nodes[0], f.nodes[1:]
+	joining.read(f.state)
+	join := func() *Command {
+		t.Helper()
+		c, out, err := f.judge.Admit(f.state, joining.report())
+		if c == nil || out || err != nil {
+			t.Fatalf("%v, out %v, %v", c, out, err)
+		}
+		return c
+	}
+	first := join()
+	f.state.Session.Apply(session.Command{Op: session.Lapse, Member: f.state.Session.Members["n0"]})
+	f.mustPut(t, "search", "s", 20)
+	f.until(t, "settled", f.settled("s"), rest...)
+	before, _ := f.state.Snapshot()
+	if again := join(); again.Guard != first.Guard {
+		t.Error("a change outside of the scope moves the guard")
+	}
+	f.mustPut(t, "billing", "b", 20)
+	f.until(t, "settled", f.settled("b"), rest...)
+	if err := f.apply(*first); !errors.Is(err, ErrStale) {
+		t.Errorf("a join decided before a change of its scope: %v", err)
+	}
+	f.state, _ = Restore(before)
+	if err := f.apply(*first); err != nil || !f.state.Session.Present(joining.Member) {
+		t.Errorf("a join decided before a change elsewhere: %v", err)
+	}
+	f.boot(0, "search")
+	report := f.nodes[0].report()
+	report.Tenants, report.Revision = joining.report().Tenants, f.state.Rev
+	if f.state.CaughtUp(report) || f.state.MayJoin(report) {
+		t.Error("a run that holds a tenant of another service is caught up")
+	}
+}
+
+// A report with another scope than its session's, or a bad one, is refused with one line and changes nothing.
+func TestReportOfAnotherScope(t *testing.T) {
+	f := newScopedFleet(t, []string{"billing"})
+	before, _ := f.state.Snapshot()
+	for name, services := range map[string][]string{"another": {"search"}, "none": nil, "more": {"billing", "search"}, "bad": {"b", "a"}} {
+		report := f.nodes[0].report()
+		report.Services = services
+		if _, err := f.hear(report); !errors.Is(err, fleet.ErrInvalid) || !strings.Contains(err.Error(), "services") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := f.judge.Report(f.now, f.now, f.state, report); !errors.Is(err, fleet.ErrInvalid) {
+			t.Errorf("%s, answered: %v", name, err)
+		}
+	}
+	if after, _ := f.state.Snapshot(); !bytes.Equal(before, after) {
+		t.Errorf("the state is now %s", after)
+	}
+	if _, err := f.hear(f.nodes[0].report()); err != nil {
+		t.Errorf("the next report: %v", err)
+	}
+	raw, _ := json.Marshal(fleet.Report{Member: f.nodes[0].Member, Services: []string{"b", "a"}})
+	if _, err := fleet.DecodeReport(raw); !errors.Is(err, fleet.ErrInvalid) || !strings.Contains(err.Error(), "services") {
+		t.Errorf("decoded: %v", err)
+	}
+}
+
+// The log of a build without scopes gives the state, byte for byte, that it gave that build, refusals among it; its snapshot
+// restores and goes on the same, and scopes may come after it. Both were written by commit f4d3cad.
+func TestLogAndSnapshotWithoutScopes(t *testing.T) {
+	want, err := os.ReadFile("testdata/unscoped-snapshot.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want = bytes.TrimSpace(want)
+	raw, err := os.ReadFile("testdata/unscoped-log.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replayed, revision, refused := New(), uint64(0), 0
+	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
+		var c Command
+		if err := json.Unmarshal(lines.Bytes(), &c); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := replayed.Apply(c, func() uint64 { revision++; return revision }); err != nil {
+			refused++
+		}
+	}
+	got, _ := replayed.Snapshot()
+	if !bytes.Equal(got, want) || refused == 0 {
+		t.Errorf("%d refused; replayed %s, want %s", refused, got, want)
+	}
+	restored, err := Restore(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, _ := restored.Snapshot(); !bytes.Equal(again, want) {
+		t.Errorf("restored %s, want %s", again, want)
+	}
+	if a, b := replayed.Guard("n0", nil), restored.Guard("n0", nil); a != b {
+		t.Errorf("guards %x and %x", a, b)
+	}
+	f := newTestFleet(t, 1)
+	f.state, f.rev = restored, revision
+	f.judge = NewJudge(f.set, f.now, f.state)
+	f.boot(0, "billing")
+	f.turn(t, f.nodes...)
+	f.mustPut(t, "billing", "b", 10)
+	f.until(t, "settled", f.settled("b"), f.nodes...)
+}
