--- a/internal/fleet/control/scope_join_test.go
+++ b/internal/fleet/control/scope_join_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/session"
+	"starlingvalve/internal/fleet/tenants"
 )
 
 // A join is refused where its scope has changed since the run was looked at, and not where anything else has. A run that holds
@@ -48,14 +50,59 @@
 	if err := f.apply(*first); err != nil || !f.state.Session.Present(joining.Member) {
 		t.Errorf("a join decided before a change elsewhere: %v", err)
 	}
-	f.boot(0, "search")
-	report := f.nodes[0].report()
-	report.Tenants, report.Revision = joining.report().Tenants, f.state.Rev
+}
+
+// A run is caught up with its scope: what is rolled out or removed elsewhere does not count, and what it holds from elsewhere does.
+func TestCaughtUpWithItsScope(t *testing.T) {
+	f := newScopedFleet(t, []string{"billing"}, []string{"search"})
+	f.mustPut(t, "billing", "b", 10)
+	f.mustPut(t, "search", "s", 10)
+	f.until(t, "settled", func() bool { return f.settled("b")() && f.settled("s")() }, f.nodes...)
+	searching := f.nodes[1]
+	searching.read(f.state)
+	f.mustDelete(t, "b")
+	report := searching.report()
+	if !f.state.CaughtUp(report) || !tenants.Follows(&f.state.Tenants, report) {
+		t.Error("a run that holds its scope is not caught up while a tenant elsewhere is removed")
+	}
+	f.mustDelete(t, "s")
+	if f.state.CaughtUp(report) || tenants.Follows(&f.state.Tenants, report) {
+		t.Error("a run is caught up with a removal in its scope of which it has not heard")
+	}
+	searching.read(f.state)
+	report = searching.report()
+	if !f.state.CaughtUp(report) || !tenants.Follows(&f.state.Tenants, report) {
+		t.Error("a run that has heard of the removal is not caught up")
+	}
+	report.Tenants = append(report.Tenants, fleet.TenantAck{Name: "b", UID: f.state.Tenants.Tenants["b"].UID, Committed: 1})
 	if f.state.CaughtUp(report) || f.state.MayJoin(report) {
 		t.Error("a run that holds a tenant of another service is caught up")
 	}
 }
 
+// A run that lapsed and is back with another scope is leased nothing more of the tenants of the first, and what it was leased
+// counts until it has confirmed that.
+func TestRunBackWithAnotherScope(t *testing.T) {
+	f := newScopedFleet(t, []string{"billing"}, []string{"billing"})
+	f.mustPut(t, "billing", "b", 10)
+	f.until(t, "leased", func() bool { return f.leased("n0", "b") > 3 && f.leased("n1", "b") > 3 }, f.nodes...)
+	back := f.nodes[0]
+	if err := f.apply(Command{Session: &session.Command{Op: session.Lapse, Member: back.Member}}); err != nil {
+		t.Fatal(err)
+	}
+	back.services, back.revision = []string{"search"}, 0
+	f.until(t, "leased to the other alone", func() bool {
+		most := f.state.Tenants.Runs["n0"].Most["b"] + f.state.Tenants.Runs["n1"].Most["b"]
+		if pool := f.state.Tenants.Pool("b"); most > pool*(1+1e-9) {
+			t.Fatalf("T3: %g may be held, of a pool of %g", most, pool)
+		}
+		return f.leased("n0", "b") == 0 && f.leased("n1", "b") > 7
+	}, f.nodes...)
+	if got := f.state.Session.Services("n0"); !slices.Equal(got, []string{"search"}) || f.state.Tenants.Runs["n0"].Incarnation != back.Incarnation {
+		t.Errorf("n0 serves %v", got)
+	}
+}
+
 // A report with another scope than its session's, or a bad one, is refused with one line and changes nothing.
 func TestReportOfAnotherScope(t *testing.T) {
 	f := newScopedFleet(t, []string{"billing"})
--- /dev/null
+++ b/internal/fleet/tenants/scope_test.go
@@ -0,0 +1,72 @@
+package tenants
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+)
+
+// A command that does not say "scoped", as those of older logs, is refused by the fleet's epoch, whatever the tenant's service.
+func TestCommandsWithoutScopes(t *testing.T) {
+	f := newFixture("retail")
+	f.join("n3", "other") // the fleet's epoch is now above the scope's
+	if err := f.put(100, 0); err != nil {
+		t.Fatal(err)
+	}
+	e := f.s.Tenants["lulu"]
+	commit := Command{Op: Commit, Name: "lulu", UID: e.UID, IfRev: e.Rev, Generation: 1, Epoch: f.sessions.ScopeEpoch("retail")}
+	if err := f.apply(commit); !errors.Is(err, ErrStale) || commit.Epoch == f.sessions.Epoch {
+		t.Errorf("at the scope's epoch %d of %d: %v", commit.Epoch, f.sessions.Epoch, err)
+	}
+	commit.Epoch = f.sessions.Epoch
+	if err := f.apply(commit); err != nil {
+		t.Errorf("at the fleet's epoch: %v", err)
+	}
+}
+
+// The tenants of a scope are found by it, through changes and a snapshot.
+func TestInScope(t *testing.T) {
+	s, revision := &State{}, uint64(0)
+	apply := func(c Command) {
+		t.Helper()
+		if _, err := s.Apply(c, firstEpoch, func() uint64 { revision++; return revision }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, service := range map[string]string{"a": "", "b": "billing", "c": "billing", "d": "search", "e": "mail"} {
+		apply(Command{Op: Put, Name: name, Spec: &fleet.Spec{Name: name, Service: service, Quota: fleet.Quota{Rate: 1}}})
+	}
+	check := func(want map[string][]string) {
+		t.Helper()
+		for key, names := range want {
+			var services []string
+			if key != "" {
+				json.Unmarshal([]byte(key), &services)
+			}
+			if got := slices.Sorted(maps.Keys(maps.Collect(s.InScope(services)))); !slices.Equal(got, names) {
+				t.Errorf("in the scope of %v: %v, want %v", services, got, names)
+			}
+		}
+	}
+	check(map[string][]string{"": {"a", "b", "c", "d", "e"}, `["billing"]`: {"a", "b", "c"}, `["billing","search"]`: {"a", "b", "c", "d"}, `["none"]`: {"a"}})
+	// A first generation that is rolled back takes its tenant away; the name may come back in another service.
+	e := s.Tenants["b"]
+	apply(Command{Op: Rollback, Name: "b", UID: e.UID, IfRev: e.Rev, Generation: 1, Node: "n", Reason: "r"})
+	check(map[string][]string{`["billing"]`: {"a", "c"}})
+	apply(Command{Op: Put, Name: "b", Spec: &fleet.Spec{Name: "b", Service: "search", Quota: fleet.Quota{Rate: 1}}})
+	want := map[string][]string{`["billing"]`: {"a", "c"}, `["search"]`: {"a", "b", "d"}}
+	check(want)
+	raw, _ := json.Marshal(s)
+	s = &State{}
+	if err := json.Unmarshal(raw, s); err != nil {
+		t.Fatal(err)
+	}
+	check(want)
+	if again, _ := json.Marshal(s); string(again) != string(raw) {
+		t.Errorf("%s, was %s", again, raw)
+	}
+}
