Read the list and the intent from indexed, immutable views, and wake watchers by scope

Need: each watcher's read of one change scanned everything under the state machine's lock (0.33 ms at 26,000 servers, 0.7 s for 2,200 watchers), each change of any item woke every watcher of the intent, and the leader made the list anew for each step.

Change: registry.State and control.State keep their entries in registry/index, a copy-on-write index by scope, key and revision. The list's leases are indexed by expiry, its tombstones by revision; the intent by scope: zones and tenants without a service, each service, each node's share. A replica publishes an immutable view after each command; reads, watches and their encoding take no lock. GET /fleet/v1/intent takes service=NAME, repeated; a watcher wakes where its scope changes, and at its wait's end has the newest revision. Tombstones keep their service; one without counts for all.

TestFSM read the channels of the state machine; it now reads the published list's channel and a watcher's, with the same expectations.

--- /dev/null
+++ b/internal/fleet/control/cost_test.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// costSizes are the numbers of tenants between which the cost of a read may not grow.
+var costSizes = [2]int{1_000, 26_000}
+
+// changeOf commits the first generation of one tenant of a populated state.
+func changeOf(tb testing.TB, s *State, i int) {
+	tb.Helper()
+	name := fmt.Sprintf("tenant-%06d", i)
+	e := s.Tenants.Tenants[name]
+	commit := Command{Tenants: &tenants.Command{Op: tenants.Commit, Name: name, Generation: 1, UID: e.UID, IfRev: e.Rev}}
+	if _, err := s.Apply(commit, func() uint64 { return s.Rev + 1 }); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// visitsOfChange counts the items that a read looks at for one changed tenant among n, in ten services.
+func visitsOfChange(tb testing.TB, n int, read func(v *View, since uint64) []fleet.Item) int64 {
+	tb.Helper()
+	s := populated(tb, n, 10)
+	var visits atomic.Int64
+	s.items.index.CountVisits(&visits)
+	changeOf(tb, s, 0)
+	if items := read(s.View(), s.Rev-1); len(items) != 1 {
+		tb.Fatalf("%d items, want one change", len(items))
+	}
+	return visits.Load()
+}
+
+// growth says how a read's cost grows from the least to the largest state, or "" where it does not.
+func growth(tb testing.TB, read func(v *View, since uint64) []fleet.Item) string {
+	tb.Helper()
+	least, most := visitsOfChange(tb, costSizes[0], read), visitsOfChange(tb, costSizes[1], read)
+	if least == 0 || most > least {
+		return fmt.Sprintf("%d items visited at %d tenants, %d at %d", least, costSizes[0], most, costSizes[1])
+	}
+	return ""
+}
+
+// A watcher's read costs what changed in its scope, whatever there is; a read that scans is found out.
+func TestReadCostsWhatChanged(t *testing.T) {
+	for _, services := range [][]string{nil, {"service-0"}, {"service-0", "service-1"}} {
+		read := func(v *View, since uint64) []fleet.Item { return v.Read(since, "node", services...).Items }
+		if why := growth(t, read); why != "" {
+			t.Errorf("a reader of %q: %s", services, why)
+		}
+	}
+	scan := func(v *View, since uint64) []fleet.Item {
+		var out []fleet.Item
+		for entry := range v.items.All(serviceScope("service-0")) {
+			if entry.Revision > since {
+				out = append(out, entry.Value.Item)
+			}
+		}
+		return out
+	}
+	if growth(t, scan) == "" {
+		t.Error("a planted scan is not found out")
+	}
+}
+
+// What changes outside of a reader's scope costs it nothing.
+func TestChangesOutsideTheScopeCostNothing(t *testing.T) {
+	s := populated(t, 1_000, 10)
+	since := s.Rev
+	var visits atomic.Int64
+	s.items.index.CountVisits(&visits)
+	for i := range 100 {
+		changeOf(t, s, i*10) // of service-0
+	}
+	if in := s.Read(since, "node", "service-1"); in.Full || len(in.Items) > 0 || in.Revision != s.Rev || s.View().News(since, "node", "service-1") {
+		t.Errorf("a reader of service-1: %+v", in)
+	}
+	if n := visits.Load(); n != 0 {
+		t.Errorf("%d items visited", n)
+	}
+}
+
+// Readers of views run while the intent changes; each sees one whole state. The race detector watches.
+func TestReadersWhileTheIntentChanges(t *testing.T) {
+	const size, readers = 400, 4
+	s := populated(t, size, 10)
+	views := make(chan *View, readers)
+	var all sync.WaitGroup
+	for range readers {
+		all.Go(func() {
+			for v := range views {
+				if in := v.Read(v.Revision-1, "node"); in.Full || len(in.Items) != 1 || in.Items[0].Rev != v.Revision {
+					t.Errorf("changes at %d: %+v", v.Revision, in)
+				}
+				if in := v.Read(0, "node", "service-3"); len(in.Items) != size/10 {
+					t.Errorf("%d items of a service, want %d", len(in.Items), size/10)
+				}
+			}
+		})
+	}
+	for i := range size {
+		changeOf(t, s, i)
+		views <- s.View()
+	}
+	close(views)
+	all.Wait()
+}
--- a/internal/fleet/control/guard.go
+++ b/internal/fleet/control/guard.go
@@ -48,12 +48,6 @@
 	return append(line, '\n')
 }
 
-// shareRev is the revision of the item of a node's share, or of its end; 0: there is none.
-func (s *State) shareRev(node string) uint64 {
-	it, _ := s.Item("share/" + node)
-	return it.Rev
-}
-
 // MayJoin says whether a run that reports so may be present: one that holds nothing yet, so that it is counted before it
 // hears of any quota, or one that has caught up.
 func (s *State) MayJoin(r fleet.Report) bool {
--- /dev/null
+++ b/internal/fleet/control/items_test.go
@@ -0,0 +1,446 @@
+package control
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	gocmp "github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+	"starlingvalve/internal/fleet/zones"
+	"starlingvalve/internal/registry/index"
+)
+
+// intentLog applies commands to a state under its own revisions, as raft's log does.
+type intentLog struct {
+	state    *State
+	revision uint64
+	changed  Change // by the newest command
+}
+
+func (l *intentLog) apply(c Command) (err error) {
+	l.changed, err = l.state.Apply(c, func() uint64 { l.revision++; return l.revision })
+	return err
+}
+
+func (l *intentLog) tenant(c tenants.Command) error {
+	if e := l.state.Tenants.Tenants[c.Name]; e != nil && c.Op != tenants.Put && c.Op != tenants.Delete {
+		c.UID, c.IfRev, c.Epoch = e.UID, e.Rev, l.state.Session.Epoch
+	}
+	return l.apply(Command{Tenants: &c})
+}
+
+// put proposes a tenant's next generation.
+func (l *intentLog) put(name, service string) error {
+	generation := uint64(0)
+	if e := l.state.Tenants.Tenants[name]; e != nil && e.Committed != nil {
+		generation = e.Committed.Number
+	}
+	return l.tenant(tenants.Command{Op: tenants.Put, Name: name, Generation: generation,
+		Spec: &fleet.Spec{Name: name, Service: service, Quota: fleet.Quota{Rate: 10, Burst: 1}}})
+}
+
+// advance takes a tenant one step on in its rollout or removal; a settled one begins its removal.
+func (l *intentLog) advance(name string) error {
+	e := l.state.Tenants.Tenants[name]
+	switch l.state.Tenants.Phase(name) {
+	case tenants.PhaseStaging:
+		return l.tenant(tenants.Command{Op: tenants.Commit, Name: name, Generation: e.Staged.Number})
+	case tenants.PhaseApplying:
+		return l.tenant(tenants.Command{Op: tenants.Applied, Name: name, Generation: e.Committed.Number})
+	case tenants.PhaseSettled:
+		return l.tenant(tenants.Command{Op: tenants.Delete, Name: name, Generation: e.Committed.Number})
+	case tenants.PhaseRemoving:
+		return l.tenant(tenants.Command{Op: tenants.Drained, Name: name})
+	case tenants.PhaseUnquoted:
+		return l.tenant(tenants.Command{Op: tenants.Unquoted, Name: name})
+	}
+	return nil
+}
+
+// rollback ends a rollout that is being staged; a tenant without a former generation is gone by it.
+func (l *intentLog) rollback(name string) error {
+	e := l.state.Tenants.Tenants[name]
+	if e == nil || e.Staged == nil {
+		return nil
+	}
+	return l.tenant(tenants.Command{Op: tenants.Rollback, Name: name, Generation: e.Staged.Number, Node: "n1", Reason: "refused"})
+}
+
+// rename removes a tenant that is being staged, and names it again in another service.
+func (l *intentLog) rename(t testing.TB, name, service string) {
+	t.Helper()
+	if err := l.rollback(name); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.put(name, service); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// lease gives a run of a node a share; end takes it away.
+func (l *intentLog) lease(node string, end bool) error {
+	run := tenants.Run{Node: node, Incarnation: 1}
+	d := &tenants.Division{Slots: 8, Grants: []tenants.Grant{{Run: run}}}
+	if end {
+		d = &tenants.Division{Slots: 8, Over: []tenants.Run{run}}
+	}
+	return l.tenant(tenants.Command{Op: tenants.Divide, IfRev: l.state.Tenants.Divided, Epoch: l.state.Session.Epoch, Division: d})
+}
+
+// leave has nodes leave a zone, once.
+func (l *intentLog) leave(zone string) error {
+	d := fleet.Directive{Phase: fleet.Left, ValidMS: 5000, Reason: "lost", HoldMS: 1000}
+	change := zones.Change{Key: "zone/" + zone, Event: zones.Lost, Entry: zones.Entry{Directive: d, Listed: 1}}
+	return l.apply(Command{Zones: &zones.Command{IfState: l.state.Zones.Rev, Items: []zones.Change{change}}})
+}
+
+// scanRead is the reference for Read: a scan of the cores' items and the tombstones.
+func scanRead(s *State, since uint64, node string, services ...string) fleet.Intent {
+	out := fleet.Intent{Revision: s.Rev, Full: since == 0 || since < s.Floor || since > s.Rev, Items: []fleet.Item{}}
+	newest := map[string]fleet.Item{}
+	add := func(it fleet.Item, service string) {
+		of, share := strings.CutPrefix(it.Key, sharePrefix)
+		outside := share && node != "" && of != node || !fleet.Serves(services, service)
+		if !outside && newest[it.Key].Rev <= it.Rev && (out.Full && !it.Gone || !out.Full && it.Rev > since) {
+			newest[it.Key] = it
+		}
+	}
+	for _, it := range s.Zones.Items() {
+		add(it, "")
+	}
+	for _, it := range s.Tenants.Items() {
+		if !it.Gone {
+			add(it, s.service(it.Key))
+		}
+	}
+	for _, t := range s.Tombstones {
+		add(t.item().Item, t.Service)
+	}
+	for _, it := range newest {
+		out.Items = append(out.Items, it)
+	}
+	slices.SortFunc(out.Items, func(a, b fleet.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// reader is one that holds what it has read, by changes where it can.
+type reader struct {
+	node     string
+	services []string
+	revision uint64
+	held     map[string]fleet.Item
+}
+
+func (r *reader) take(s *State) {
+	in := s.Read(r.revision, r.node, r.services...)
+	if in.Full || r.held == nil {
+		r.held = map[string]fleet.Item{}
+	}
+	for _, it := range in.Items {
+		if it.Gone {
+			delete(r.held, it.Key)
+		} else {
+			r.held[it.Key] = it
+		}
+	}
+	r.revision = in.Revision
+}
+
+// readers are every kind of scope.
+func readers() []*reader {
+	return []*reader{{}, {node: "n1"}, {node: "n1", services: []string{"x"}}, {node: "n2", services: []string{"y"}},
+		{node: "n2", services: []string{"x", "y"}}, {services: []string{"z"}}, {node: "n3", services: []string{"x", "y", "z"}}}
+}
+
+// Over random schedules a read gives what a scan gives, in every scope and from every revision, restored or not; News says
+// truly whether there is anything; whoever reads changes holds what a whole read gives; and a view stays as it was.
+func TestReadAgainstScan(t *testing.T) {
+	renames := 0
+	rapid.Check(t, func(t *rapid.T) {
+		l := &intentLog{state: New()}
+		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		services := rapid.SampledFrom([]string{"", "x", "y", "z"})
+		all := readers()
+		held, heldWant := l.state.View(), scanRead(l.state, 0, "n1")
+		must := func(err error) {
+			if err != nil && !errors.Is(err, fleet.ErrConflict) && !errors.Is(err, fleet.ErrInvalid) && !errors.Is(err, zones.ErrChanged) && !errors.Is(err, zones.ErrIllegal) {
+				t.Fatal(err)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put":      func(t *rapid.T) { must(l.put(names.Draw(t, "name"), services.Draw(t, "service"))) },
+			"advance":  func(t *rapid.T) { must(l.advance(names.Draw(t, "name"))) },
+			"rollback": func(t *rapid.T) { must(l.rollback(names.Draw(t, "name"))) },
+			"rename": func(t *rapid.T) {
+				name := names.Draw(t, "name")
+				must(l.rollback(name))
+				must(l.put(name, services.Draw(t, "service")))
+				renames++
+			},
+			"lease": func(t *rapid.T) {
+				must(l.lease(rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "node"), rapid.Bool().Draw(t, "end")))
+			},
+			"zone":   func(t *rapid.T) { must(l.leave(rapid.SampledFrom([]string{"za", "zb"}).Draw(t, "zone"))) },
+			"read":   func(t *rapid.T) { all[rapid.IntRange(0, len(all)-1).Draw(t, "reader")].take(l.state) },
+			"others": func(t *rapid.T) { l.revision += uint64(rapid.IntRange(1, 3).Draw(t, "revisions")) },
+			"hold":   func(*rapid.T) { held, heldWant = l.state.View(), scanRead(l.state, 0, "n1") },
+			"restore": func(t *rapid.T) {
+				raw, err := l.state.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if l.state, err = Restore(raw); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, r := range readers() {
+					checkReads(t, l.state, r, all[i].revision)
+					whole, changes := *r, *all[i]
+					whole.take(l.state)
+					changes.held = maps.Clone(changes.held)
+					changes.take(l.state)
+					if !reflect.DeepEqual(whole.held, changes.held) {
+						t.Fatalf("%q of %q, reading changes since %d, holds %v, not %v", r.node, r.services, all[i].revision, changes.held, whole.held)
+					}
+				}
+				if now := held.Read(0, "n1"); !reflect.DeepEqual(heldWant, now) {
+					t.Fatalf("a view has changed: %s", gocmp.Diff(heldWant, now))
+				}
+				items := l.state.All()
+				if !slices.IsSortedFunc(items, func(a, b fleet.Item) int { return strings.Compare(a.Key, b.Key) }) {
+					t.Fatal("the items are not in order")
+				}
+				for i, it := range items {
+					if got, ok := l.state.Item(it.Key); !ok || !reflect.DeepEqual(it, got) || i > 0 && items[i-1].Key == it.Key {
+						t.Fatalf("%+v, by its key %+v", it, got)
+					}
+				}
+			},
+		})
+	})
+	if renames == 0 {
+		t.Error("no name was used again: too little to prove anything")
+	}
+}
+
+// checkReads holds a reader's answers against the scan's, from the revisions that matter and from since.
+func checkReads(t interface{ Fatalf(string, ...any) }, s *State, r *reader, since uint64) {
+	for _, since := range []uint64{0, 1, s.Floor, s.Floor + 1, s.Rev - min(s.Rev, 3), s.Rev, s.Rev + 1, since} {
+		want, got := scanRead(s, since, r.node, r.services...), s.Read(since, r.node, r.services...)
+		if !reflect.DeepEqual(want, got) {
+			t.Fatalf("%q of %q since %d: %s", r.node, r.services, since, gocmp.Diff(want, got))
+		}
+		news := since != s.Rev && (want.Full || len(want.Items) > 0)
+		if got := s.View().News(since, r.node, r.services...); got != news {
+			t.Fatalf("%q of %q since %d: news %v, want %v", r.node, r.services, since, got, news)
+		}
+	}
+}
+
+// Tombstones are forgotten, the oldest first, from the most kept on; who read before the last forgotten gets everything.
+func TestTombstonesAreBounded(t *testing.T) {
+	l := &intentLog{state: New()}
+	for i := range tombstonesKept + tombstonesKept/2 {
+		name := fmt.Sprint("t", i%(tombstonesKept+tombstonesKept/4)) // the first ones come and go again
+		if err := l.put(name, []string{"", "x", "y"}[i%3]); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.rollback(name); err != nil {
+			t.Fatal(err)
+		}
+		if i%(tombstonesKept/4) != 0 {
+			continue
+		}
+		for _, r := range readers() {
+			checkReads(t, l.state, r, l.state.Rev/2)
+		}
+	}
+	if n := len(l.state.Tombstones); n != tombstonesKept || l.state.Floor == 0 {
+		t.Errorf("%d tombstones, floor %d", n, l.state.Floor)
+	}
+	if n := l.state.View().items.Len(); n > 2*tombstonesKept {
+		t.Errorf("%d entries are indexed for %d tombstones", n, tombstonesKept)
+	}
+	if in := l.state.Read(l.state.Floor-1, "n1", "x"); !in.Full {
+		t.Error("a reader from before the floor does not get everything")
+	}
+}
+
+// keysOf gives what an answer says of each key: its revision, negative where it is gone.
+func keysOf(in fleet.Intent) map[string]int {
+	out := map[string]int{}
+	for _, it := range in.Items {
+		out[it.Key] = int(it.Rev)
+		if it.Gone {
+			out[it.Key] = -int(it.Rev)
+		}
+	}
+	return out
+}
+
+// renamed is a tenant of service x at revision 1, removed at 2 and named again in service y at 3.
+func renamed(t testing.TB) *intentLog {
+	l := &intentLog{state: New()}
+	if err := l.put("a", "x"); err != nil {
+		t.Fatal(err)
+	}
+	l.rename(t, "a", "y")
+	return l
+}
+
+// A name that is removed and named again in another service is gone for the nodes of the first, and there for those of
+// the second and of both, at whatever revision each reads.
+func TestNameAgainInAnotherService(t *testing.T) {
+	const created, removed, again = 1, 2, 3
+	gone, there, nothing := map[string]int{"tenant/a": -removed}, map[string]int{"tenant/a": again}, map[string]int{}
+	cases := []struct {
+		name     string
+		services []string
+		since    uint64
+		want     map[string]int
+	}{
+		{"old service, from before the removal", []string{"x"}, created, gone},
+		{"old service, from the removal", []string{"x"}, removed, nothing},
+		{"new service, from before the removal", []string{"y"}, created, there},
+		{"new service, from the removal", []string{"y"}, removed, there},
+		{"both, from before the removal", []string{"x", "y"}, created, there},
+		{"both, from the removal", []string{"x", "y"}, removed, there},
+		{"every service, from before the removal", nil, created, there},
+		{"every service, from the removal", nil, removed, there},
+		{"another service", []string{"z"}, created, nothing},
+	}
+	l := renamed(t)
+	raw, err := l.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		for which, s := range map[string]*State{"as applied": l.state, "restored": restored} {
+			in := s.Read(c.since, "n1", c.services...)
+			if d := gocmp.Diff(c.want, keysOf(in)); in.Full || in.Revision != again || d != "" {
+				t.Errorf("%s, %s: full %v at %d: %s", c.name, which, in.Full, in.Revision, d)
+			}
+		}
+	}
+}
+
+// The old service is told of the removal also where the name comes back to it, goes on to a third, and in any order of reads.
+func TestNameWandersOverServices(t *testing.T) {
+	l := &intentLog{state: New()}
+	if err := l.put("a", "x"); err != nil {
+		t.Fatal(err)
+	}
+	all := readers()
+	for step, service := range []string{"y", "x", "", "z", "", "y", "y", "x"} {
+		for i, r := range all {
+			if (step+i)%3 == 0 { // some read at each step, others later
+				r.take(l.state)
+			}
+		}
+		l.rename(t, "a", service)
+		for _, r := range all {
+			late := *r
+			late.held = maps.Clone(r.held)
+			late.take(l.state)
+			if _, holds := late.held["tenant/a"]; holds != fleet.Serves(r.services, service) {
+				t.Errorf("named again in %q: a reader of %q since %d holds it: %v", service, r.services, r.revision, holds)
+			}
+		}
+	}
+}
+
+// Tombstones of a build before services have none, and count for every scope, also once the name is used again in one.
+func TestTombstoneWithoutServiceCountsForAll(t *testing.T) {
+	s, err := Restore([]byte(`{"rev":5,"floor":0,"tombs":[{"key":"tenant/a","rev":5},{"key":"share/n1","rev":4}],"session":{"epoch":0},"zones":{"rev":0},"tenants":{},"drift":{}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &intentLog{state: s, revision: 5}
+	for _, services := range [][]string{nil, {"x"}, {"x", "y"}} {
+		if d := gocmp.Diff(map[string]int{"tenant/a": -5, "share/n1": -4}, keysOf(s.Read(3, "n1", services...))); d != "" {
+			t.Errorf("%q: %s", services, d)
+		}
+		if d := gocmp.Diff(map[string]int{"tenant/a": -5}, keysOf(s.Read(3, "n2", services...))); d != "" {
+			t.Errorf("another node's share, %q: %s", services, d)
+		}
+	}
+	if err := l.put("a", "y"); err != nil {
+		t.Fatal(err)
+	}
+	for service, want := range map[string]int{"x": -5, "y": 6} {
+		if d := gocmp.Diff(map[string]int{"tenant/a": want}, keysOf(s.Read(4, "n2", service))); d != "" {
+			t.Errorf("named again in y, reader of %q: %s", service, d)
+		}
+	}
+}
+
+// A tenant's service can't change by a rollout; nothing changes by the attempt.
+func TestServiceCantChange(t *testing.T) {
+	l := &intentLog{state: New()}
+	for _, err := range []error{l.put("a", "x"), l.advance("a"), l.advance("a"), l.put("b", "")} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	before, _ := l.state.Snapshot()
+	for _, change := range [][2]string{{"a", "y"}, {"a", ""}, {"b", "x"}} {
+		err := l.put(change[0], change[1])
+		var field *tenants.FieldError
+		if !errors.As(err, &field) || field.Field != "service" || !errors.Is(err, fleet.ErrInvalid) {
+			t.Errorf("%q in %q: %v, want an error that names the service", change[0], change[1], err)
+		}
+	}
+	if after, _ := l.state.Snapshot(); string(before) != string(after) || l.revision != 3 {
+		t.Errorf("the state has changed, revision %d:\n%s\nwas\n%s", l.revision, after, before)
+	}
+	if err := l.put("a", "x"); err != nil {
+		t.Errorf("the next generation in the same service: %v", err)
+	}
+}
+
+// A change names the scopes that it is in: those whose readers are to be woken.
+func TestChangeNamesItsScopes(t *testing.T) {
+	l := &intentLog{state: New()}
+	if err := l.leave("zb"); err != nil {
+		t.Fatal(err)
+	}
+	everyone := []int{0, 1, 2, 3, 4, 5, 6}
+	for _, c := range []struct {
+		name  string
+		do    func() error
+		wakes []int // of readers()
+	}{
+		{"a tenant of x", func() error { return l.put("a", "x") }, []int{0, 1, 2, 4, 6}},
+		{"a tenant of every service", func() error { return l.put("b", "") }, everyone},
+		{"a zone", func() error { return l.leave("za") }, everyone},
+		{"a share of n2", func() error { return l.lease("n2", false) }, []int{0, 3, 4, 5}},
+		{"the tenant of x gone", func() error { return l.rollback("a") }, []int{0, 1, 2, 4, 6}},
+		{"named again in y", func() error { return l.put("a", "y") }, []int{0, 1, 3, 4, 6}},
+	} {
+		before := l.state.Rev
+		if err := c.do(); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		for i, r := range readers() {
+			wakes := slices.ContainsFunc(ReaderScopes(r.node, r.services...), func(s index.Scope) bool { return slices.Contains(l.changed.Scopes, s) })
+			news := l.state.View().News(before, r.node, r.services...)
+			if want := slices.Contains(c.wakes, i); wakes != want || news != want {
+				t.Errorf("%s: %q of %q: woken %v, news %v, want %v", c.name, r.node, r.services, wakes, news, want)
+			}
+		}
+	}
+}
--- a/internal/fleet/control/state.go
+++ b/internal/fleet/control/state.go
@@ -7,14 +7,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sort"
-	"strings"
+	"slices"
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/drift"
 	"starlingvalve/internal/fleet/session"
 	"starlingvalve/internal/fleet/tenants"
 	"starlingvalve/internal/fleet/zones"
+	"starlingvalve/internal/registry/index"
 )
 
 // ErrStale refuses a command that was decided from what has changed since. It is decided anew.
@@ -37,12 +37,7 @@
 type Change struct {
 	Rev          uint64
 	Items, Drift bool
-}
-
-// Tombstone remembers that an item is gone.
-type Tombstone struct {
-	Key string `json:"key"`
-	Rev uint64 `json:"rev"`
+	Scopes       []index.Scope // that the items are in, each once
 }
 
 // State is the replicated part of the whole fleet. Its JSON is its snapshot. New makes one, Restore reads one back.
@@ -55,11 +50,11 @@
 	Tenants    tenants.State `json:"tenants"`
 	Drift      drift.State   `json:"drift"`
 
-	items map[string]fleet.Item // by key, gone ones among them; made from the above
+	items items // and the tombstones by scope; made from the above
 }
 
 // New gives an empty state.
-func New() *State { return &State{items: map[string]fleet.Item{}} }
+func New() *State { return &State{items: newItems()} }
 
 // Empty says that no command has changed anything yet.
 func (s *State) Empty() bool { return s.Rev == 0 && s.Session.Epoch == 0 && s.Drift.Rev == 0 }
@@ -73,17 +68,7 @@
 	if err := json.Unmarshal(raw, s); err != nil {
 		return nil, fmt.Errorf("fleet snapshot: %w", err)
 	}
-	for _, it := range s.Zones.Items() {
-		s.items[it.Key] = it
-	}
-	for _, it := range s.Tenants.Items() {
-		if !it.Gone {
-			s.items[it.Key] = it
-		}
-	}
-	for _, t := range s.Tombstones {
-		s.items[t.Key] = fleet.Item{Key: t.Key, Rev: t.Rev, Gone: true}
-	}
+	s.reindex()
 	return s, nil
 }
 
@@ -122,75 +107,12 @@
 		return Change{}, err
 	}
 	for _, k := range keys {
-		s.refresh(k, ch.Rev)
+		ch.Scopes = append(ch.Scopes, s.refresh(k, ch.Rev)...)
 	}
 	if len(keys) > 0 {
 		s.Rev, ch.Items = ch.Rev, true
 	}
+	slices.Sort(ch.Scopes)
+	ch.Scopes = slices.Compact(ch.Scopes)
 	return ch, nil
 }
-
-// refresh brings the item of a key that changed at rev up to date, or buries it.
-func (s *State) refresh(key string, rev uint64) {
-	it, ok := s.Zones.Item(key)
-	if !ok {
-		it, ok = s.Tenants.Item(key)
-		ok = ok && !it.Gone
-	}
-	old, was := s.items[key]
-	if was && old.Gone {
-		s.Tombstones = without(s.Tombstones, key)
-	}
-	if ok {
-		s.items[key] = it
-		return
-	}
-	s.items[key] = fleet.Item{Key: key, Rev: rev, Gone: true}
-	s.Tombstones = append(s.Tombstones, Tombstone{key, rev})
-	for len(s.Tombstones) > tombstonesKept {
-		s.Floor = s.Tombstones[0].Rev
-		delete(s.items, s.Tombstones[0].Key)
-		s.Tombstones = s.Tombstones[1:]
-	}
-}
-
-func without(tombstones []Tombstone, key string) []Tombstone {
-	for i, t := range tombstones {
-		if t.Key == key {
-			return append(tombstones[:i:i], tombstones[i+1:]...)
-		}
-	}
-	return tombstones
-}
-
-// Read answers GET /fleet/v1/intent: the items changed after since, or all where since is 0, compacted or newer than the state. node
-// leaves out the shares of other nodes; "" leaves out none.
-func (s *State) Read(since uint64, node string) fleet.Intent {
-	out := fleet.Intent{Revision: s.Rev, Full: since == 0 || since < s.Floor || since > s.Rev, Items: []fleet.Item{}}
-	for key, it := range s.items {
-		if of, ok := strings.CutPrefix(key, "share/"); ok && node != "" && of != node {
-			continue
-		}
-		if out.Full && !it.Gone || !out.Full && it.Rev > since {
-			out.Items = append(out.Items, it)
-		}
-	}
-	sort.Slice(out.Items, func(i, j int) bool { return out.Items[i].Key < out.Items[j].Key })
-	return out
-}
-
-// All gives every item and the tombstones kept, by key.
-func (s *State) All() []fleet.Item {
-	out := make([]fleet.Item, 0, len(s.items))
-	for _, it := range s.items {
-		out = append(out, it)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out
-}
-
-// Item gives the item of a key, or its tombstone.
-func (s *State) Item(key string) (fleet.Item, bool) {
-	it, ok := s.items[key]
-	return it, ok
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,12 +5,15 @@
 package registry
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
-	"sort"
+	"slices"
 	"time"
+
+	"starlingvalve/internal/registry/index"
 )
 
 // Entry is one app server as PROTOCOL's "Discovery" gives it.
@@ -76,10 +79,40 @@
 	Floor   uint64             `json:"floor"`          // changes at or below it are compacted: older watches get the whole list
 	Records map[string]*record `json:"records"`
 	keep    int
+
+	// Made from the records, so that nothing below scans them.
+	entries *index.Index[Entry] // by id and revision, for readers
+	leases  *leases             // by expiry
+	gone    []tombstone         // by revision
+	view    *View               // of the entries; nil: they have changed since the last
+}
+
+// tombstone is an entry that is gone and may be compacted. It is void where the entry has changed since.
+type tombstone struct {
+	id  string
+	rev uint64
 }
 
 // New gives an empty list at revision 0 that keeps gone entries for keep revisions before compaction.
-func New(keep int) *State { return &State{Records: map[string]*record{}, keep: max(keep, 1)} }
+func New(keep int) *State {
+	s := &State{Records: map[string]*record{}, keep: max(keep, 1)}
+	s.reindex()
+	return s
+}
+
+// reindex makes the indexes anew from the records.
+func (s *State) reindex() {
+	s.entries, s.leases, s.gone, s.view = index.New[Entry](), newLeases(), nil, nil
+	for id, r := range s.Records {
+		s.entries.Set("", id, r.Rev, r.Entry)
+		if r.ExpiresMS != 0 {
+			s.leases.add(id, r.ExpiresMS)
+		} else {
+			s.gone = append(s.gone, tombstone{id: id, rev: r.Rev})
+		}
+	}
+	slices.SortFunc(s.gone, func(a, b tombstone) int { return cmp.Compare(a.rev, b.rev) })
+}
 
 // Apply carries out one command and says whether it changed the list (and so made a new revision). Gone entries
 // older than keep revisions are compacted at each sweep and every keep revisions.
@@ -121,18 +154,17 @@
 		}
 		e.StartedMS = min(e.StartedMS, c.NowMS)
 		if r != nil && r.ExpiresMS != 0 && r.Entry == e {
-			r.ExpiresMS = c.NowMS + ttl // a renewal by registering again is no change
+			s.extend(r, c.NowMS+ttl) // a renewal by registering again is no change
 			return false, nil
 		}
-		s.Rev++
-		s.Records[e.ID] = &record{Entry: e, ExpiresMS: c.NowMS + ttl, Rev: s.Rev, Asked: asked}
+		s.put(&record{Entry: e, ExpiresMS: c.NowMS + ttl, Asked: asked})
 		return true, nil
 	case Renew:
 		r := s.Records[c.ID]
 		if r == nil || r.ExpiresMS == 0 {
 			return false, fmt.Errorf("%w: %s", ErrUnknown, c.ID)
 		}
-		r.ExpiresMS = c.NowMS + min(max(c.TTLMS, MinTTLMS), MaxTTLMS)
+		s.extend(r, c.NowMS+min(max(c.TTLMS, MinTTLMS), MaxTTLMS))
 		return false, nil
 	case Drain, Deregister:
 		r := s.Records[c.ID]
@@ -146,15 +178,10 @@
 		s.change(r, state)
 		return true, nil
 	case Expire:
-		var lapsed []*record
-		for _, r := range s.Records {
-			if r.ExpiresMS != 0 && r.ExpiresMS <= c.NowMS {
-				lapsed = append(lapsed, r)
-			}
-		}
-		sort.Slice(lapsed, func(i, j int) bool { return lapsed[i].Entry.ID < lapsed[j].Entry.ID })
-		for _, r := range lapsed {
-			s.change(r, "gone")
+		lapsed := s.leases.lapsed(c.NowMS)
+		slices.Sort(lapsed)
+		for _, id := range lapsed {
+			s.change(s.Records[id], "gone")
 		}
 		s.compact()
 		return len(lapsed) > 0, nil
@@ -162,20 +189,49 @@
 	return false, fmt.Errorf("unknown op %q", c.Op)
 }
 
-func (s *State) change(r *record, state string) {
+// put takes in a record at the next revision, in place of the one under its id.
+func (s *State) put(r *record) {
+	id := r.Entry.ID
+	if old := s.Records[id]; old != nil && old.ExpiresMS != 0 {
+		s.leases.remove(id, old.ExpiresMS)
+	}
 	s.Rev++
-	r.Entry.State, r.Rev = state, s.Rev
+	r.Rev = s.Rev
+	s.Records[id] = r
+	if r.ExpiresMS != 0 {
+		s.leases.add(id, r.ExpiresMS)
+	} else {
+		s.gone = append(s.gone, tombstone{id: id, rev: r.Rev})
+	}
+	s.entries.Set("", id, r.Rev, r.Entry)
+	s.view = nil
+}
+
+// extend moves the expiry of a record's lease, which is no change of the list.
+func (s *State) extend(r *record, expiresMS int64) {
+	s.leases.remove(r.Entry.ID, r.ExpiresMS)
+	s.leases.add(r.Entry.ID, expiresMS)
+	r.ExpiresMS = expiresMS
+}
+
+func (s *State) change(r *record, state string) {
+	next := *r
+	next.Entry.State = state
 	if state == "gone" {
-		r.ExpiresMS = 0
+		next.ExpiresMS = 0
 	}
+	s.put(&next)
 }
 
 // compact forgets gone entries older than keep revisions; watches from before them get the whole list.
 func (s *State) compact() {
-	for id, r := range s.Records {
-		if r.ExpiresMS == 0 && r.Rev+uint64(s.keep) <= s.Rev {
-			delete(s.Records, id)
-			s.Floor = max(s.Floor, r.Rev)
+	for len(s.gone) > 0 && s.gone[0].rev+uint64(s.keep) <= s.Rev {
+		oldest := s.gone[0]
+		s.gone = s.gone[1:]
+		if r := s.Records[oldest.id]; r != nil && r.Rev == oldest.rev {
+			delete(s.Records, oldest.id)
+			s.entries.Remove("", oldest.id)
+			s.Floor, s.view = max(s.Floor, oldest.rev), nil
 		}
 	}
 }
@@ -196,45 +252,6 @@
 	return nil
 }
 
-// Answer is PROTOCOL's body of a read or a watch.
-type Answer struct {
-	Version uint64  `json:"version"`
-	Full    bool    `json:"full"`
-	Servers []Entry `json:"servers"`
-}
-
-// Read answers a whole read (since 0, watch false) or a watch from since: the entries changed after it, or the
-// whole list where since is compacted away or newer than this list. Gone entries appear only among changes.
-func (s *State) Read(since uint64, watch bool) Answer {
-	full := !watch || since < s.Floor || since > s.Last
-	a := Answer{Version: s.Last, Full: full, Servers: []Entry{}}
-	for _, r := range s.Records {
-		if full && r.Entry.State != "gone" || !full && r.Rev > since {
-			a.Servers = append(a.Servers, r.Entry)
-		}
-	}
-	sort.Slice(a.Servers, func(i, j int) bool { return a.Servers[i].ID < a.Servers[j].ID })
-	return a
-}
-
-// Each gives every entry that is known, gone ones too, with the revision of its last change, in no order.
-func (s *State) Each(f func(e Entry, rev uint64)) {
-	for _, r := range s.Records {
-		f(r.Entry, r.Rev)
-	}
-}
-
-// NextExpiry is the soonest time a lease lapses, Unix ms, or 0 where none is held.
-func (s *State) NextExpiry() int64 {
-	var next int64
-	for _, r := range s.Records {
-		if r.ExpiresMS != 0 && (next == 0 || r.ExpiresMS < next) {
-			next = r.ExpiresMS
-		}
-	}
-	return next
-}
-
 // withFleet is the version of a snapshot that has the fleet's state next to the list. One without has no version in it: builds
 // before the fleet wrote it so.
 const withFleet = 2
@@ -275,6 +292,7 @@
 	if next.Records == nil {
 		next.Records = map[string]*record{}
 	}
+	next.reindex()
 	*s = next
 	return in.Fleet, nil
 }
--- a/internal/registry/replica/fleetapi.go
+++ b/internal/registry/replica/fleetapi.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/hashicorp/raft"
 
@@ -15,36 +14,8 @@
 	"starlingvalve/internal/fleet/control"
 	"starlingvalve/internal/fleet/tenants"
 	"starlingvalve/internal/fleet/zones"
-	"starlingvalve/internal/registry"
 )
 
-// intent answers a watch of the intent, from any replica that has heard from a leader within the bound. X-Waited-Ms says how
-// long it waited before it read what it answers, X-Last-Contact-Ms how long since it had heard from the leader.
-func (l *leadership) intent(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
-	watch, err := registry.ParseWatch(r.URL.Query())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	f := l.rep.fsm
-	f.mu.Lock()
-	if watch.Watching && watch.Since == f.fleet.Rev && watch.Wait > 0 {
-		changed := f.intentChanged
-		f.mu.Unlock()
-		registry.Await(r.Context(), changed, watch.Wait)
-		f.mu.Lock()
-	}
-	waited := time.Since(start)
-	in := f.fleet.Read(watch.Since, r.URL.Query().Get("node"))
-	f.mu.Unlock()
-	if l.stale(w) {
-		return
-	}
-	w.Header().Set("X-Waited-Ms", strconv.FormatInt(waited.Milliseconds(), 10))
-	show(w, in)
-}
-
 // stale answers 503 where this replica can't vouch for what it has.
 func (l *leadership) stale(w http.ResponseWriter) bool {
 	age, ok := l.rep.fresh()
--- a/internal/registry/replica/fsm.go
+++ b/internal/registry/replica/fsm.go
@@ -4,9 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"slices"
-	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/raft"
 
@@ -17,19 +16,32 @@
 )
 
 // fsm is the state machine that raft feeds: the list and the fleet, under the list's revision. Every replica applies the
-// fleet's commands, whether or not it was started with the fleet's settings.
+// fleet's commands, whether or not it was started with the fleet's settings. Raft calls Apply, Snapshot and Restore one at a
+// time. Readers of the list and the intent take what was published and need no lock.
 type fsm struct {
-	mu            sync.Mutex
-	state         *registry.State
-	listChanged   chan struct{} // closed at each change of the list
-	fleet         *control.State
-	intentChanged chan struct{} // closed at each change of an item of the intent
-	driftChanged  chan struct{} // closed at each change of a verdict
+	mu           sync.Mutex
+	state        *registry.State
+	fleet        *control.State
+	driftChanged chan struct{}  // closed at each change of a verdict
+	listed       []drift.Listed // the list as drift compares it
+	listedOf     *registry.View // that listed was made from
+
+	list     atomic.Pointer[publishedList]
+	intent   atomic.Pointer[control.View]
+	watchers *watchers // of the intent
+}
+
+// publishedList is the list for readers, and the channel that is closed at its next change.
+type publishedList struct {
+	view    *registry.View
+	changed chan struct{}
 }
 
 func newFSM(keep int) *fsm {
-	return &fsm{state: registry.New(keep), listChanged: make(chan struct{}), fleet: control.New(), intentChanged: make(chan struct{}),
-		driftChanged: make(chan struct{})}
+	f := &fsm{state: registry.New(keep), fleet: control.New(), driftChanged: make(chan struct{}), watchers: newWatchers()}
+	f.list.Store(&publishedList{view: f.state.View(), changed: make(chan struct{})})
+	f.intent.Store(f.fleet.View())
+	return f
 }
 
 type applied struct {
@@ -43,15 +55,18 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return applied{err: fmt.Errorf("log entry %d: %w", l.Index, err)}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if c.Op == registry.Fleet {
 		return f.applyFleet(c.Fleet)
 	}
+	return f.applyList(c)
+}
+
+func (f *fsm) applyList(c registry.Command) applied {
+	f.mu.Lock()
 	changed, err := f.state.Apply(c)
-	if changed {
-		renew(&f.listChanged)
-	}
+	view := f.state.View()
+	f.mu.Unlock()
+	f.publishList(view, changed)
 	return applied{changed: changed, err: err}
 }
 
@@ -60,28 +75,52 @@
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return applied{err: fmt.Errorf("fleet command: %w", err)}
 	}
+	f.mu.Lock()
 	ch, err := f.fleet.Apply(c, f.state.Bump)
-	if ch.Items {
-		renew(&f.intentChanged)
-	}
+	view := f.fleet.View()
 	if ch.Drift {
 		renew(&f.driftChanged)
 	}
+	f.mu.Unlock()
+	f.intent.Store(view)
+	f.watchers.wake(ch.Scopes)
 	return applied{changed: ch.Rev != 0, rev: ch.Rev, err: err}
 }
 
+// publishList puts a view before the list's readers, and wakes its watchers where it has changed for them; compaction alone
+// wakes none.
+func (f *fsm) publishList(view *registry.View, changed bool) {
+	old := f.list.Load()
+	if view == old.view {
+		return
+	}
+	if !changed {
+		f.list.Store(&publishedList{view: view, changed: old.changed})
+		return
+	}
+	f.list.Store(&publishedList{view: view, changed: make(chan struct{})})
+	close(old.changed)
+}
+
 // servers is the list as drift compares it, or nil where nothing has ever registered: then the nodes have theirs from elsewhere.
-// The caller holds mu.
+// It is made anew only where the list has changed, and must not be changed. The caller holds mu.
 func (f *fsm) servers() []drift.Listed {
-	if len(f.state.Records) == 0 && f.state.Floor == 0 {
+	view := f.state.View()
+	if view.Len() == 0 && view.Floor == 0 {
 		return nil
 	}
-	out := make([]drift.Listed, 0, len(f.state.Records))
-	f.state.Each(func(e registry.Entry, rev uint64) {
+	if f.listedOf != view {
+		f.listed, f.listedOf = listed(view), view
+	}
+	return f.listed
+}
+
+func listed(view *registry.View) []drift.Listed {
+	out := make([]drift.Listed, 0, view.Len())
+	for e, rev := range view.Each() {
 		out = append(out, drift.Listed{ID: e.ID, Rev: rev, Gone: e.State == "gone",
 			Body: fleet.HeldServer{Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Size: e.Weight}})
-	})
-	slices.SortFunc(out, func(a, b drift.Listed) int { return strings.Compare(a.ID, b.ID) })
+	}
 	return out
 }
 
@@ -139,8 +178,9 @@
 		}
 	}
 	f.state, f.fleet = list, fleet
-	renew(&f.listChanged)
-	renew(&f.intentChanged)
 	renew(&f.driftChanged)
+	f.publishList(list.View(), true)
+	f.intent.Store(fleet.View())
+	f.watchers.wakeAll()
 	return nil
 }
--- /dev/null
+++ b/internal/registry/replica/intent.go
@@ -0,0 +1,66 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/control"
+	"starlingvalve/internal/registry"
+)
+
+// intentWatch is the query of GET /fleet/v1/intent: a watch, and the scope that it hears.
+type intentWatch struct {
+	registry.Watch
+	node     string   // whose share; "": every node's
+	services []string // sorted; none: every service
+}
+
+// parseIntentWatch reads ?since=R&timeout_ms=T&node=N&service=S, the last as often as the node serves services.
+func parseIntentWatch(q url.Values) (intentWatch, error) {
+	watch, err := registry.ParseWatch(q)
+	if err != nil {
+		return intentWatch{}, err
+	}
+	services := slices.Sorted(slices.Values(q["service"]))
+	return intentWatch{Watch: watch, node: q.Get("node"), services: services}, fleet.ValidScope(services)
+}
+
+// intent answers a watch of the intent, from any replica that has heard from a leader within the bound. X-Waited-Ms says how
+// long it waited before it read what it answers, X-Last-Contact-Ms how long since it had heard from the leader.
+func (l *leadership) intent(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	watch, err := parseIntentWatch(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	view := l.rep.fsm.awaitIntent(r.Context(), watch)
+	waited := time.Since(start)
+	if l.stale(w) {
+		return
+	}
+	w.Header().Set("X-Waited-Ms", strconv.FormatInt(waited.Milliseconds(), 10))
+	show(w, view.Read(watch.Since, watch.node, watch.services...))
+}
+
+// awaitIntent waits until there is news in the watch's scope, its time is over or ctx ends, and gives the intent as it is
+// then. It takes no lock of the state machine.
+func (f *fsm) awaitIntent(ctx context.Context, watch intentWatch) *control.View {
+	news := func() bool {
+		return f.intent.Load().News(watch.Since, watch.node, watch.services...)
+	}
+	if !watch.Watching || watch.Wait <= 0 || news() {
+		return f.intent.Load()
+	}
+	waiting := f.watchers.add(control.ReaderScopes(watch.node, watch.services...))
+	defer f.watchers.remove(waiting)
+	if !news() { // a change before add has woken nobody
+		registry.Await(ctx, waiting.woken, watch.Wait)
+	}
+	return f.intent.Load()
+}
--- a/internal/registry/replica/list.go
+++ b/internal/registry/replica/list.go
@@ -52,15 +52,11 @@
 		}
 		watch = registry.Watch{}
 	}
-	rep.fsm.mu.Lock()
-	if watch.Watching && watch.Since >= rep.fsm.state.Last && watch.Wait > 0 {
-		changed := rep.fsm.listChanged
-		rep.fsm.mu.Unlock()
-		registry.Await(r.Context(), changed, watch.Wait)
-		rep.fsm.mu.Lock()
+	list := rep.fsm.list.Load()
+	if watch.Watching && watch.Since >= list.view.Version && watch.Wait > 0 {
+		registry.Await(r.Context(), list.changed, watch.Wait)
+		list = rep.fsm.list.Load()
 	}
-	a := rep.fsm.state.Read(watch.Since, watch.Watching)
-	rep.fsm.mu.Unlock()
 	age, ok := rep.fresh()
 	w.Header().Set("X-Last-Contact-Ms", strconv.FormatInt(age.Milliseconds(), 10))
 	if !ok {
@@ -68,7 +64,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(a)
+	json.NewEncoder(w).Encode(list.view.Read(watch.Since, watch.Watching))
 }
 
 type writeBody struct {
--- a/internal/registry/replica/replica_test.go
+++ b/internal/registry/replica/replica_test.go
@@ -26,7 +26,7 @@
 // wakes no watcher of the intent either.
 func TestFSM(t *testing.T) {
 	f := newFSM(10)
-	list, intent := f.listChanged, f.intentChanged
+	list, intent := f.list.Load().changed, f.watchers.add(control.ReaderScopes("n")).woken
 	woken := func(c chan struct{}) bool {
 		select {
 		case <-c:
@@ -39,7 +39,7 @@
 	if a := f.Apply(&raft.Log{Data: raw}).(applied); !a.changed || !woken(list) || woken(intent) {
 		t.Fatalf("a registration: %+v", a)
 	}
-	list = f.listChanged
+	list = f.list.Load().changed
 	m := fleet.Member{Node: "n", Zone: "z", Incarnation: 1}
 	join := control.Command{Session: &session.Command{Op: session.Join, Member: m}, Guard: f.fleet.Guard("n", nil)}
 	if a := f.Apply(log(join)).(applied); a.rev != 2 || woken(list) || woken(intent) {
