Work out who is late, and the runs of a whole fleet, without a copy

A look at who is late made the roster of scopes each 100 ms; it does so now only for a tenant past its bound. A division over a fleet without scopes copies no runs.

--- a/internal/fleet/tenants/lend.go
+++ b/internal/fleet/tenants/lend.go
@@ -143,11 +143,7 @@
 		if e := next.Tenants[name]; e != nil {
 			service = e.Service()
 		}
-		scope := make([]presentRun, 0, len(runs))
-		for _, i := range r.of(service).positions {
-			scope = append(scope, runs[i])
-		}
-		j.grant(next, name, service, most[name], scope)
+		j.grant(next, name, service, most[name], r.of(service).pick(runs))
 	}
 	for i, m := range present {
 		runs[i].withdraw(next, r.Services[m.Node])
--- a/internal/fleet/tenants/scope.go
+++ b/internal/fleet/tenants/scope.go
@@ -137,6 +137,18 @@
 
 func byNode(a, b fleet.Member) int { return strings.Compare(a.Node, b.Node) }
 
+// pick gives the runs of the group's members, out of those of all present members.
+func (g *group) pick(runs []presentRun) []presentRun {
+	if len(g.positions) == len(runs) {
+		return runs
+	}
+	picked := make([]presentRun, len(g.positions))
+	for i, position := range g.positions {
+		picked[i] = runs[position]
+	}
+	return picked
+}
+
 // all says whether ok holds for every member.
 func (g *group) all(ok func(fleet.Member) bool) bool {
 	return !slices.ContainsFunc(g.members, func(m fleet.Member) bool { return !ok(m) })
--- a/internal/fleet/tenants/status.go
+++ b/internal/fleet/tenants/status.go
@@ -73,12 +73,15 @@
 // Late names those that hold up what is committed, by tenant and node: it is never taken back, and so nothing but them
 // stands in its way. A node that still has requests of a removed tenant open is not among them.
 func (j *Judge) Late(now fleet.Time, s *State, p Present) (out []Late) {
-	r := newRoster(p)
+	var r *roster // made for the first that is past its bound
 	for _, name := range sortedKeys(j.begun) {
 		e := s.Tenants[name]
 		if b := j.begun[name]; e == nil || b.rev != e.Rev || now-b.at < ApplyTimeout {
 			continue
 		}
+		if r == nil {
+			r = newRoster(p)
+		}
 		for _, m := range r.of(e.Service()).members {
 			if j.late(s, e, name, m) {
 				l := Late{Node: m.Node, Tenant: name}
