Refuse another service before a rollout that is on

A PUT with another service can never be taken, whatever its generation; the conflict would invite another try. go test ./internal/fleet/tenants passes.

--- a/internal/fleet/tenants/state.go
+++ b/internal/fleet/tenants/state.go
@@ -120,12 +120,12 @@
 	case e == nil:
 	case e.Removing:
 		return nil, conflict(c.Name, e, ": it is being removed")
+	case e.Service() != c.Spec.Service:
+		return nil, fault("service", "%q, and the tenant's is %q: remove the tenant and name it again", c.Spec.Service, e.Service())
 	case e.Staged != nil || e.Applying:
 		return nil, conflict(c.Name, e, ": a rollout is on")
 	case e.Committed.Number != c.Generation:
 		return nil, conflict(c.Name, e, "")
-	case e.Service() != c.Spec.Service:
-		return nil, fault("service", "%q, and the tenant's is %q: remove the tenant and name it again", c.Spec.Service, e.Service())
 	}
 	r := rev()
 	if e == nil {
