Measure the agent's copy before it is kept by scope and written by difference

Need: the capacity issue asks that an agent's work for one change does not grow with what the copy holds.

Change: benchmarks of Copy.Take, Copy.Read and of making one change durable, at 300, 5,000 and 20,000 tenants.

--- /dev/null
+++ b/internal/fleet/agent/bench_test.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+)
+
+// benchSizes are the numbers of tenants that the copy is measured with.
+var benchSizes = []int{300, 5000, 20_000}
+
+// benchTenant is a small tenant, as most are.
+func benchTenant(i int, rev uint64) fleet.Item {
+	name := fmt.Sprintf("tenant-%06d", i)
+	body, err := json.Marshal(fleet.Tenant{UID: uint64(i + 1), Committed: &fleet.Generation{Number: rev, Digest: "0123456789abcdef",
+		Spec: fleet.Spec{Name: name, Quota: fleet.Quota{Rate: 100, Burst: 200}}}})
+	if err != nil {
+		panic(err)
+	}
+	return fleet.Item{Key: fleet.KeyTenant + name, Rev: rev, Body: body}
+}
+
+// benchWhole is a whole answer of so many tenants.
+func benchWhole(size int) fleet.Intent {
+	in := fleet.Intent{Revision: uint64(size), Full: true}
+	for i := range size {
+		in.Items = append(in.Items, benchTenant(i, uint64(i+1)))
+	}
+	return in
+}
+
+// benchChange is an answer that changes one tenant.
+func benchChange(size int, rev uint64) fleet.Intent {
+	return fleet.Intent{Revision: rev, Items: []fleet.Item{benchTenant(int(rev)%size, rev)}}
+}
+
+// benchCopy runs a benchmark at each size, over a copy that holds so many tenants.
+func benchCopy(b *testing.B, run func(b *testing.B, c *Copy, size int)) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("tenants=%d", size), func(b *testing.B) {
+			c := &Copy{}
+			if _, err := c.Take(benchWhole(size)); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, c, size)
+		})
+	}
+}
+
+// BenchmarkTake takes an answer that changes one tenant.
+func BenchmarkTake(b *testing.B) {
+	benchCopy(b, func(b *testing.B, c *Copy, size int) {
+		for b.Loop() {
+			if _, err := c.Take(benchChange(size, c.Revision+1)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkRead answers a watch with the one tenant that changed.
+func BenchmarkRead(b *testing.B) {
+	benchCopy(b, func(b *testing.B, c *Copy, size int) {
+		if _, err := c.Take(benchChange(size, c.Revision+1)); err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			if in := c.Read(c.Revision-1, nil); len(in.Items) != 1 {
+				b.Fatal(len(in.Items))
+			}
+		}
+	})
+}
+
+// BenchmarkSave makes a change of one tenant durable, as the agent does after each.
+func BenchmarkSave(b *testing.B) {
+	benchCopy(b, func(b *testing.B, c *Copy, size int) {
+		dir, written := b.TempDir(), 0
+		for b.Loop() {
+			if _, err := c.Take(benchChange(size, c.Revision+1)); err != nil {
+				b.Fatal(err)
+			}
+			held := Copy{Revision: c.Revision, Items: maps.Clone(c.Items)}
+			raw, err := held.Encode("n")
+			if err == nil {
+				err = Save(dir, "n", raw, held.Revision)
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			written += len(raw)
+		}
+		b.ReportMetric(float64(written)/float64(b.N), "disk-B/op")
+	})
+}
