Give a node a scope, and let a tenant leave it and return under its old revision

Need: nodes are to hold the tenants of the services that they serve and no others. A tenant that leaves a node's scope and comes back has the revision that it had, which the module took for an older item.

Change: the node's fleet block has "services", and reports carry them; a bad one stops the start. TenantTold carries the revision of its intent, as ZoneTold does: of an intent that is no older, a tenant that is gone or back counts whatever its own revision. Without that field nothing is decided otherwise.

Run: go test ./decide -run 'Scope|Tenant|Share|Route|Fleet|Hold', go test ./internal/node -run 'Fleet|Mirror'. Nothing else was run.

--- a/decide/fleet_events.go
+++ b/decide/fleet_events.go
@@ -23,10 +23,11 @@
 	TenantTold struct {
 		Name              string
 		UID, Revision     uint64
+		Intent            uint64 // of the intent it was read from; 0: Revision
 		Committed, Staged *TenantRules
 		Removing          bool // no new requests; open ones finish
 		QuotaGone         bool // removal has withdrawn quota and routes
-		Gone              bool // the tenant is no more
+		Gone              bool // the tenant is no more, or no longer in the node's scope
 		Age               time.Duration
 	}
 	// ShareTold is this node's leased part of the quotas, over the floor part that it always has. It holds for
--- /dev/null
+++ b/decide/fleet_scope_test.go
@@ -0,0 +1,87 @@
+package decide_test
+
+import (
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+// A tenant leaves the node's scope and comes back to it under the item that it had, as the intent goes on or stays. What an older
+// intent said of it changes nothing.
+func TestTenantLeavesScopeAndReturns(t *testing.T) {
+	at := func(revision, intent uint64) decide.TenantTold {
+		return decide.TenantTold{Name: "x", UID: 1, Revision: revision, Intent: intent, Committed: rules(revision, nil)}
+	}
+	gone := func(revision, intent uint64) decide.TenantTold {
+		return decide.TenantTold{Name: "x", UID: 1, Revision: revision, Intent: intent, Gone: true}
+	}
+	for name, c := range map[string]struct {
+		facts      []decide.Event
+		generation uint64 // held at the end; 0: none
+	}{
+		"leaves":                               {[]decide.Event{at(5, 9), gone(9, 9)}, 0},
+		"leaves at its own revision":           {[]decide.Event{at(9, 9), gone(9, 9)}, 0},
+		"returns at the same intent":           {[]decide.Event{at(5, 9), gone(9, 9), at(5, 9)}, 5},
+		"returns at a newer intent":            {[]decide.Event{at(5, 9), gone(9, 9), at(5, 12)}, 5},
+		"leaves twice":                         {[]decide.Event{at(5, 9), gone(9, 9), at(5, 9), gone(9, 9)}, 0},
+		"an older intent after it left":        {[]decide.Event{at(5, 9), gone(12, 12), at(5, 9)}, 0},
+		"an older intent after it returned":    {[]decide.Event{at(5, 9), gone(9, 9), at(5, 12), gone(9, 9)}, 5},
+		"an older item of a newer intent":      {[]decide.Event{at(7, 9), at(5, 12)}, 7},
+		"returns, then its next generation":    {[]decide.Event{at(5, 9), gone(9, 9), at(5, 9), at(12, 12)}, 12},
+		"removed for good, its name not again": {[]decide.Event{at(5, 9), gone(12, 12), gone(12, 13)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := rigSettings()
+			s.Fleet = true
+			r := newRig(t, s, 4)
+			for _, e := range c.facts {
+				r.feed(e)
+			}
+			r.run(time.Second, 20, "dear")
+			if served := r.ask("x", "dear") != 0; served != (c.generation > 0) {
+				t.Errorf("served: %v, want generation %d", served, c.generation)
+			}
+			held := uint64(0)
+			for _, w := range r.m.Window(r.now).Tenants {
+				held = w.Committed
+			}
+			if held != c.generation {
+				t.Errorf("holds generation %d, want %d", held, c.generation)
+			}
+		})
+	}
+}
+
+// T7: what is open as a tenant leaves the scope keeps its generation's route to its end, also where the tenant comes back with another
+// meanwhile; new requests are refused, then served by the next.
+func TestOpenRequestsOutliveTheScope(t *testing.T) {
+	r := zonesRig(t, 30)
+	at := func(revision uint64, server string) decide.TenantTold {
+		return decide.TenantTold{Name: "x", UID: 1, Revision: revision, Intent: revision, Committed: rules(revision, func(g *decide.TenantRules) {
+			g.Rate, g.RefuseElse, g.Routes = 1e4, true, []decide.TenantRoute{{ID: server, Weight: 1}}
+		})}
+	}
+	r.feed(at(5, "s3"))
+	r.run(time.Second, 0, "")
+	r.delay = func(decide.ServerID) (time.Duration, decide.OutcomeCode) { return time.Second, decide.OK }
+	if sent := r.ask("x", "dear"); sent != 3 {
+		t.Fatalf("sent to %d", sent)
+	}
+	r.feed(decide.TenantTold{Name: "x", UID: 1, Revision: 9, Intent: 9, Gone: true})
+	if sent := r.ask("x", "dear"); sent != 0 {
+		t.Errorf("out of scope: sent to %d", sent)
+	}
+	r.feed(at(12, "s5"))
+	if w := r.m.Window(r.now).Tenants; len(w) != 1 || w[0].Open != 1 {
+		t.Errorf("while one is open: %+v", w)
+	}
+	r.run(100*time.Millisecond, 0, "")
+	if sent := r.ask("x", "dear"); sent != 5 {
+		t.Errorf("in scope again: sent to %d", sent)
+	}
+	r.run(2*time.Second, 0, "")
+	if w := r.m.Window(r.now).Tenants; len(w) != 1 || w[0].Open != 0 || r.failed != 0 {
+		t.Errorf("at the end: %+v, %d failed", w, r.failed)
+	}
+}
--- a/decide/fleet_state.go
+++ b/decide/fleet_state.go
@@ -37,7 +37,7 @@
 // brand is a tenant as the fleet knows it; imported means that the settings name it and intent has not yet.
 type brand struct {
 	name                               string
-	uid, revision                      uint64
+	uid, revision, intent              uint64 // of the item and of the intent that it was read from
 	committed, staged                  *TenantRules
 	imported, removing, unquoted, gone bool
 	tokens                             float64            // requests that its share allows now
--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -17,11 +17,11 @@
 	routeLeast = 4 // servers of a route that a subset is to have: fewer leave no choice
 )
 
-// tenantTold takes what is intended for a tenant. Older news changes nothing, nor does what no sound control
+// tenantTold takes what is intended for a tenant. An older item changes nothing, nor does what no sound control
 // plane commits. A name used again, which has another UID, has nothing of the tenant before.
 func (m *Module) tenantTold(e TenantTold) {
 	b := m.fleet.brands[e.Name]
-	if e.Name == "" || b != nil && b.revision > 0 && e.Revision <= b.revision ||
+	if e.Name == "" || b != nil && b.revision > 0 && !b.precedes(e) ||
 		e.Committed != nil && flaw(e.Committed) != "" {
 		return
 	}
@@ -34,7 +34,7 @@
 		m.fleet.keep(b)
 	}
 	m.settle(b) // what came by so far was under the old rate
-	b.revision, b.committed, b.staged = e.Revision, e.Committed, e.Staged
+	b.revision, b.intent, b.committed, b.staged = e.Revision, max(e.Intent, e.Revision), e.Committed, e.Staged
 	b.removing, b.unquoted, b.gone = e.Removing, e.QuotaGone, e.Gone && !b.imported
 	if e.Gone {
 		b.committed, b.staged = nil, nil
@@ -49,6 +49,15 @@
 	m.chooseRouted(b)
 }
 
+// precedes says whether e is newer than what is held. A tenant that leaves the node's scope or comes back to it does so under the
+// revision that it had: of an intent that is no older, that counts as well.
+func (b *brand) precedes(e TenantTold) bool {
+	if e.Intent == 0 {
+		return e.Revision > b.revision
+	}
+	return e.Intent >= b.intent && (e.Revision > b.revision || e.Gone != b.gone)
+}
+
 // shareTold takes the leased shares; those of an older division change nothing.
 func (m *Module) shareTold(e ShareTold) {
 	f := m.fleet
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -81,7 +81,7 @@
 // run watches and reports until ctx ends.
 func (f *fleetLink) run(ctx context.Context) {
 	defer f.client.CloseIdleConnections()
-	f.log.Info("fleet", "agent", f.Agent, "zone", f.member.Zone)
+	f.log.Info("fleet", "agent", f.Agent, "zone", f.member.Zone, "services", f.Services)
 	var both sync.WaitGroup
 	both.Go(func() { f.watch(ctx) })
 	both.Go(func() { f.reports(ctx) })
@@ -283,6 +283,7 @@
 	}
 	f.seq++
 	r := o.report(f.member, f.seq, want)
+	r.Services = f.Services
 	if f.left = leaving; leaving {
 		r.Leaving, r.Ready = true, false
 	}
--- a/internal/node/fleet_config.go
+++ b/internal/node/fleet_config.go
@@ -5,17 +5,20 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
 )
 
 // FleetConfig is the "fleet" block of a node's configuration: {"agent": "127.0.0.1:PORT", "report_ms": 250,
-// "catch_up_ms": 10000}. Without the block a node has nothing to do with the fleet (docs/fleet.md).
+// "catch_up_ms": 10000, "services": ["billing"]}. Without the block a node has nothing to do with the fleet (docs/fleet.md).
 type FleetConfig struct {
-	Agent   netip.AddrPort // on the node's own machine
-	Report  time.Duration  // between reports
-	CatchUp time.Duration  // a node that has not heard of all that is intended by then serves by what it has
+	Agent    netip.AddrPort // on the node's own machine
+	Report   time.Duration  // between reports
+	CatchUp  time.Duration  // a node that has not heard of all that is intended by then serves by what it has
+	Services []string       // whose tenants the node serves, sorted; none: every tenant. The agent names the same
 }
 
 // Bounds of the block, and what holds where it names none.
@@ -34,9 +37,10 @@
 		return nil, nil
 	}
 	in := struct {
-		Agent   string `json:"agent"`
-		Report  int64  `json:"report_ms"`
-		CatchUp int64  `json:"catch_up_ms"`
+		Agent    string   `json:"agent"`
+		Report   int64    `json:"report_ms"`
+		CatchUp  int64    `json:"catch_up_ms"`
+		Services []string `json:"services"`
 	}{Report: usualReport, CatchUp: usualCatchUp}
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, err
@@ -56,14 +60,18 @@
 	case s.Zone == "":
 		return nil, errors.New("settings.zone is missing: a node of a fleet has a zone")
 	}
+	slices.Sort(in.Services)
+	if err := fleet.ValidScope(in.Services); err != nil {
+		return nil, err
+	}
 	return &FleetConfig{Agent: agent, Report: time.Duration(in.Report) * time.Millisecond,
-		CatchUp: time.Duration(in.CatchUp) * time.Millisecond}, nil
+		CatchUp: time.Duration(in.CatchUp) * time.Millisecond, Services: in.Services}, nil
 }
 
-// settledFleet gives a block's value, for comparison; the zero value where there is none.
-func settledFleet(c *FleetConfig) FleetConfig {
-	if c == nil {
-		return FleetConfig{}
+// equal compares two blocks; nil where there is none.
+func (c *FleetConfig) equal(other *FleetConfig) bool {
+	if c == nil || other == nil {
+		return c == other
 	}
-	return *c
+	return c.Agent == other.Agent && c.Report == other.Report && c.CatchUp == other.CatchUp && slices.Equal(c.Services, other.Services)
 }
--- a/internal/node/fleet_facts.go
+++ b/internal/node/fleet_facts.go
@@ -125,7 +125,7 @@
 		if json.Unmarshal(it.Body, &t) != nil {
 			continue // DecodeIntent has read it
 		}
-		e := decide.TenantTold{Name: key[len(fleet.KeyTenant):], UID: t.UID, Revision: it.Rev, Gone: it.Gone, Age: age}
+		e := decide.TenantTold{Name: key[len(fleet.KeyTenant):], UID: t.UID, Revision: it.Rev, Intent: m.revision, Gone: it.Gone, Age: age}
 		if !it.Gone {
 			e.Committed, e.Staged, e.Removing, e.QuotaGone = tenantRules(t.Committed), tenantRules(t.Staged), t.Removing, t.QuotaGone
 		}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -287,7 +288,7 @@
 	share := func(held time.Duration) decide.ShareTold {
 		return decide.ShareTold{Epoch: 2, Slots: 4, Rates: map[string]float64{"a": 5}, Age: 30 * time.Millisecond, Valid: held}
 	}
-	told := decide.TenantTold{Name: "a", UID: 3, Revision: 4, Age: 30 * time.Millisecond,
+	told := decide.TenantTold{Name: "a", UID: 3, Revision: 4, Intent: 5, Age: 30 * time.Millisecond,
 		Committed: &decide.TenantRules{Generation: 1, Digest: "00ff", Rate: 1000, Burst: 100}}
 	m := newMirror(me)
 	for i, step := range []struct {
@@ -306,7 +307,7 @@
 		{in: fleet.Intent{Revision: 6, Items: []fleet.Item{{Key: "zone/y@z", Rev: 6, Gone: true}}}, events: []decide.Event{zone("y", 5, 6, 0.5), share(0)}},
 		{in: fleet.Intent{Revision: 7, Full: true, HeldMS: 9000, Items: []fleet.Item{
 			item("share/n0", 7, fleet.Shares{Epoch: 2, Incarnation: 8, Slots: 4, Rates: map[string]float64{"a": 5}})}},
-			events: []decide.Event{served("y", 7), decide.TenantTold{Name: "a", UID: 3, Revision: 7, Gone: true, Age: 30 * time.Millisecond}, share(0)}},
+			events: []decide.Event{served("y", 7), decide.TenantTold{Name: "a", UID: 3, Revision: 7, Intent: 7, Gone: true, Age: 30 * time.Millisecond}, share(0)}},
 		{in: fleet.Intent{Revision: 8}, events: []decide.Event{share(0)}}, // nothing is said twice
 	} {
 		step.in.AgeMS = 10
@@ -360,12 +361,21 @@
 	if err != nil || c.Fleet == nil || c.Fleet.Report != 250*time.Millisecond || c.Fleet.CatchUp != 5*time.Millisecond || !c.Settings.Fleet {
 		t.Errorf("%+v, %v", c, err)
 	}
+	scoped, err := loadText(t, with(`{"agent":"127.0.0.1:7","catch_up_ms":5,"services":["search","billing"]}`), nil)
+	if err != nil || !slices.Equal(scoped.Fleet.Services, []string{"billing", "search"}) {
+		t.Errorf("with services: %+v, %v", scoped, err)
+	}
+	if c.Fleet.equal(scoped.Fleet) || c.Fleet.equal(nil) || !scoped.Fleet.equal(scoped.Fleet) || !(*FleetConfig)(nil).equal(nil) {
+		t.Error("blocks are compared wrongly")
+	}
 	if c, err := loadText(t, goodConfig, nil); err != nil || c.Fleet != nil || c.Settings.Fleet {
 		t.Errorf("without a block: %+v, %v", c, err)
 	}
 	for block, says := range map[string]string{`{}`: "agent", `[]`: "array", `{"agent":"10.0.0.1:7"}`: "loopback", `{"agent":"127.0.0.1:0"}`: "loopback",
 		`{"agent":7}`: "agent", `{"agent":"127.0.0.1:7","report_ms":0}`: "report_ms", `{"agent":"127.0.0.1:7","report_ms":1e9}`: "report_ms",
-		`{"agent":"127.0.0.1:7","catch_up_ms":-1}`: "catch_up_ms"} {
+		`{"agent":"127.0.0.1:7","catch_up_ms":-1}`: "catch_up_ms", `{"agent":"127.0.0.1:7","services":"billing"}`: "services",
+		`{"agent":"127.0.0.1:7","services":[""]}`: "services", `{"agent":"127.0.0.1:7","services":["b","a","b"]}`: "services",
+		`{"agent":"127.0.0.1:7","services":["` + strings.Repeat("x", fleet.ServiceNameLimit+1) + `"]}`: "services"} {
 		if _, err := loadText(t, with(block), nil); err == nil || !strings.Contains(err.Error(), "fleet") || !strings.Contains(err.Error(), says) ||
 			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v", block, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 			select {
 			case next := <-reloads:
 				d.move(next.Discovery)
-				if settledFleet(c.Fleet) != settledFleet(next.Fleet) {
+				if !c.Fleet.equal(next.Fleet) {
 					log.Warn("the fleet block has changed; that is followed at a restart only")
 				}
 				l.post(func() { l.change(next.Settings) })
