--- a/internal/fleet/drift/judge.go
+++ b/internal/fleet/drift/judge.go
@@ -21,13 +21,13 @@
 // Judge is the leader's soft part. All times are readings of the leader's own monotonic clock. It is not safe for
 // concurrent use.
 type Judge struct {
-	bounds  Bounds
-	book    book
-	nodes   map[string]*node
-	floor   map[string]uint64 // incarnations of nodes that are not in nodes
-	office  fleet.Time
-	stepped fleet.Time
-	ruling  bool
+	bounds    Bounds
+	book      book
+	nodes     map[string]*node
+	floor     map[string]uint64 // incarnations of nodes that are not in nodes
+	leadSince fleet.Time
+	stepped   fleet.Time
+	ruling    bool
 
 	bodies    map[string]json.RawMessage // settings by digest
 	candidate string                     // settings that most nodes hold, and since when
@@ -41,17 +41,17 @@
 	logged          uint64
 }
 
-// NewJudge makes a judge that is not in office.
+// NewJudge makes a judge that does not lead yet.
 func NewJudge(b Bounds) *Judge {
 	return &Judge{bounds: b, nodes: map[string]*node{}, floor: map[string]uint64{}, bodies: map[string]json.RawMessage{}, calmAt: never, offered: never}
 }
 
-// Office makes the judge that of a new leader: it forgets all that is soft, and counts every bound from now. What st
+// Lead makes the judge that of a new leader: it forgets all that is soft, and counts every bound from now. What st
 // holds it goes on from.
-func (j *Judge) Office(now fleet.Time, st *State) {
+func (j *Judge) Lead(now fleet.Time, st *State) {
 	log, logged := j.log, j.logged
 	*j = *NewJudge(j.bounds)
-	j.office, j.stepped, j.ruling, j.log, j.logged = now, now, true, log, logged
+	j.leadSince, j.stepped, j.ruling, j.log, j.logged = now, now, true, log, logged
 	maps.Copy(j.floor, st.Incarnations)
 	for name, v := range st.Verdicts {
 		n := j.meet(now, v.Member)
@@ -73,7 +73,7 @@
 
 // again counts every bound from now: the judge itself was away.
 func (j *Judge) again(now fleet.Time) {
-	j.office, j.since = now, now
+	j.leadSince, j.since = now, now
 	for _, n := range j.nodes {
 		n.counts(now)
 		n.born = now
@@ -127,7 +127,7 @@
 // the nodes that have a session.
 func (j *Judge) Step(now fleet.Time, st *State, in Intended, present []fleet.Member) []Command {
 	if !j.ruling {
-		j.Office(now, st)
+		j.Lead(now, st)
 	}
 	if now-j.stepped >= j.bounds.Away {
 		j.again(now)
@@ -161,7 +161,7 @@
 			n.compare(now, &j.book)
 		}
 		j.settings(n, st)
-		j.show(now, n, n.find(now, j.office, &j.bounds, &j.book))
+		j.show(now, n, n.find(now, j.leadSince, &j.bounds, &j.book))
 		if here[name] {
 			if Drifts(n.shown.state) {
 				drifting++
--- a/internal/fleet/zones/play/judge_test.go
+++ b/internal/fleet/zones/play/judge_test.go
@@ -97,13 +97,13 @@
 			w.run(10*sec, nil)
 			for key := range w.s.Directives {
 				if !strings.HasSuffix(key, "@nowhere") {
-					t.Errorf("%s left by its word", key)
+					t.Errorf("%s left by its vote", key)
 				}
 			}
 		},
 		"a new leader in the middle of a return": func(t *testing.T) {
 			w := back(t, 2)
-			w.j.Office(w.now)
+			w.j.Lead(w.now)
 			n := len(w.steps)
 			w.untilPhase(fleet.Serving)
 			if got := w.steps[n]; got.at-w.steps[n-1].at < w.set.ColdTime {
