Show that dropping a service leaves its open requests their generation (T7)

Need: the issue asks for a test of interest dropped while requests are open, and taken up again at once.

Change: TestInterestDroppedWhileRequestsAreOpen runs a node next to a real agent that is started again with fewer services, then with all.

--- /dev/null
+++ b/internal/node/fleet_scope_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"starlingvalve/internal/fleet"
+	fleetagent "starlingvalve/internal/fleet/agent"
+)
+
+// scopeReplica stands in for a replica of the build that ignores subscriptions: two tenants, of a service each, at one revision.
+func scopeReplica(t *testing.T) string {
+	state := fleet.Intent{Revision: 9}
+	for i, service := range []string{"billing", "search"} {
+		body := tenant(uint64(3+i), 1, service)
+		body.Committed.Spec.Service = service
+		body.Committed.Spec.Quota = fleet.Quota{Rate: 1e6, Burst: 1e6} // the floor part alone is never used up
+		state.Items = append(state.Items, item(fleet.KeyTenant+service, uint64(5+i), body))
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			io.Copy(io.Discard, r.Body)
+			json.NewEncoder(w).Encode(fleet.ReportAnswer{TTLMS: 6000, Revision: state.Revision})
+			return
+		}
+		out := state
+		since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		if out.Full = since == 0; !out.Full {
+			out.Items = nil
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		json.NewEncoder(w).Encode(out)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// restartable serves a real agent at one address, which is started anew with another scope.
+type restartable struct {
+	t       *testing.T
+	dir     string
+	replica string
+	handler atomic.Pointer[http.ServeMux]
+	stop    context.CancelFunc
+	address netip.AddrPort
+}
+
+func newRestartable(t *testing.T) *restartable {
+	a := &restartable{t: t, dir: t.TempDir(), replica: scopeReplica(t), stop: func() {}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if handler := a.handler.Load(); handler != nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(func() { a.stop(); server.CloseClientConnections(); server.Close() })
+	a.address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return a
+}
+
+func (a *restartable) restart(services ...string) {
+	a.t.Helper()
+	a.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	a.stop = stop
+	agent, err := fleetagent.Start(ctx, fleetagent.Config{Node: "n 0", Zone: "z", Services: services, Replicas: []string{a.replica}, Dir: a.dir,
+		Log: slog.New(slog.DiscardHandler)}, prometheus.NewRegistry())
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	agent.Routes(mux)
+	a.handler.Store(mux)
+}
+
+// Interest in a service is dropped while a request of its tenant is open (T7): the request has its answer, new ones are refused without an
+// attempt, and the other service is served all the time. Taken up again, at the same revision, the tenant is served as before.
+func TestInterestDroppedWhileRequestsAreOpen(t *testing.T) {
+	t.Parallel()
+	began, end := make(chan struct{}, 1), make(chan struct{})
+	var attempts atomic.Int64
+	answer := answering(func(r *http.Request, _ []byte) string {
+		attempts.Add(1)
+		if r.URL.Path == "/order" {
+			began <- struct{}{}
+			<-end
+		}
+		return ok("x")
+	})
+	var servers []string // several: the one that is slow to answer the open request is avoided
+	for range 4 {
+		servers = append(servers, backend(t, answer))
+	}
+	release := sync.OnceFunc(func() { close(end) })
+	t.Cleanup(release)
+	a := newRestartable(t)
+	a.restart("billing", "search")
+	c := &Config{Name: "n 0", Settings: settings(), Known: known(servers...), Fleet: &FleetConfig{Agent: a.address,
+		Report: leastReport * time.Millisecond, CatchUp: time.Hour, Services: []string{"billing", "search"}}}
+	for i := range c.Known.entries {
+		c.Known.entries[i].name = fmt.Sprint("s-", i)
+	}
+	c.Settings.Fleet = true
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 2*time.Minute, 4*time.Minute
+	}
+	n := start(t, c)
+	n.waitReady(t, 200)
+	status := func(account string) int {
+		resp, _ := n.ask(t, of(account, message("read", "100", "")))
+		return resp.StatusCode
+	}
+	until := func(want int) {
+		t.Helper()
+		for limit := time.Now().Add(patient); status("search") != want; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("the tenant never gets status %d", want)
+			}
+		}
+	}
+	if billing, search := status("billing"), status("search"); billing != 200 || search != 200 {
+		t.Fatalf("both in scope: status %d, %d", billing, search)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		resp, body := n.ask(t, of("search", message("order", "200", "")))
+		var err error
+		if resp.StatusCode != 200 || body != "x" {
+			err = fmt.Errorf("status %d, %q", resp.StatusCode, body)
+		}
+		answered <- err
+	}()
+	<-began
+
+	a.restart("billing")
+	until(503)
+	before := attempts.Load()
+	if billing, search := status("billing"), status("search"); billing != 200 || search != 503 || attempts.Load() != before+1 {
+		t.Errorf("one in scope: status %d, %d, %d attempts", billing, search, attempts.Load()-before)
+	}
+	a.restart("billing", "search")
+	until(200)
+	select {
+	case err := <-answered:
+		t.Errorf("the open request did not stay open: %v", err)
+	default:
+	}
+	release()
+	if err := <-answered; err != nil {
+		t.Errorf("the open request: %v", err)
+	}
+}
