--- a/decide/fleet_tenants.go
+++ b/decide/fleet_tenants.go
@@ -17,8 +17,8 @@
 	routeLeast = 4 // servers of a route that a subset is to have: fewer leave no choice
 )
 
-// tenantTold takes what is intended for a tenant. An older item changes nothing, nor does what no sound control
-// plane commits. A name used again, which has another UID, has nothing of the tenant before.
+// tenantTold takes what is intended for a tenant. An older item changes nothing, nor does what no sound
+// control plane commits. A name used again, which has another UID, has nothing of the tenant before.
 func (m *Module) tenantTold(e TenantTold) {
 	b := m.fleet.brands[e.Name]
 	if e.Name == "" || b != nil && b.revision > 0 && !b.precedes(e) ||
@@ -49,8 +49,8 @@
 	m.chooseRouted(b)
 }
 
-// precedes says whether e is newer than what is held. A tenant that leaves the node's scope or comes back to it does so under the
-// revision that it had: of an intent that is no older, that counts as well.
+// precedes says whether e is newer than what is held. A tenant that leaves the node's scope or comes back to
+// it does so under the revision that it had: of an intent that is no older, that counts as well.
 func (b *brand) precedes(e TenantTold) bool {
 	if e.Intent == 0 {
 		return e.Revision > b.revision
