Take a tenant's service in files and proposals, and change a scope among processes

Need: the schema has a service, but its reader refused the field as not known, so no tenant could be given one. And the change of an agent's scope was shown in one process only.

Change: fromTree reads "service". A played node may have services, which its reports and its agent's next start name.

--- a/internal/fleet/tenants/parse.go
+++ b/internal/fleet/tenants/parse.go
@@ -227,6 +227,8 @@
 		switch key {
 		case "name":
 			return t.text(field, v, &s.Name)
+		case "service":
+			return t.text(field, v, &s.Service)
 		case "fallback":
 			return t.text(field, v, &s.Fallback)
 		case "namespace":
--- a/internal/lab/played/node.go
+++ b/internal/lab/played/node.go
@@ -35,6 +35,8 @@
 	Odd    func([]fleet.Held) []fleet.Held   // what it holds in place of what it was told
 	Every  time.Duration                     // between two reports; 0: 150 ms
 
+	Services []string // its scope, sorted; the agent has it from its next start on
+
 	UIDs map[string]uint64     // of the tenants that it was told of, by name
 	Held map[string]fleet.Item // what its module holds, by key
 	Out  bool                  // the newest answer to a report says so
@@ -123,6 +125,11 @@
 	for i, r := range n.replicas {
 		args = append(args, "--replica", r, "--route", r+"="+n.Links[i].Addr)
 	}
+	n.mu.Lock()
+	for _, service := range n.Services {
+		args = append(args, "--service", service)
+	}
+	n.mu.Unlock()
 	logs, err := os.OpenFile(filepath.Join(n.Dir, "agent.log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return err
--- a/internal/lab/played/report.go
+++ b/internal/lab/played/report.go
@@ -38,7 +38,7 @@
 func (n *Node) report() fleet.Report {
 	n.seq++
 	n.apply()
-	r := fleet.Report{Member: fleet.Member{Node: n.Name, Zone: n.Zone, Incarnation: n.incarnation}, Seq: n.seq, Revision: n.revision,
+	r := fleet.Report{Member: fleet.Member{Node: n.Name, Zone: n.Zone, Incarnation: n.incarnation}, Services: n.Services, Seq: n.seq, Revision: n.revision,
 		Ready: true, WindowMS: 100}
 	if n.Counts != nil {
 		r.Zones = n.Counts()
