Give each request to the silent server a node of its own, and say what was sent

TestSilentBackend failed on a busy machine with "order: status 503, want 502" (tag too). A trace of each event showed the cause in the test: where the front end answers 504 by itself (overdue, frontend.go), the test asked again on the same node. The attempts that time out count as failures of the only server in the module (judge, decide/learn.go: strikes >= suspectAt, 3), which becomes a suspect; a suspect only gets trials (pickOf leaves it out, dueTrial takes no unsafe request), so the next class was refused with 503 and rightly: it was never sent. Also right and not allowed for was a request that is not written within its 0.4 s (ConnectFailed).

Now each try has a node of its own, and the server keeps what it was sent in its accept queue until the node has ended, so the test knows whether a request was sent: sent once, 502 (503 for the safe class); never sent, 503; more than once, a failure; and a try that was both sent and answered in time must come. TestSuspectGetsNoUnsafeRequest forces the order that the old test met by chance.

--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -117,21 +117,92 @@
 	}
 }
 
-// A machine that says nothing holds up nobody: the answer comes by the client's patience.
+// A server that never answers does not hold up a client: its answer comes by the client's patience, and it is a refusal
+// only where a new try does no harm: the request was not sent, or its class is safe to repeat.
 func TestSilentBackend(t *testing.T) {
 	t.Parallel()
-	addr := backend(t, func(c net.Conn) { io.Copy(io.Discard, c) })
-	n := start(t, &Config{Settings: settings(), Known: known(addr)})
-	for class, want := range map[string]int{"read": 503, "tag": 502, "order": 502} {
-		// On a busy machine the module may be later than overdue, and the front end answers by itself: then once more.
-		status := http.StatusGatewayTimeout
-		for end := time.Now().Add(patient); status == http.StatusGatewayTimeout && time.Now().Before(end); {
-			resp, _ := n.ask(t, message(class, "0.4", ""))
-			status = resp.StatusCode
+	for class, whenSent := range map[string]int{"read": 503, "tag": 502, "order": 502} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			// On a busy machine the request may not be written within its patience, or the module may be later than
+			// overdue and the front end answers by itself. Then once more, until a request has been sent and answered
+			// in time. Each try has a node of its own: a third failure would make the server a suspect
+			// (TestSuspectGetsNoUnsafeRequest).
+			for end := time.Now().Add(patient); time.Now().Before(end); {
+				status, received := askSilentBackend(t, class)
+				want := whenSent
+				if received == 0 {
+					want = http.StatusServiceUnavailable
+				}
+				overdue := status == http.StatusGatewayTimeout
+				if received > 1 || status != want && !overdue {
+					t.Fatalf("status %d, want %d; the server received %d requests, want 1 at most", status, want, received)
+				}
+				if received == 1 && !overdue {
+					return
+				}
+			}
+			t.Error("no request was both sent and answered in time")
+		})
+	}
+}
+
+// askSilentBackend asks a new node whose only server says nothing, and gives the status and how many requests that server
+// received. The server accepts nothing until the node has ended: the kernel keeps what it has been sent, in the order in
+// which its connections were made.
+func askSilentBackend(t *testing.T, class string) (status, received int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	n := start(t, &Config{Settings: settings(), Known: known(listener.Addr().String())})
+	resp, _ := n.ask(t, message(class, "0.4", ""))
+	n.stop()
+	<-n.ended
+	last, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Close()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
 		}
-		if status != want {
-			t.Errorf("%s: status %d, want %d", class, status, want)
+		defer conn.Close()
+		if conn.RemoteAddr().String() == last.LocalAddr().String() {
+			return resp.StatusCode, received
 		}
+		for r := bufio.NewReader(conn); ; received++ {
+			if _, _, err := wholeRequest(r); err != nil {
+				break
+			}
+		}
+	}
+}
+
+// An unsafe request is never a suspect's trial: with no other server it is refused without having been sent.
+func TestSuspectGetsNoUnsafeRequest(t *testing.T) {
+	t.Parallel()
+	var received atomic.Int64
+	addr := backend(t, func(conn net.Conn) { // it closes each connection at its first request
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			received.Add(1)
+		}
+	})
+	n := start(t, &Config{Settings: settings(), Known: known(addr)})
+	for range 3 { // failures in a row: the module's suspectAt
+		if resp, _ := n.ask(t, message("read", "9.5", "")); resp.StatusCode != 503 {
+			t.Fatalf("read: status %d, want 503", resp.StatusCode)
+		}
+	}
+	failed := received.Load()
+	resp, _ := n.ask(t, message("order", "9.5", ""))
+	if resp.StatusCode != 503 || failed != 3 || received.Load() != failed {
+		t.Errorf("order: status %d, want 503; the server received %d reads, want 3, and %d orders, want 0",
+			resp.StatusCode, failed, received.Load()-failed)
 	}
 }
 
