--- a/decide/cold_world_test.go
+++ b/decide/cold_world_test.go
@@ -12,7 +12,6 @@
 
 // release is the make of a fleet, and what happens to it while servers are cold.
 type release struct {
-	name           string
 	set            Settings
 	works          []time.Duration // mean work by class, on a core of speed 1
 	mix            []float64       // part of the requests by class
--- a/internal/lab/selectors.go
+++ b/internal/lab/selectors.go
@@ -102,7 +102,7 @@
 				_, err = s.selected(end, s.Fleet.Nodes)
 			}
 		default:
-			err = fmt.Errorf("between: %q is none of clients, discovery, nodes:, servers:, agents:, replicas:, zone:, not-zone:, region:", end)
+			err = fmt.Errorf("between: %q is none of clients, discovery and nodes:, servers:, agents:, replicas:, zone:, not-zone: or region: with a selector", end)
 		}
 		if err != nil {
 			return err
