Rename internal/lab/played to simulated

"Played" is a word of the former house style; the package runs simulated nodes against real agents. No change of behaviour. go test ./internal/lab/... ./cmd/listd: passed.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -23,8 +23,8 @@
 
 	"starlingvalve/internal/lab"
 	"starlingvalve/internal/lab/listdlab"
-	"starlingvalve/internal/lab/played"
 	"starlingvalve/internal/lab/report"
+	"starlingvalve/internal/lab/simulated"
 	"starlingvalve/lab/scenarios"
 )
 
@@ -207,7 +207,7 @@
 			var f any
 			var err error
 			if nodes > 0 {
-				f, err = played.Measure(binary, dir, played.Plan{Nodes: nodes, Rollouts: 25, Tenants: 200, Drifts: 20, Losses: 5, Steady: 10 * time.Second}, log)
+				f, err = simulated.Measure(binary, dir, simulated.Plan{Nodes: nodes, Rollouts: 25, Tenants: 200, Drifts: 20, Losses: 5, Steady: 10 * time.Second}, log)
 			} else {
 				f, err = listdlab.Experiment(binary, dir, p, log)
 			}
--- a/cmd/listd/agents_test.go
+++ b/cmd/listd/agents_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/lab/simulated"
 )
 
 func decode(resp *http.Response, v any) bool {
@@ -26,7 +26,7 @@
 	f.mustPut("brand", 0, 100)
 	f.settled("brand", 1)
 	a, b, c := f.nodes[0], f.nodes[1], f.nodes[2]
-	file := func(n *played.Node) string { return filepath.Join(n.Dir, "intent.copy") }
+	file := func(n *simulated.Node) string { return filepath.Join(n.Dir, "intent.copy") }
 	for _, n := range f.nodes {
 		f.until("the copy of "+n.Name, func() bool {
 			raw, err := os.ReadFile(file(n))
--- a/cmd/listd/fleet_test.go
+++ b/cmd/listd/fleet_test.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"starlingvalve/internal/fleet"
-	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/lab/simulated"
 )
 
 // fleetUp is three replicas, and agents as processes, each with a node that the test plays.
 type fleetUp struct {
 	*cluster
-	nodes []*played.Node
+	nodes []*simulated.Node
 }
 
 var fleetClient = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -36,9 +36,9 @@
 }
 
 // startNode starts node i; what it saw that no agent may do fails the test at its end.
-func (f *fleetUp) startNode(i int) *played.Node {
+func (f *fleetUp) startNode(i int) *simulated.Node {
 	f.t.Helper()
-	n, err := played.Start(f.Cluster, f.t.TempDir(), f.net, i)
+	n, err := simulated.Start(f.Cluster, f.t.TempDir(), f.net, i)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -52,7 +52,7 @@
 	return n
 }
 
-func (f *fleetUp) startAgent(n *played.Node) {
+func (f *fleetUp) startAgent(n *simulated.Node) {
 	f.t.Helper()
 	if err := n.StartAgent(); err != nil {
 		f.t.Fatal(err)
@@ -91,7 +91,7 @@
 // try is api that says, too, whether an earlier try may have been carried out: its outcome was not known.
 func (f *fleetUp) try(method, path string, body any) (code int, text string, unknown bool) {
 	f.t.Helper()
-	code, text, unknown, err := played.Call(f.HTTP, method, path, body)
+	code, text, unknown, err := simulated.Call(f.HTTP, method, path, body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/lab/played/call.go
+++ b/internal/lab/simulated/call.go
@@ -1,4 +1,4 @@
-package played
+package simulated
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// Call makes one request of an operator: it tries the replicas in turn, following X-Leader, until one gives a word that is not 503,
-// a minute at most. body is sent as JSON. unknown says that an earlier try may have been carried out: its outcome was not known.
+// Call makes one request of an operator: it tries the replicas in turn, following X-Leader, until one answers with a status that is
+// not 503, for a minute at most. body is sent as JSON. unknown says that an earlier try may have been carried out: its outcome was not known.
 func Call(replicas []string, method, path string, body any) (code int, text string, unknown bool, err error) {
 	raw, _ := json.Marshal(body)
 	to := 0
--- a/internal/lab/played/experiment.go
+++ b/internal/lab/simulated/experiment.go
@@ -1,4 +1,4 @@
-package played
+package simulated
 
 import (
 	"encoding/json"
@@ -50,7 +50,7 @@
 	f     Figures
 }
 
-// Measure starts three replicas of bin, and p.Nodes agents with a played node each, their data under dir, and measures them by p.
+// Measure starts three replicas of bin, and p.Nodes agents with a simulated node each, their data under dir, and measures them by p.
 // Nodes report every 250 ms, as a node does whose evidence changes. What was measured before an error is in the figures.
 func Measure(bin, dir string, p Plan, log *slog.Logger) (*Figures, error) {
 	file := filepath.Join(dir, "fleet.toml")
@@ -184,7 +184,7 @@
 	return err == nil && json.Unmarshal([]byte(text), &a) == nil && len(a.Verdicts) == 1 && a.Verdicts[0].State == state
 }
 
-// otherRate has a node hold another rate of the tenant than it was told.
+// otherRate has a node hold another rate of the tenant than the one it received.
 func otherRate(facts []fleet.Held) []fleet.Held {
 	for i, h := range facts {
 		var b fleet.HeldTenant
--- a/internal/lab/played/node.go
+++ b/internal/lab/simulated/node.go
@@ -1,7 +1,7 @@
-// Package played plays nodes against real listd agents: a fleet of replicas and agents as processes, and in place of each
-// agent's node one that watches intent, stages, applies and reports as a node does. It can be made to refuse, to hold other
-// rules than it was told, to lag or to fall silent. The tests of listd and the lab's measurements use it.
-package played
+// Package simulated runs simulated nodes against real listd agents: the replicas and agents are processes, and in place of
+// each agent's node a goroutine watches intent, stages, applies and reports as a node does. It can be made to refuse, to hold
+// other rules than those it received, to lag or to fall silent. The tests of listd and the lab's measurements use it.
+package simulated
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 
 var client = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// Behaviour is how a played node differs from a good one, and what it shows of itself. It is read and changed within Node.With.
+// Behaviour is how a simulated node differs from a correct one, and what it shows of itself. It is read and changed within Node.With.
 type Behaviour struct {
 	Counts func() []fleet.ZoneCount          // of the next report; nil for none
 	Seen   func(fleet.Item, fleet.Directive) // hears every item of a zone
@@ -32,15 +32,15 @@
 	Slow   bool                              // stages nothing new
 	Keep   bool                              // goes on serving what it serves
 	Silent bool                              // posts no reports
-	Odd    func([]fleet.Held) []fleet.Held   // what it holds in place of what it was told
+	Odd    func([]fleet.Held) []fleet.Held   // replaces what it holds
 	Every  time.Duration                     // between two reports; 0: 150 ms
 
-	UIDs map[string]uint64     // of the tenants that it was told of, by name
+	UIDs map[string]uint64     // of the tenants that it received, by name
 	Held map[string]fleet.Item // what its module holds, by key
 	Out  bool                  // the newest answer to a report says so
 }
 
-// Node is a played node and its agent, a process.
+// Node is a simulated node and its agent, a process.
 type Node struct {
 	Name, Zone string
 	Dir, Agent string         // the agent's directory and address
--- a/internal/lab/played/report.go
+++ b/internal/lab/simulated/report.go
@@ -1,4 +1,4 @@
-package played
+package simulated
 
 import (
 	"bytes"
