Use plain words in the lab: relays, committed counts, changes, agent processes

Door -> Relay (faults/relay.go, and what uses it), told -> committed, lost or recordIntent, beside -> agentProcesses, news -> changes, the import alias words -> messages. Keys of scenarios, of records.json and of the report stay. Left are uses of invariants.Told, which belongs to internal/invariants, and the drift state "ahead", which is an interface.

--- a/cmd/fleetlab/cases_test.go
+++ b/cmd/fleetlab/cases_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// fleetRun is what the cases are judged by, beside the rules that the checker holds.
+// fleetRun is what the cases are judged by, in addition to the rules that the checker holds.
 type fleetRun struct {
 	ColdFalls int `json:"cold_falls"`
 	Onboarded []struct {
--- a/cmd/fleetlab/fleet_test.go
+++ b/cmd/fleetlab/fleet_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// Nodes that have no fleet block beside a control plane break the fleet's rules, and the checker says which.
+// Nodes that have no fleet block in a lab with a control plane break the fleet's rules, and the checker says which.
 func TestFleetRulesCatchNodesThatDoNotFollow(t *testing.T) {
 	lab, node := build(t)
 	path := filepath.Join(t.TempDir(), "alone.toml")
--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -114,7 +114,7 @@
 }
 
 // The same on listd's replicas with an agent per node: a drain and a removal reach the nodes that discovery
-// can reach in time; two nodes cut off from it are told at the heal.
+// can reach in time; two nodes cut off from it are updated at the heal.
 func TestListdScenarioBreaksNoRule(t *testing.T) {
 	lab, node := build(t)
 	r, dir := run(t, lab, node, "listd-small")
@@ -149,9 +149,9 @@
 	}
 }
 
-// Members gossip through doors that carry UDP and TCP: two of six cut off from the others are taken for dead by them, and alive
+// Members gossip through relays that carry UDP and TCP: two of six cut off from the others are taken for dead by them, and alive
 // again after the heal, under 5 % loss and jitter; one killed is seen dead by all; nobody else ever is.
-func TestMembersGossipThroughDoors(t *testing.T) {
+func TestMembersGossipThroughRelays(t *testing.T) {
 	lab, node := build(t)
 	path := filepath.Join(t.TempDir(), "gossip.toml")
 	os.WriteFile(path, []byte("duration_s = 85\n[fleet]\nnodes = 6\nservers = 2\ngossip = true\n[load]\nrate = 5\n"+
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -14,7 +14,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	words "starlingvalve/internal/fleet"
+	messages "starlingvalve/internal/fleet"
 	"starlingvalve/internal/invariants"
 	"starlingvalve/internal/lab/standin"
 )
@@ -53,7 +53,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, words.IntentLimit))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, messages.IntentLimit))
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = fmt.Errorf("%s: %s", path, strings.TrimSpace(string(raw)))
 	}
@@ -68,7 +68,7 @@
 	since := uint64(0)
 	seen := map[string]uint64{}
 	for r := 0; ctx.Err() == nil; {
-		var in words.Intent
+		var in messages.Intent
 		if err := f.ask(ctx, r, fmt.Sprintf("/fleet/v1/intent?since=%d&timeout_ms=1000", since), &in); err != nil || in.Revision < since {
 			r = (r + 1) % len(f.cluster.HTTP)
 			standin.Sleep(ctx, 50*time.Millisecond)
@@ -82,24 +82,24 @@
 				continue
 			}
 			seen[it.Key] = it.Rev
-			f.told(it, now)
+			f.recordIntent(it, now)
 		}
 		for key := range seen { // a whole answer leaves out what has gone
 			if in.Full && !held[key] {
 				delete(seen, key)
-				f.told(words.Item{Key: key, Rev: in.Revision, Gone: true}, now)
+				f.recordIntent(messages.Item{Key: key, Rev: in.Revision, Gone: true}, now)
 			}
 		}
 		since = in.Revision
 	}
 }
 
-// told records one item of intent.
-func (f *fleet) told(it words.Item, now time.Duration) {
+// recordIntent records one item of intent.
+func (f *fleet) recordIntent(it messages.Item, now time.Duration) {
 	t := invariants.Told{Key: it.Key, Rev: it.Rev, At: now, Gone: it.Gone}
 	switch {
 	case strings.HasPrefix(it.Key, "zone/") && !it.Gone:
-		var d words.Directive
+		var d messages.Directive
 		if err := json.Unmarshal(it.Body, &d); err != nil {
 			f.opt.Log.Error("directive", "key", it.Key, "err", err)
 			return
@@ -109,7 +109,7 @@
 			t.Trial = append(t.Trial, f.index(name))
 		}
 	case strings.HasPrefix(it.Key, "tenant/") && !it.Gone:
-		var d words.Tenant
+		var d messages.Tenant
 		if err := json.Unmarshal(it.Body, &d); err != nil {
 			f.opt.Log.Error("tenant", "key", it.Key, "err", err)
 			return
@@ -175,9 +175,9 @@
 }
 
 func (f *fleet) putTenant(ctx context.Context, lead int, e Event) (string, error) {
-	var have words.Tenant
+	var have messages.Tenant
 	path := "/fleet/v1/tenants/" + e.Tenant
-	if err := f.ask(ctx, lead, path, &have); err != nil && !strings.Contains(err.Error(), words.ErrUnknown.Error()) {
+	if err := f.ask(ctx, lead, path, &have); err != nil && !strings.Contains(err.Error(), messages.ErrUnknown.Error()) {
 		return "", err
 	}
 	generation := uint64(0)
@@ -186,7 +186,7 @@
 	}
 	method, body := http.MethodDelete, ""
 	if e.Do == "tenant" {
-		spec := words.Spec{Name: e.Tenant, Quota: words.Quota{Rate: e.Quota, Burst: e.Burst}}
+		spec := messages.Spec{Name: e.Tenant, Quota: messages.Quota{Rate: e.Quota, Burst: e.Burst}}
 		raw, err := json.Marshal(map[string]any{"generation": generation, "spec": spec})
 		if err != nil {
 			return "", err
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -52,13 +52,13 @@
 		}
 		return fmt.Sprintf("%d servers, down %v s", len(servers), e.DownS), nil
 	case "list":
-		told := 0
+		committed := 0
 		for _, j := range servers {
 			if f.list(f.servers[j].Spec.ID, e.State, 0) {
-				told++
+				committed++
 			}
 		}
-		return fmt.Sprintf("%d servers %s, %d committed", len(servers), e.State, told), nil
+		return fmt.Sprintf("%d servers %s, %d committed", len(servers), e.State, committed), nil
 	}
 	switch e.Do {
 	case "tenant", "tenant-delete":
@@ -121,7 +121,7 @@
 			f.excuse(i, "after-grace", "agent "+agentName(i))
 			f.silenced(i, e.Do)
 		}
-		for _, a := range f.beside(i) {
+		for _, a := range f.agentProcesses(i) {
 			if a.signal(sig) {
 				names = append(names, a.name)
 			}
@@ -159,7 +159,7 @@
 		})
 	}
 	for _, i := range f.s.pick(e.Agents, len(f.nodes)) {
-		for _, a := range f.beside(i) {
+		for _, a := range f.agentProcesses(i) {
 			if err := a.begin(f.opt.Dir, &f.cpuListd, &f.wg); err != nil {
 				f.opt.Log.Warn("agent not started", "agent", a.name, "err", err)
 				continue
--- a/internal/lab/excuses.go
+++ b/internal/lab/excuses.go
@@ -46,7 +46,7 @@
 	drainTime      = 3700 * time.Millisecond
 )
 
-// drain is what the front does about a node told to end. Nothing that the node loses is excused.
+// drain is what the front does about a node that was sent SIGTERM. Nothing that the node loses is excused.
 func (f *fleet) drain(n *node) {
 	life := n.ended()
 	if n.wait(0) {
--- a/internal/lab/faults/faults_test.go
+++ b/internal/lab/faults/faults_test.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// A target nobody listens at is told to the caller's side by its address.
+// A target nobody listens at is known at the caller's side by its address.
 func TestRefusedAtTheTargetIsKnown(t *testing.T) {
 	ln, _ := net.Listen("tcp", "127.0.0.1:0")
 	dead := ln.Addr().String()
@@ -160,8 +160,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	told := make(chan bool, 100)
-	l.OnLost(func() { told <- true })
+	lost := make(chan bool, 100)
+	l.OnLost(func() { lost <- true })
 	var c net.Conn
 	for range 50 { // the reset may come before Dial has returned
 		if c, err = net.Dial("tcp", l.Addr); err == nil {
@@ -173,16 +173,16 @@
 	}
 	io.ReadAll(c)
 	if !l.Refused(c.LocalAddr().String()) || l.Refused("127.0.0.1:1") {
-		t.Error("the refused connection is not told apart")
+		t.Error("the refused connection is not recognised")
 	}
 	select {
-	case <-told:
+	case <-lost:
 	case <-time.After(10 * time.Second):
-		t.Error("the lost connection is not told of")
+		t.Error("the lost connection is not reported")
 	}
 }
 
-// What a fault does to 400 datagrams of 20 bytes from one caller through a door, echoed back.
+// What a fault does to 400 datagrams of 20 bytes from one caller through a relay, echoed back.
 func TestDatagramFaults(t *testing.T) {
 	const count = 400
 	for name, c := range map[string]struct {
@@ -202,18 +202,18 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			target, _ := echo(t)
-			d, err := OpenDoor("b", "127.0.0.1:0", target, map[string]string{"127.0.0.1": "a"}, 5)
+			relay, err := OpenRelay("b", "127.0.0.1:0", target, map[string]string{"127.0.0.1": "a"}, 5)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer d.Close()
-			for _, l := range d.Links() {
+			defer relay.Close()
+			for _, l := range relay.Links() {
 				if l.From != "a" || l.To != "b" {
 					t.Errorf("link %s to %s", l.From, l.To)
 				}
 				l.Set(c.fault)
 			}
-			pc, err := net.Dial("udp", d.Addr)
+			pc, err := net.Dial("udp", relay.Addr)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -247,15 +247,15 @@
 	}
 }
 
-// Two callers of one door, told apart by address: a fault on one's link leaves the other's TCP and UDP alone.
-func TestDoorTellsCallersApart(t *testing.T) {
+// Two callers of one relay, identified by address: a fault on one's link leaves the other's TCP and UDP alone.
+func TestRelayIdentifiesCallers(t *testing.T) {
 	target, _ := echo(t)
-	d, err := OpenDoor("c", "127.0.0.1:0", target, map[string]string{"127.0.0.2": "a", "127.0.0.3": "b"}, 5)
+	relay, err := OpenRelay("c", "127.0.0.1:0", target, map[string]string{"127.0.0.2": "a", "127.0.0.3": "b"}, 5)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var n Net
-	n.AddDoor(d)
+	n.AddRelay(relay)
 	defer n.Close()
 	if hit := n.Each(func(l *Link) bool { return l.From == "a" }, Fault{Blackhole: true}); hit != 1 {
 		t.Fatalf("%d links", hit)
@@ -265,7 +265,7 @@
 		if network == "udp" {
 			from = &net.UDPAddr{IP: net.ParseIP(ip)}
 		}
-		c, err := (&net.Dialer{LocalAddr: from, Timeout: 5 * time.Second}).Dial(network, d.Addr)
+		c, err := (&net.Dialer{LocalAddr: from, Timeout: 5 * time.Second}).Dial(network, relay.Addr)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/faults/link.go
+++ b/internal/lab/faults/link.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Link relays TCP from its own loopback address to a target (or, behind a Door, both TCP and UDP of one caller).
+// Link relays TCP from its own loopback address to a target (or, behind a Relay, both TCP and UDP of one caller).
 // From and To name the groups at its ends.
 type Link struct {
 	From, To string
@@ -298,19 +298,19 @@
 
 // Net is every link of a run, for faults by group.
 type Net struct {
-	mu    sync.Mutex
-	links []*Link
-	doors []*Door
+	mu     sync.Mutex
+	links  []*Link
+	relays []*Relay
 }
 
 // Add keeps a link.
 func (n *Net) Add(l *Link) { n.mu.Lock(); n.links = append(n.links, l); n.mu.Unlock() }
 
-// AddDoor keeps a door and its links.
-func (n *Net) AddDoor(d *Door) {
+// AddRelay keeps a relay and its links.
+func (n *Net) AddRelay(r *Relay) {
 	n.mu.Lock()
-	n.doors = append(n.doors, d)
-	for _, l := range d.links {
+	n.relays = append(n.relays, r)
+	for _, l := range r.links {
 		n.links = append(n.links, l)
 	}
 	n.mu.Unlock()
@@ -333,12 +333,12 @@
 // Heal takes every link's fault away, and says how many links there are.
 func (n *Net) Heal() int { return n.Each(func(*Link) bool { return true }, Fault{}) }
 
-// Close ends every link and door.
+// Close ends every link and relay.
 func (n *Net) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, d := range n.doors {
-		d.Close()
+	for _, r := range n.relays {
+		r.Close()
 	}
 	for _, l := range n.links {
 		l.Close()
--- a/internal/lab/faults/door.go
+++ b/internal/lab/faults/relay.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Door relays the TCP and UDP of many callers to one target, on one address, as gossip wants it: a member is known
-// to all by one address. Each caller is told by the IP address it calls from, and has a Link of its own.
-type Door struct {
+// Relay relays the TCP and UDP of many callers to one target, on one address, as gossip wants it: a member is known
+// to all by one address. Each caller is identified by the IP address it calls from, and has a Link of its own.
+type Relay struct {
 	Addr   string
 	links  map[string]*Link // by the caller's IP
 	others *Link            // callers of no known address: no fault of theirs can be set
@@ -19,7 +19,7 @@
 	flows  map[string]*flow // by the caller's UDP address
 }
 
-// mostFlows bounds the UDP callers of a door at one time; one more ends them all, and they start anew.
+// mostFlows bounds the UDP callers of a relay at one time; one more ends them all, and they start anew.
 const mostFlows = 1024
 
 // flow is one caller's datagrams, both ways.
@@ -28,100 +28,100 @@
 	freeAt [2]time.Time // when the capped link is free again, for each way
 }
 
-// OpenDoor listens on listen ("127.6.0.1:7946"; port 0 for any) for TCP and UDP of callers (IP to the name of its
+// OpenRelay listens on listen ("127.6.0.1:7946"; port 0 for any) for TCP and UDP of callers (IP to the name of its
 // group) and relays them to target from the caller's own IP.
-func OpenDoor(to, listen, target string, callers map[string]string, seed uint64) (*Door, error) {
-	d := &Door{links: map[string]*Link{}, flows: map[string]*flow{}, others: newLink("", to, target, "", seed)}
+func OpenRelay(to, listen, target string, callers map[string]string, seed uint64) (*Relay, error) {
+	r := &Relay{links: map[string]*Link{}, flows: map[string]*flow{}, others: newLink("", to, target, "", seed)}
 	var err error
 	for range 20 { // with port 0, the port TCP was given may be taken for UDP
-		if d.ln, err = net.Listen("tcp", listen); err != nil {
-			return nil, fmt.Errorf("door to %s: %w", to, err)
+		if r.ln, err = net.Listen("tcp", listen); err != nil {
+			return nil, fmt.Errorf("relay to %s: %w", to, err)
 		}
-		d.Addr = d.ln.Addr().String()
-		at, _ := net.ResolveUDPAddr("udp", d.Addr)
-		if d.pc, err = net.ListenUDP("udp", at); err == nil {
+		r.Addr = r.ln.Addr().String()
+		at, _ := net.ResolveUDPAddr("udp", r.Addr)
+		if r.pc, err = net.ListenUDP("udp", at); err == nil {
 			break
 		}
-		d.ln.Close()
+		r.ln.Close()
 	}
 	if err != nil {
-		return nil, fmt.Errorf("door to %s: %w", to, err)
+		return nil, fmt.Errorf("relay to %s: %w", to, err)
 	}
 	k := uint64(0)
 	for ip, from := range callers {
 		k++
-		d.links[ip] = newLink(from, to, target, ip, seed+k)
+		r.links[ip] = newLink(from, to, target, ip, seed+k)
 	}
-	go accept(d.ln, func(c net.Conn) *Link { return d.linkOf(c.RemoteAddr()) })
-	go d.receive()
-	return d, nil
+	go accept(r.ln, func(c net.Conn) *Link { return r.linkOf(c.RemoteAddr()) })
+	go r.receive()
+	return r, nil
 }
 
-// Links are the door's links, one a caller.
-func (d *Door) Links() []*Link {
+// Links are the relay's links, one a caller.
+func (r *Relay) Links() []*Link {
 	var out []*Link
-	for _, l := range d.links {
+	for _, l := range r.links {
 		out = append(out, l)
 	}
 	return out
 }
 
-// Close ends the door, its links and flows.
-func (d *Door) Close() {
-	d.ln.Close()
-	d.pc.Close()
-	d.others.Close()
-	for _, l := range d.links {
+// Close ends the relay, its links and flows.
+func (r *Relay) Close() {
+	r.ln.Close()
+	r.pc.Close()
+	r.others.Close()
+	for _, l := range r.links {
 		l.Close()
 	}
-	d.endFlows()
+	r.endFlows()
 }
 
-func (d *Door) endFlows() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, f := range d.flows {
+func (r *Relay) endFlows() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
 		f.out.Close()
 	}
-	d.flows = map[string]*flow{}
+	r.flows = map[string]*flow{}
 }
 
-func (d *Door) linkOf(a net.Addr) *Link {
+func (r *Relay) linkOf(a net.Addr) *Link {
 	host, _, _ := net.SplitHostPort(a.String())
-	if l := d.links[host]; l != nil {
+	if l := r.links[host]; l != nil {
 		return l
 	}
-	return d.others
+	return r.others
 }
 
-func (d *Door) receive() {
+func (r *Relay) receive() {
 	buf := make([]byte, 64<<10)
 	for {
-		n, caller, err := d.pc.ReadFromUDP(buf)
+		n, caller, err := r.pc.ReadFromUDP(buf)
 		if err != nil {
 			return
 		}
-		l := d.linkOf(caller)
-		f, err := d.flowOf(l, caller)
+		l := r.linkOf(caller)
+		f, err := r.flowOf(l, caller)
 		if err != nil {
 			continue
 		}
-		d.pass(l, f, 0, append([]byte(nil), buf[:n]...), func(p []byte) { f.out.Write(p) })
+		r.pass(l, f, 0, append([]byte(nil), buf[:n]...), func(p []byte) { f.out.Write(p) })
 	}
 }
 
 // flowOf gives the caller's flow, opening it with its way back.
-func (d *Door) flowOf(l *Link, caller *net.UDPAddr) (*flow, error) {
+func (r *Relay) flowOf(l *Link, caller *net.UDPAddr) (*flow, error) {
 	key := caller.String()
-	d.mu.Lock()
-	f := d.flows[key]
-	full := len(d.flows) >= mostFlows
-	d.mu.Unlock()
+	r.mu.Lock()
+	f := r.flows[key]
+	full := len(r.flows) >= mostFlows
+	r.mu.Unlock()
 	if f != nil {
 		return f, nil
 	}
 	if full {
-		d.endFlows()
+		r.endFlows()
 	}
 	target, err := net.ResolveUDPAddr("udp", l.target)
 	if err != nil {
@@ -136,34 +136,34 @@
 		return nil, err
 	}
 	f = &flow{out: out}
-	d.mu.Lock()
-	d.flows[key] = f
-	d.mu.Unlock()
+	r.mu.Lock()
+	r.flows[key] = f
+	r.mu.Unlock()
 	go func() {
 		buf := make([]byte, 64<<10)
 		for {
 			n, err := out.Read(buf)
 			if ne, ok := err.(net.Error); err != nil && (!ok || !ne.Timeout()) {
-				if d.gone(key, f) {
+				if r.gone(key, f) {
 					return
 				}
 				time.Sleep(time.Millisecond) // refused by a target that is down: the flow stays
 				continue
 			}
-			d.pass(l, f, 1, append([]byte(nil), buf[:n]...), func(p []byte) { d.pc.WriteToUDP(p, caller) })
+			r.pass(l, f, 1, append([]byte(nil), buf[:n]...), func(p []byte) { r.pc.WriteToUDP(p, caller) })
 		}
 	}()
 	return f, nil
 }
 
-func (d *Door) gone(key string, f *flow) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.flows[key] != f
+func (r *Relay) gone(key string, f *flow) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.flows[key] != f
 }
 
 // pass sends one datagram on under the link's fault of the moment, at once or later.
-func (d *Door) pass(l *Link, w *flow, way int, p []byte, send func([]byte)) {
+func (r *Relay) pass(l *Link, w *flow, way int, p []byte, send func([]byte)) {
 	f := l.Fault()
 	if f.Blackhole || f.Refuse || l.dice.hit(f.Loss) {
 		return
@@ -177,7 +177,7 @@
 		late += heldBack
 	}
 	if f.BytesPerS > 0 {
-		d.mu.Lock()
+		r.mu.Lock()
 		now := time.Now()
 		start := now
 		if w.freeAt[way].After(now) {
@@ -185,7 +185,7 @@
 		}
 		w.freeAt[way] = start.Add(time.Duration(len(p)) * time.Second / time.Duration(f.BytesPerS))
 		late += w.freeAt[way].Sub(now)
-		d.mu.Unlock()
+		r.mu.Unlock()
 	}
 	times := 1
 	if f.Duplicate {
--- a/internal/lab/gossip.go
+++ b/internal/lab/gossip.go
@@ -16,12 +16,12 @@
 	"starlingvalve/internal/membership"
 )
 
-// startGossip runs a member beside each node (cmd/members), reached by the others through a door that carries TCP and
+// startGossip runs a member for each node (cmd/members), reached by the others through a relay that carries TCP and
 // UDP, so that each way between two of them is a link: agent:n3 to agent:n4.
 func (f *fleet) startGossip() error {
 	var seeds []string
 	for i := range min(3, len(f.nodes)) {
-		seeds = append(seeds, f.place.door(i))
+		seeds = append(seeds, f.place.relay(i))
 	}
 	for i, n := range f.nodes {
 		callers := map[string]string{}
@@ -31,18 +31,18 @@
 				callers[host] = agentName(j)
 			}
 		}
-		door, err := faults.OpenDoor(agentName(i), f.place.door(i), f.place.member(i), callers, f.s.Seed*1000+uint64(i))
+		relay, err := faults.OpenRelay(agentName(i), f.place.relay(i), f.place.member(i), callers, f.s.Seed*1000+uint64(i))
 		if err != nil {
 			return err
 		}
-		f.net.AddDoor(door)
+		f.net.AddRelay(relay)
 		f.recs.Links += len(callers)
 		host, _, _ := net.SplitHostPort(f.place.member(i))
 		m := &process{name: "member:" + n.info.Name, bin: f.s.Fleet.MembersBin, env: os.Environ(),
-			args: []string{"run", "--name", n.info.Name, "--zone", n.info.Zone, "--bind", f.place.member(i), "--advertise", f.place.door(i),
+			args: []string{"run", "--name", n.info.Name, "--zone", n.info.Zone, "--bind", f.place.member(i), "--advertise", f.place.relay(i),
 				"--http", host + ":9000"}}
 		for _, s := range seeds {
-			if s != f.place.door(i) {
+			if s != f.place.relay(i) {
 				m.args = append(m.args, "--seed", s)
 			}
 		}
@@ -90,8 +90,8 @@
 	}
 }
 
-// beside are the processes that stand for a node's agent: listd's agent, its member, or both.
-func (f *fleet) beside(i int) []*process {
+// agentProcesses are the processes that stand for a node's agent: listd's agent, its member, or both.
+func (f *fleet) agentProcesses(i int) []*process {
 	var out []*process
 	if i < len(f.agents) {
 		out = append(out, f.agents[i])
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -112,7 +112,7 @@
 }
 
 // excuseLink excuses what a cut of the link must cost: a node cut off from clients loses requests; one that its
-// agent can't tell, or whose agent or replicas can't be told, does not hear of changes.
+// agent can't reach, or whose agent or replicas can't be reached, does not hear of changes.
 func (f *fleet) excuseLink(l *faults.Link, fault faults.Fault) {
 	agents := strings.HasPrefix(l.From, "agent:") && strings.HasPrefix(l.To, "agent:")
 	switch {
--- a/internal/lab/listd.go
+++ b/internal/lab/listd.go
@@ -19,7 +19,7 @@
 type lister interface {
 	// View opens node's way to the list, in which each server's address is addrOf(id); it gives its address.
 	View(n *node, addrOf func(id string) string) (string, error)
-	// Set changes a server's state; startedMS, where not 0, is its new start. An error means nobody was told.
+	// Set changes a server's state; startedMS, where not 0, is its new start. An error means that nobody was notified.
 	Set(id, state string, startedMS int64) error
 	Close()
 }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -21,7 +21,7 @@
 	cfg       string
 	inFront   atomic.Bool  // the front knows it
 	dealt     atomic.Bool  // and deals new connections to it
-	termAt    atomic.Int64 // when this life was told to end, by the recorder; 0 if it was not
+	termAt    atomic.Int64 // when this life was sent SIGTERM, by the recorder; 0 if it was not
 	frontAddr string
 	clients   *faults.Link
 }
--- a/internal/lab/place.go
+++ b/internal/lab/place.go
@@ -34,8 +34,8 @@
 // agent is where node i's agent serves it.
 func (p *place) agent(i int) string { return p.addr(50, i, 9100) }
 
-// member is where node i's member gossips, door where the others reach it.
+// member is where node i's member gossips, relay where the others reach it.
 func (p *place) member(i int) string { return p.addr(100, i, 7946) }
-func (p *place) door(i int) string   { return p.addr(150, i, 7946) }
+func (p *place) relay(i int) string  { return p.addr(150, i, 7946) }
 
 func (p *place) close() { p.held.Close() }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -43,7 +43,7 @@
 	Breaches  []invariants.Breach `json:"breaches"`
 	Evidence  map[string][]string `json:"evidence"` // by request id, the log lines that name it
 	NeverUp   []string            `json:"never_up"`
-	ColdFalls int                 `json:"cold_falls"` // cold app servers pushed over, told of or not
+	ColdFalls int                 `json:"cold_falls"` // cold app servers pushed over, with the nodes notified or not
 	CPU       lab.CPU             `json:"cpu"`
 	LabShare  float64             `json:"lab_cpu_share"` // of all CPU: the lab's, the nodes', the agents' and the replicas'
 	Skipped   int                 `json:"skipped"`
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -38,7 +38,7 @@
 	Control    bool                `toml:"control"` // the control plane of docs/fleet.md, on listd
 	TTLMS      int                 `toml:"ttl_ms"`  // of its sessions
 	Follow     bool                `toml:"follow"`  // with control: nodes have the fleet block; false to see what they do without
-	Gossip     bool                `toml:"gossip"`  // a member beside each node (cmd/members)
+	Gossip     bool                `toml:"gossip"`  // a member for each node (cmd/members)
 	MembersBin string              `toml:"members_binary"`
 }
 
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -129,8 +129,8 @@
 		nodes = append(nodes, &n.process)
 	}
 	stopAll(nodes, 10*time.Second)
-	beside := append(append([]*process(nil), f.agents...), f.members...)
-	stopAll(beside, 10*time.Second)
+	agents := append(append([]*process(nil), f.agents...), f.members...)
+	stopAll(agents, 10*time.Second)
 	f.wg.Wait()
 	f.net.Close()
 	if f.disc != nil {
@@ -139,7 +139,7 @@
 	for _, s := range f.servers {
 		s.Stop()
 	}
-	for _, p := range append(nodes, beside...) {
+	for _, p := range append(nodes, agents...) {
 		if p.log != nil {
 			p.log.Close()
 			p.log = nil
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -20,10 +20,10 @@
 type Discovery struct {
 	mu      sync.Mutex
 	version uint64
-	entries map[string]Entry  // by id, the latest of each; gone ones stay as told
+	entries map[string]Entry  // by id, the latest of each; gone ones stay as last set
 	changed map[string]uint64 // by id, the version of its last change
 	floor   uint64            // watches from before it get the whole list
-	news    chan struct{}     // closed at each change
+	changes chan struct{}     // closed at each change
 	views   []*view
 	MaxWait time.Duration // the longest watch, 60 s by PROTOCOL
 }
@@ -36,7 +36,7 @@
 
 // NewDiscovery starts with entries at version 1.
 func NewDiscovery(entries []Entry) *Discovery {
-	d := &Discovery{version: 1, entries: map[string]Entry{}, changed: map[string]uint64{}, news: make(chan struct{}), MaxWait: time.Minute}
+	d := &Discovery{version: 1, entries: map[string]Entry{}, changed: map[string]uint64{}, changes: make(chan struct{}), MaxWait: time.Minute}
 	for _, e := range entries {
 		d.entries[e.ID], d.changed[e.ID] = e, 1
 	}
@@ -78,8 +78,8 @@
 	}
 	d.version++
 	d.entries[id], d.changed[id] = e, d.version
-	close(d.news)
-	d.news = make(chan struct{})
+	close(d.changes)
+	d.changes = make(chan struct{})
 	return d.version
 }
 
@@ -99,9 +99,9 @@
 	since, watching := watch.Since, watch.Watching
 	d.mu.Lock()
 	if watching && since >= d.version && watch.Wait > 0 {
-		news := d.news
+		changes := d.changes
 		d.mu.Unlock()
-		registry.Await(r.Context(), news, min(watch.Wait, d.MaxWait))
+		registry.Await(r.Context(), changes, min(watch.Wait, d.MaxWait))
 		d.mu.Lock()
 	}
 	a := answer{Version: d.version, Full: !watching || since < d.floor || since > d.version, Servers: []Entry{}}
