Call the operators' door the admin API, in code, log lines and pages

The calls, their answers and the configuration stay.

go test ./internal/node ./cmd/starlingvalve: passed.

--- a/cmd/starlingvalve/main_test.go
+++ b/cmd/starlingvalve/main_test.go
@@ -144,7 +144,7 @@
 	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
 }
 
-// An upgrade: the program is started again beside the older process, with another door. Requests go on being served,
+// An upgrade: the program is started again while the older process runs, with another admin address. Requests go on being served,
 // each on a new connection, while the newer process says yes and the older one is ended; a ban goes over.
 func TestUpgrade(t *testing.T) {
 	text, err := os.ReadFile("testdata/config.json")
@@ -173,27 +173,27 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
-		door := make(chan string, 1)
+		admin := make(chan string, 1)
 		go func() {
 			for lines := bufio.NewScanner(log); lines.Scan(); {
-				if _, rest, found := strings.Cut(lines.Text(), "door="); found {
+				if _, rest, found := strings.Cut(lines.Text(), "admin="); found {
 					addr, _, _ := strings.Cut(rest, " ")
-					door <- addr
+					admin <- addr
 				}
 			}
 		}()
 		select {
-		case addr := <-door:
+		case addr := <-admin:
 			return cmd, addr
 		case <-time.After(20 * time.Second):
-			t.Fatal("no door")
+			t.Fatal("no admin API")
 			return nil, ""
 		}
 	}
-	call := func(door, line, want string) {
+	call := func(admin, line, want string) {
 		t.Helper()
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-			c, err := net.Dial("tcp", door)
+			c, err := net.Dial("tcp", admin)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -229,9 +229,9 @@
 			wrong.Add(1)
 		}
 	}
-	older, door := run()
-	call(door, "readyz", "ACK")
-	call(door, "exclude s-00000002", "ACK")
+	older, admin := run()
+	call(admin, "readyz", "ACK")
+	call(admin, "exclude s-00000002", "ACK")
 	for range 4 {
 		clients.Go(func() {
 			for {
@@ -245,8 +245,8 @@
 		})
 	}
 	for range 2 {
-		newer, newDoor := run()
-		call(newDoor, "readyz", "ACK")
+		newer, newAdmin := run()
+		call(newAdmin, "readyz", "ACK")
 		older.Process.Signal(syscall.SIGTERM)
 		if err := older.Wait(); err != nil {
 			t.Errorf("the older process: %v", err)
--- a/cmd/starlingvalve/signals_test.go
+++ b/cmd/starlingvalve/signals_test.go
@@ -148,15 +148,15 @@
 	return fmt.Sprintf(string(text), discovery)
 }
 
-// SIGTERM at the start ends the program with code 0: as it reads its configuration, without a door and with one; and
-// with a door, before it has a list and listens for clients. Further SIGTERMs, up to its end, change nothing.
+// SIGTERM at the start ends the program with code 0: as it reads its configuration, without an admin API and with one; and
+// with one, before it has a list and listens for clients. Further SIGTERMs, up to its end, change nothing.
 func TestTerminateAtTheStart(t *testing.T) {
 	t.Parallel()
 	config := configText(t, silentDiscovery(t))
-	for _, door := range []string{"", "127.0.0.1:0"} {
-		t.Run("door="+door, func(t *testing.T) {
+	for _, admin := range []string{"", "127.0.0.1:0"} {
+		t.Run("admin="+admin, func(t *testing.T) {
 			t.Parallel()
-			r := begin(t, "", "GW_ADMIN_ADDR="+door)
+			r := begin(t, "", "GW_ADMIN_ADDR="+admin)
 			pipe := r.reading(t)
 			r.signal(t, syscall.SIGTERM)
 			io.WriteString(pipe, config)
@@ -167,8 +167,8 @@
 	t.Run("no list", func(t *testing.T) {
 		t.Parallel()
 		r := begin(t, config, "GW_ADMIN_ADDR=127.0.0.1:0")
-		door, _, _ := strings.Cut(r.await(t, "door="), " ")
-		held, err := net.Dial("tcp", door) // an operator that finishes no line holds up no end
+		admin, _, _ := strings.Cut(r.await(t, "admin="), " ")
+		held, err := net.Dial("tcp", admin) // an operator that finishes no line holds up no end
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -192,9 +192,9 @@
 			}
 		}
 		r.ends(t)
-		if c, err := net.Dial("tcp", door); err == nil {
+		if c, err := net.Dial("tcp", admin); err == nil {
 			c.Close()
-			t.Error("the door is open after the end")
+			t.Error("the admin API is open after the end")
 		}
 	})
 }
--- a/internal/node/door_test.go
+++ b/internal/node/admin_test.go
@@ -14,10 +14,10 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
-// call sends text to the operators' door and gives what comes back.
+// call sends text to the admin API and gives what comes back.
 func (n *testNode) call(t *testing.T, text string) string {
 	t.Helper()
-	c, err := net.Dial("tcp", n.door)
+	c, err := net.Dial("tcp", n.admin)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +45,7 @@
 	}
 }
 
-func TestDoorAnswersALine(t *testing.T) {
+func TestAdminAnswersALine(t *testing.T) {
 	t.Parallel()
 	n := start(t, &Config{Admin: anyPort, Settings: settings(), Known: known("127.0.0.1:1")})
 	n.waitReady(t, http.StatusOK)
@@ -62,7 +62,7 @@
 }
 
 // Callers that finish no line hold nobody up, nor does a loop that is busy, and all of them are let go in time.
-func TestDoorIsNotHeldUp(t *testing.T) {
+func TestAdminIsNotHeldUp(t *testing.T) {
 	t.Parallel()
 	c := &Config{Settings: settings(), Known: known("127.0.0.1:1")}
 	b := newBackends(c, 10, quiet)
@@ -76,12 +76,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := &door{front: f, ctx: t.Context(), log: quiet}
-	go o.run(l)
-	n := &testNode{door: l.Addr().String()}
+	server := &adminServer{front: f, ctx: t.Context(), log: quiet}
+	go server.run(l)
+	n := &testNode{admin: l.Addr().String()}
 	var held []net.Conn
-	for range 3 * doorPlaces {
-		h, err := net.Dial("tcp", n.door)
+	for range 3 * adminPlaces {
+		h, err := net.Dial("tcp", n.admin)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -102,9 +102,9 @@
 	}
 }
 
-// A caller whose line has come, but is read only after the door has pushed it out, has its answer; one with half a line
-// is told.
-func TestDoorPushesOutNoFinishedLine(t *testing.T) {
+// A caller whose line has come, but is read only after the server has pushed it out, has its answer; one with half a line
+// gets a NAK.
+func TestAdminPushesOutNoFinishedLine(t *testing.T) {
 	t.Parallel()
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -129,9 +129,9 @@
 				t.Fatal("the line does not come")
 			}
 		}
-		d := &door{front: f, ctx: t.Context(), log: quiet, waiting: []*net.TCPConn{conn}}
-		d.pushOut()
-		go d.answer(conn)
+		server := &adminServer{front: f, ctx: t.Context(), log: quiet, waiting: []*net.TCPConn{conn}}
+		server.pushOut()
+		go server.answer(conn)
 		caller.SetDeadline(time.Now().Add(patient))
 		if got, err := io.ReadAll(caller); string(got) != want || err != nil {
 			t.Errorf("%q: %q, %v", line, got, err)
@@ -190,15 +190,15 @@
 	if err := <-n.ended; err != nil {
 		t.Errorf("SIGTERM while emptied: %v", err)
 	}
-	if c, err := net.Dial("tcp", n.door); err == nil {
+	if c, err := net.Dial("tcp", n.admin); err == nil {
 		c.Close()
-		t.Error("the door is open after the end")
+		t.Error("the admin API is open after the end")
 	}
 }
 
-// Operators' calls that cross SIGTERM: the door stays to the end, a ban outlives the process, nothing calls it back, and
+// Operators' calls that cross SIGTERM: the admin API stays to the end, a ban outlives the process, nothing calls it back, and
 // a caller with half a line does not hold it up.
-func TestDoorInTheDrain(t *testing.T) {
+func TestAdminInTheDrain(t *testing.T) {
 	t.Parallel()
 	came, let := make(chan struct{}, 9), make(chan struct{})
 	release := sync.OnceFunc(func() { close(let) })
@@ -210,7 +210,7 @@
 	answer := make(chan *http.Response, 1)
 	go func() { resp, _ := n.ask(t, message("order", "9.5", "b")); answer <- resp }()
 	<-came
-	half, err := net.Dial("tcp", n.door)
+	half, err := net.Dial("tcp", n.admin)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -240,8 +240,8 @@
 	}
 }
 
-// Without an address for it there is no door.
-func TestNoDoorUnasked(t *testing.T) {
+// Without an address for it there is no admin API.
+func TestNoAdminUnasked(t *testing.T) {
 	t.Parallel()
 	for text, want := range map[string]netip.AddrPort{"": {}, "127.0.0.1:9": netip.MustParseAddrPort("127.0.0.1:9")} {
 		c, err := loadText(t, goodConfig, map[string]string{"GW_ADMIN_ADDR": text})
@@ -249,7 +249,7 @@
 			t.Errorf("GW_ADMIN_ADDR %q: %v, %v", text, c, err)
 		}
 	}
-	if _, err := loadText(t, goodConfig, map[string]string{"GW_ADMIN_ADDR": "door"}); err == nil || !strings.Contains(err.Error(), "admin_addr") {
+	if _, err := loadText(t, goodConfig, map[string]string{"GW_ADMIN_ADDR": "admin"}); err == nil || !strings.Contains(err.Error(), "admin_addr") {
 		t.Errorf("a bad address: %v", err)
 	}
 }
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -48,12 +48,12 @@
 	came(second, 20)
 	if l, err := listenClients(netip.MustParseAddrPort(second.Addr().String()), false, quiet); err == nil {
 		l.Close()
-		t.Error("without a door a second process listens too")
+		t.Error("without an admin API a second process listens too")
 	}
 }
 
 // Where nodes talk, the newer process of an upgrade starts beside the older one and hears them; the one that is left does
-// if it ends. Without a door the address is not shared.
+// if it ends. Without an admin API the address is not shared.
 func TestLaterProcessHearsPeers(t *testing.T) {
 	t.Parallel()
 	sender, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -94,7 +94,7 @@
 	c.Admin = netip.AddrPort{}
 	if p, err := listenPeers(c, quiet); err == nil {
 		p.conn.Close()
-		t.Error("without a door a second process listens too")
+		t.Error("without an admin API a second process listens too")
 	}
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,7 +27,7 @@
 	Name      string
 	Listen    netip.AddrPort // clients
 	Discovery netip.AddrPort
-	Admin     netip.AddrPort // operators; invalid where there is no door for them
+	Admin     netip.AddrPort // for operators; invalid where there is no admin API
 	TempDir   string         // shared by the processes of an upgrade
 	Seed      int64
 	Limits    Limits
--- a/internal/node/rig_test.go
+++ b/internal/node/harness_test.go
@@ -133,11 +133,11 @@
 	return l
 }
 
-// node is a running node.
+// testNode is a running node.
 type testNode struct {
 	reloads chan *Config
 	addr    string
-	door    string
+	admin   string
 	disco   netip.AddrPort
 	stop    context.CancelFunc
 	ended   chan error
@@ -160,15 +160,15 @@
 		c.Discovery = netip.MustParseAddrPort(backend(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
 	}
 	var admin *net.TCPListener
-	door := ""
+	adminAddr := ""
 	if c.Admin.IsValid() {
 		if admin, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(c.Admin)); err != nil {
 			t.Fatal(err)
 		}
-		door = admin.Addr().String()
+		adminAddr = admin.Addr().String()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n := &testNode{door: door, disco: c.Discovery, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), reloads: make(chan *Config)}
+	n := &testNode{admin: adminAddr, disco: c.Discovery, addr: tcp.Addr().String(), stop: stop, ended: make(chan error, 1), reloads: make(chan *Config)}
 	go func() {
 		n.ended <- serve(ctx, c, func() (*net.TCPListener, error) { return tcp, nil }, admin, n.reloads, quiet)
 		close(n.ended)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,7 +29,7 @@
 	backends *backends
 	disco    *discovery
 	peers    *peers
-	bans     *bans // nil without a door
+	bans     *bans // nil without an admin API
 	log      *slog.Logger
 
 	ctx        context.Context // of all that the loop sets going
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 	return serve(ctx, c, listen, admin, reloads, log)
 }
 
-// serve has no door for operators if admin is nil. With one, this may be an upgrade: it listens for clients once it
+// serve has no admin API if admin is nil. With one, this may be an upgrade: it listens for clients once it
 // can serve them.
 func serve(ctx context.Context, c *Config, listen func() (*net.TCPListener, error), admin *net.TCPListener,
 	reloads <-chan *Config, log *slog.Logger) error {
@@ -117,8 +117,8 @@
 		running.Go(func() { p.read(l.heard) })
 	}
 	if admin != nil {
-		o := &door{front: f, bans: l.bans, ctx: inner, log: log}
-		running.Go(func() { o.run(admin) })
+		api := &adminServer{front: f, bans: l.bans, ctx: inner, log: log}
+		running.Go(func() { api.run(admin) })
 		running.Go(func() { every(inner, lookEvery(c.Settings.DrainGrace), l.bans.look) })
 		running.Go(func() { every(inner, emptyEvery, f.letGo) })
 	}
@@ -162,7 +162,7 @@
 }
 
 // shareSockets gives the most connections from clients and to servers, with descriptors left for all else: discovery, the
-// door and the fleet's agent are reached however many clients there are.
+// admin API and the fleet's agent are reached however many clients there are.
 func shareSockets(sockets int) (clients, servers int) {
 	room := sockets - ownSockets
 	clients = int(float64(room) * clientPart)
