Call what lets two processes be one node hot restart

beside.go -> hotrestart.go: type beside -> hotRestart, the fields of that name restart, besideEvery -> otherProcessEvery. No change of behaviour.

go test ./internal/node ./cmd/starlingvalve: passed.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -15,17 +15,17 @@
 // resets connections with an answer on them.
 type capped struct {
 	*net.TCPListener
-	slots  chan struct{}
-	beside *beside
-	conns  *connections
-	done   chan struct{} // closed with the listener
-	end    func() error  // closes it, once
+	slots   chan struct{}
+	restart *hotRestart
+	conns   *connections
+	done    chan struct{} // closed with the listener
+	end     func() error  // closes it, once
 }
 
-func newCapped(tcp *net.TCPListener, limit int, b *beside, conns *connections) *capped {
+func newCapped(tcp *net.TCPListener, limit int, restart *hotRestart, conns *connections) *capped {
 	done := make(chan struct{})
 	end := sync.OnceValue(func() error { close(done); return tcp.Close() })
-	return &capped{TCPListener: tcp, slots: make(chan struct{}, limit), beside: b, conns: conns, done: done, end: end}
+	return &capped{TCPListener: tcp, slots: make(chan struct{}, limit), restart: restart, conns: conns, done: done, end: end}
 }
 
 func (l *capped) Close() error { return l.end() }
@@ -34,7 +34,7 @@
 // the listener closed now.
 func (l *capped) waiting() bool { return polled(l, unix.POLLIN)&unix.POLLIN != 0 }
 
-// polled gives which of the events a socket has now, or its end. Where the system does not tell, it has none.
+// polled gives which of the events a socket has now, or its end. Where the system can't say, it has none.
 func polled(s syscall.Conn, events int16) (has int16) {
 	raw, err := s.SyscallConn()
 	if err != nil {
@@ -94,7 +94,7 @@
 	case <-l.done:
 		return nil, net.ErrClosed
 	}
-	for len(l.slots)+l.beside.clients() > cap(l.slots) {
+	for len(l.slots)+l.restart.clients() > cap(l.slots) {
 		select {
 		case <-time.After(otherWait):
 		case <-l.done:
@@ -107,9 +107,9 @@
 		<-l.slots
 		return nil, err
 	}
-	l.beside.count(1, 0)
+	l.restart.count(1, 0)
 	l.conns.came()
 	c := &cappedConn{TCPConn: conn, conns: l.conns, came: time.Now()}
-	c.free = sync.OnceFunc(func() { l.conns.left(c); l.beside.count(-1, 0); <-l.slots })
+	c.free = sync.OnceFunc(func() { l.conns.left(c); l.restart.count(-1, 0); <-l.slots })
 	return c, nil
 }
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -31,7 +31,7 @@
 	hosts          map[decide.ServerID]*host
 	out            map[decide.ServerID]bool // taken out by the operators, listed or not
 	open, limit    int                      // connections, also those being made
-	beside         *beside                  // the other process of an upgrade
+	restart        *hotRestart              // the other process of an upgrade
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	dial           func(context.Context, net.Dialer, string) (*conn, error)
@@ -159,7 +159,7 @@
 // opened counts connections.
 func (b *backends) opened(n int) {
 	b.open += n
-	b.beside.count(0, n)
+	b.restart.count(0, n)
 }
 
 func (b *backends) find(id decide.ServerID) *host {
@@ -259,7 +259,7 @@
 		}
 		b.drop(c)
 	}
-	if b.open+b.beside.backends() >= b.limit && !b.evict() {
+	if b.open+b.restart.backends() >= b.limit && !b.evict() {
 		b.mu.Unlock()
 		return nil, errTooMany
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -18,7 +18,7 @@
 	mu       sync.Mutex
 	count    int
 	limit    int
-	beside   *beside
+	restart  *hotRestart
 	idle     map[net.Conn]time.Time // since when
 	shed     map[net.Conn]bool      // ended by the node, still counted; what comes on them is not taken
 	shedding bool                   // there are still too many: shedOver comes again
@@ -95,13 +95,13 @@
 
 // over tells whether there are too many that may bring requests. Those that wait for their peers' end bring none:
 // for their sake no request is refused.
-func (c *connections) over() bool { return c.count-len(c.shed)+c.beside.clients() > c.limit }
+func (c *connections) over() bool { return c.count-len(c.shed)+c.restart.clients() > c.limit }
 
 // short tells whether there are too many with those, whose places are wanted then.
 func (c *connections) short() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.count+c.beside.clients() > c.limit
+	return c.count+c.restart.clients() > c.limit
 }
 
 // end notes that the node has ended a connection.
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -20,7 +20,7 @@
 
 // A request's life ends with its client, though the loop is held and hears of nothing, and though bytes lie before the
 // end. What stood in the loop's queue is not handed to the module.
-func TestLifeEndsBesideTheLoop(t *testing.T) {
+func TestLifeEndsOutsideTheLoop(t *testing.T) {
 	t.Parallel()
 	// its patience is longer than the test's
 	long := strings.Replace(orderHead("Content-Length: 80000"), "X-Time-Left: 9\r\n", "X-Time-Left: 90\r\n", 1)
--- a/internal/node/beside.go
+++ b/internal/node/hotrestart.go
@@ -20,13 +20,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// An upgrade starts the program again while the older process serves. What lets two processes be one node is here:
-// listening on one address, and sharing the limits.
+// Hot restart: an upgrade starts the program again while the older process serves. What lets two processes be one node is
+// here: listening on one address, and sharing the limits.
 
 const (
 	// memoryPart is for Go's heap and stacks; the kernel's buffers and the program have the rest.
-	memoryPart  = 0.6
-	besideEvery = 50 * time.Millisecond // to look for another process
+	memoryPart        = 0.6
+	otherProcessEvery = 50 * time.Millisecond // to look for another process
 )
 
 // listenClients listens for clients. With shared, another process may do so on the same address, and of two the later
@@ -71,8 +71,8 @@
 	return errors.Join(err, refused)
 }
 
-// beside shares the limits with the other process of an upgrade. A nil *beside knows of no other.
-type beside struct {
+// hotRestart shares the limits with the other process of an upgrade. A nil *hotRestart knows of no other.
+type hotRestart struct {
 	memoryMB int
 	log      *slog.Logger
 	files    [2]*os.File // a place each, locked as long as its process lives
@@ -89,10 +89,10 @@
 // counts are a process's connections, in a file that both map.
 type counts struct{ clients, backends atomic.Int64 }
 
-// openBeside takes one of two places.
-func openBeside(c *Config, log *slog.Logger) (*beside, error) {
-	b := &beside{memoryMB: c.Limits.MemoryMB, log: log, own: &counts{}}
-	for i := range b.files {
+// openHotRestart takes one of two places.
+func openHotRestart(c *Config, log *slog.Logger) (*hotRestart, error) {
+	h := &hotRestart{memoryMB: c.Limits.MemoryMB, log: log, own: &counts{}}
+	for i := range h.files {
 		path := filepath.Join(c.TempDir, fmt.Sprintf("starlingvalve-%s.%d", url.PathEscape(c.Name), i))
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 		if err != nil {
@@ -106,39 +106,39 @@
 		if err != nil {
 			return nil, err
 		}
-		b.files[i], b.shared[i] = f, (*counts)(unsafe.Pointer(&m[0]))
+		h.files[i], h.shared[i] = f, (*counts)(unsafe.Pointer(&m[0]))
 	}
-	b.others = b.shared[:]
-	b.look()
-	return b, nil
+	h.others = h.shared[:]
+	h.look()
+	return h, nil
 }
 
 // take takes a place if this process has none. Both may be locked: by two others, or one for the moment in which the
 // other looks, which lasts if it is stopped then. So it is tried again at each look, and what both hold counts until
 // then. What an earlier process left in a place is written over.
-func (b *beside) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for i, f := range b.files {
-		if b.place == nil && syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
-			b.shared[i].clients.Store(b.own.clients.Load())
-			b.shared[i].backends.Store(b.own.backends.Load())
-			b.place, b.theirs, b.own, b.others = f, b.files[1-i], b.shared[i], b.shared[1-i:2-i]
+func (h *hotRestart) take() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, f := range h.files {
+		if h.place == nil && syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
+			h.shared[i].clients.Store(h.own.clients.Load())
+			h.shared[i].backends.Store(h.own.backends.Load())
+			h.place, h.theirs, h.own, h.others = f, h.files[1-i], h.shared[i], h.shared[1-i:2-i]
 		}
 	}
-	return b.place != nil
+	return h.place != nil
 }
 
 // look finds out whether there is another process, and divides the memory.
-func (b *beside) look() {
+func (h *hotRestart) look() {
 	present := true
-	if b.take() && syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == nil {
-		syscall.Flock(int(b.theirs.Fd()), syscall.LOCK_UN)
+	if h.take() && syscall.Flock(int(h.theirs.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) == nil {
+		syscall.Flock(int(h.theirs.Fd()), syscall.LOCK_UN)
 		present = false
 	}
-	if present != b.present.Swap(present) {
-		b.log.Info("another process of this node", "present", present)
-		limitMemory(b.memoryMB, present)
+	if present != h.present.Swap(present) {
+		h.log.Info("another process of this node", "present", present)
+		limitMemory(h.memoryMB, present)
 		if present {
 			debug.FreeOSMemory()
 		}
@@ -155,37 +155,37 @@
 }
 
 // clients is how many clients the other process has. After a SIGKILL it is what it had, until the next look.
-func (b *beside) clients() int {
-	return b.sum(func(c *counts) int64 { return c.clients.Load() })
+func (h *hotRestart) clients() int {
+	return h.sum(func(c *counts) int64 { return c.clients.Load() })
 }
 
 // backends is how many connections to app servers the other process has, with the sockets that are its own.
-func (b *beside) backends() int {
-	if b == nil || !b.present.Load() {
+func (h *hotRestart) backends() int {
+	if h == nil || !h.present.Load() {
 		return 0
 	}
-	return b.sum(func(c *counts) int64 { return c.backends.Load() }) + ownSockets
+	return h.sum(func(c *counts) int64 { return c.backends.Load() }) + ownSockets
 }
 
-func (b *beside) sum(of func(*counts) int64) int {
-	if b == nil || !b.present.Load() {
+func (h *hotRestart) sum(of func(*counts) int64) int {
+	if h == nil || !h.present.Load() {
 		return 0
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	n := 0
-	for _, c := range b.others {
+	for _, c := range h.others {
 		n += int(of(c))
 	}
 	return n
 }
 
-// count tells the other process what this one has.
-func (b *beside) count(clients, backends int) {
-	if b != nil {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.own.clients.Add(int64(clients))
-		b.own.backends.Add(int64(backends))
+// count adds to what the other process sees of this one.
+func (h *hotRestart) count(clients, backends int) {
+	if h != nil {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.own.clients.Add(int64(clients))
+		h.own.backends.Add(int64(backends))
 	}
 }
--- a/internal/node/beside_test.go
+++ b/internal/node/hotrestart_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Where nodes talk, the newer process of an upgrade starts beside the older one and hears them; the one that is left does
+// Where nodes talk, the newer process of an upgrade starts while the older one runs and hears them; the one that is left does
 // if it ends. Without an admin API the address is not shared.
 func TestLaterProcessHearsPeers(t *testing.T) {
 	t.Parallel()
@@ -101,14 +101,14 @@
 // Each process of an upgrade takes the other's connections into its bounds, as long as the other lives.
 func TestLimitsAreShared(t *testing.T) {
 	c := &Config{Name: "n", Settings: settings(), TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
-	open := func() *beside {
-		b, err := openBeside(c, quiet)
+	open := func() *hotRestart {
+		b, err := openHotRestart(c, quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return b
 	}
-	end := func(b *beside) { syscall.Flock(int(b.place.Fd()), syscall.LOCK_UN) } // as the kernel does at a process's end
+	end := func(b *hotRestart) { syscall.Flock(int(b.place.Fd()), syscall.LOCK_UN) } // as the kernel does at a process's end
 	older := open()
 	if older.look(); older.present.Load() {
 		t.Error("alone it sees another process")
@@ -116,7 +116,7 @@
 	newer := open()
 	older.look()
 	newer.count(2, 3)
-	conns := &connections{limit: 3, beside: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+	conns := &connections{limit: 3, restart: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
 	if conns.count = 1; conns.crowded() {
 		t.Error("crowded with 1 client here and 2 there, of 3")
 	}
@@ -124,12 +124,12 @@
 		t.Error("not crowded with 2 clients here and 2 there, of 3")
 	}
 	b := newBackends(c, ownSockets+4, quiet)
-	b.beside = older
+	b.restart = older
 	addr := backend(t, func(net.Conn) {})
 	b.update(known(addr))
 	for i, want := range []error{nil, errTooMany} {
 		if _, err := b.connect(t.Context(), b.find(1), time.Now().Add(patient)); err != want {
-			t.Errorf("connection %d beside 3 of the other's, of 4: %v", i, err)
+			t.Errorf("connection %d with 3 of the other's, of 4: %v", i, err)
 		}
 	}
 	if got := newer.backends(); got != ownSockets+1 {
@@ -150,10 +150,10 @@
 	if err := os.RemoveAll(c.TempDir); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := openBeside(c, quiet); err == nil {
+	if _, err := openHotRestart(c, quiet); err == nil {
 		t.Error("no error without a folder")
 	}
-	var none *beside
+	var none *hotRestart
 	if none.count(1, 1); none.clients()+none.backends() != 0 {
 		t.Error("no other process has connections")
 	}
@@ -205,16 +205,16 @@
 // At SIGTERM idle connections make room for the newer process's clients, also those that would have had more time.
 func TestRoomForTheNewerProcess(t *testing.T) {
 	c := &Config{Name: "n", TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
-	older, err := openBeside(c, quiet)
+	older, err := openHotRestart(c, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
-	newer, err := openBeside(c, quiet)
+	newer, err := openHotRestart(c, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
 	older.look()
-	conns := &connections{limit: 3, beside: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
+	conns := &connections{limit: 3, restart: older, idle: map[net.Conn]time.Time{}, shed: map[net.Conn]bool{}}
 	conn, _ := net.Pipe()
 	conns.came()
 	conns.track(conn, http.StateIdle)
@@ -234,9 +234,9 @@
 // later, with what it has counted by then. So does a third process once the first has ended.
 func TestPlaceTakenLater(t *testing.T) {
 	c := &Config{Name: "n", TempDir: t.TempDir(), Limits: Limits{MemoryMB: 1 << 14}}
-	open := func() *beside {
+	open := func() *hotRestart {
 		t.Helper()
-		b, err := openBeside(c, quiet)
+		b, err := openHotRestart(c, quiet)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -155,7 +155,7 @@
 			for end := time.Now().Add(patient); served.Load() < 4; { // a refusal is harmless, and comes on a busy machine
 				resp, _ := n.ask(t, orderHead(fmt.Sprintf("Content-Length: %d", len(body)))+body)
 				if resp.StatusCode != want && resp.StatusCode != http.StatusServiceUnavailable || time.Now().After(end) {
-					t.Fatalf("beside a dead server: status %d, %d served", resp.StatusCode, served.Load())
+					t.Fatalf("with a dead server: status %d, %d served", resp.StatusCode, served.Load())
 				}
 			}
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,13 +81,13 @@
 	l := newLoop(inner, c, b, d, p, log)
 	if admin != nil {
 		l.bans = openBans(c, b, log)
-		if b.beside, err = openBeside(c, log); err != nil {
+		if b.restart, err = openHotRestart(c, log); err != nil {
 			log.Error("the limits are not shared with another process", "err", err)
 		}
 	}
 	f := newFrontend(l, int(float64(clients)*softPart), log)
 	f.maxOpen = min(f.maxOpen, int64(servers)) // each finds a descriptor for an attempt
-	f.conns.beside = b.beside
+	f.conns.restart = b.restart
 	f.fleet = newFleetLink(c, l, f.unready, log)
 	srv := f.server()
 
@@ -122,8 +122,8 @@
 		running.Go(func() { every(inner, lookEvery(c.Settings.DrainGrace), l.bans.look) })
 		running.Go(func() { every(inner, emptyEvery, f.letGo) })
 	}
-	if b.beside != nil {
-		running.Go(func() { every(inner, besideEvery, b.beside.look) })
+	if b.restart != nil {
+		running.Go(func() { every(inner, otherProcessEvery, b.restart.look) })
 	}
 	if tcp == nil {
 		select {
@@ -138,7 +138,7 @@
 	}
 	if tcp != nil {
 		served := make(chan error, 1)
-		taken := newCapped(tcp, clients, b.beside, f.conns)
+		taken := newCapped(tcp, clients, b.restart, f.conns)
 		running.Go(func() {
 			served <- srv.Serve(taken)
 		})
--- a/internal/node/shut_test.go
+++ b/internal/node/shut_test.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// Whatever the descriptors: there are some beside the clients' and servers', and clients may use a third of all for
+// Whatever the descriptors: there are some besides the clients' and servers', and clients may use a third of all for
 // requests, each with an attempt.
 func TestSharedSockets(t *testing.T) {
 	for sockets := leastSockets; sockets <= 4096; sockets++ {
