--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -30,7 +30,7 @@
 
 func (l *capped) Close() error { return l.end() }
 
-// waiting tells whether a connection is there that the kernel has accepted and the node has not: it would be reset if
+// waiting reports whether a connection is there that the kernel has accepted and the node has not: it would be reset if
 // the listener closed now.
 func (l *capped) waiting() bool { return polled(l, unix.POLLIN)&unix.POLLIN != 0 }
 
--- a/internal/node/actions_test.go
+++ b/internal/node/actions_test.go
@@ -61,7 +61,7 @@
 	}
 	ownAddr := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	l := newLoop(ctx, c, b, newDiscovery(c, quiet), p, quiet)
-	l.rules.Load().AskForList = true // the loop asks only when told
+	l.rules.Load().AskForList = true // the loop asks only when set to
 	var running sync.WaitGroup
 	running.Go(func() { l.run(c.Known) })
 	running.Go(func() { b.run(ctx) })
--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -61,7 +61,7 @@
 	return n, err
 }
 
-// isOut tells whether a request has been read whole and its answer has not begun.
+// isOut reports whether a request has been read whole and its answer has not begun.
 func (c *cappedConn) isOut() bool { return c.framing.whole > c.answered.Load() }
 
 // readAhead reads behind a request that is out. What it keeps is for the reads to come; of a flood it keeps nothing.
@@ -103,7 +103,7 @@
 	}
 }
 
-// left tells whether the client has ended its side or reset the connection, also behind bytes that are not read yet.
+// left reports whether the client has ended its side or reset the connection, also behind bytes that are not read yet.
 // Where the system does not tell, the client counts as there until a read meets its end.
 func (c *cappedConn) left() bool {
 	return c != nil && polled(c, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -170,7 +170,7 @@
 	l.handle(decide.StreamStarted{ID: a.ID, Attempt: n, Server: a.Server, Elapsed: time.Since(r.attempts[n].sent)})
 }
 
-// ended tells the module of an attempt's end; the first answer goes to the client.
+// ended notifies the module of an attempt's end; the first answer goes to the client.
 func (l *loop) ended(a decide.Send, n int, res result) {
 	r := l.requests[a.ID]
 	t := r.attempts[n]
@@ -188,7 +188,7 @@
 		l.handle(decide.RequestAbandoned{ID: a.ID})
 	}
 	if errors.Is(res.err, errOver) {
-		r.over = true // its client went, and word of that is on its way: no further attempt
+		r.over = true // its client went, and the event for that is on its way: no further attempt
 	}
 	if res.err != nil {
 		l.log.Debug("attempt", "id", a.ID, "server", a.Server, "code", res.code, "err", res.err)
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// usable tells whether an idle connection may take a request: young enough, not closed by the other side, and
+// usable reports whether an idle connection may take a request: young enough, not closed by the other side, and
 // with nothing on it that belongs to no request. A write to one that the backend has closed would succeed, and
 // then leave open whether the request ran.
 func (b *backends) usable(c *conn) bool {
@@ -218,7 +218,7 @@
 	return err == nil && still
 }
 
-// nothingCame tells whether nothing has come on a connection, not even its end. It may take a byte of what has.
+// nothingCame reports whether nothing has come on a connection, not even its end. It may take a byte of what has.
 func nothingCame(fd int) bool {
 	var one [1]byte
 	_, err := syscall.Read(fd, one[:])
--- a/internal/node/bans.go
+++ b/internal/node/bans.go
@@ -33,9 +33,9 @@
 type bans struct {
 	path     string
 	backends *backends
-	keep     time.Duration // a return is told of for so long: the time in which it makes a server cold
+	keep     time.Duration // a return is reported for so long: the time in which it makes a server cold
 	log      *slog.Logger
-	changed  chan struct{} // holds one: the loop has something to tell the module
+	changed  chan struct{} // holds one: the loop has something to notify the module of
 	flock    func(fd, how int) error
 
 	// file is held to read and write the file, also while the other process has it locked. mu is held for moments, with
--- a/internal/node/bans_test.go
+++ b/internal/node/bans_test.go
@@ -18,7 +18,7 @@
 	"starlingvalve/decide"
 )
 
-// twoServers is a list of two servers at addr that tell by their port who they are.
+// twoServers is a list of two servers at addr that show by their port who they are.
 func twoServers(one, other string) list {
 	l := known(one, other)
 	l.entries[0].name, l.entries[1].name = "s-00000001", "s-00000002"
@@ -32,9 +32,9 @@
 	var first, second atomic.Int64
 	one := backend(t, answering(func(*http.Request, []byte) string { first.Add(1); return ok("1") }))
 	other := backend(t, answering(func(*http.Request, []byte) string { second.Add(1); return ok("2") }))
-	news := make(chan string)
-	disco := registry(t, func(int, url.Values) string { return <-news })
-	t.Cleanup(func() { close(news) }) // before discovery's own end, which waits for those that wait here
+	updates := make(chan string)
+	disco := registry(t, func(int, url.Values) string { return <-updates })
+	t.Cleanup(func() { close(updates) }) // before discovery's own end, which waits for those that wait here
 	config := func(dir string) *Config {
 		c := &Config{Admin: anyPort, Settings: settings(), Known: twoServers(one, other), TempDir: dir}
 		c.Settings.ColdTime = 50 * time.Millisecond
@@ -67,8 +67,8 @@
 	}
 	was := first.Load()
 	ask(n, 20)
-	news <- jsonList(2, false, "gone", one)
-	news <- jsonList(3, false, "ready", one)
+	updates <- jsonList(2, false, "gone", one)
+	updates <- jsonList(3, false, "ready", one)
 	ask(n, 20)
 	n.stop()
 	<-n.ended
@@ -126,7 +126,7 @@
 	}
 }
 
-// A ban that was told to one process binds the other within the grace, however short that is.
+// A ban that one process was given binds the other within the grace, however short that is.
 func TestBanOfTheOtherBindsWithinTheGrace(t *testing.T) {
 	t.Parallel()
 	for _, grace := range []time.Duration{20 * time.Millisecond, 250 * time.Millisecond, 4 * time.Second} {
@@ -225,7 +225,7 @@
 	defer other.Close()
 	waits, loop := make(chan struct{}), make(chan struct{})
 	var first sync.Once
-	s.flock = func(fd, how int) error { // as the call asks for the lock, the loop takes a list and tells the module of bans
+	s.flock = func(fd, how int) error { // as the call asks for the lock, the loop takes a list and notifies the module of bans
 		first.Do(func() { close(waits); <-loop })
 		return syscall.Flock(fd, how)
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// over tells whether there are too many that may bring requests. Those that wait for their peers' end bring none:
+// over reports whether there are too many that may bring requests. Those that wait for their peers' end bring none:
 // for their sake no request is refused.
 func (c *connections) over() bool { return c.count-len(c.shed)+c.restart.clients() > c.limit }
 
-// short tells whether there are too many with those, whose places are wanted then.
+// short reports whether there are too many with those, whose places are wanted then.
 func (c *connections) short() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,7 +172,7 @@
 	conn.Close()
 }
 
-// quietSocket tells whether nothing has come that is not read yet, not even the end.
+// quietSocket reports whether nothing has come that is not read yet, not even the end.
 func quietSocket(conn net.Conn) bool {
 	s, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -22,7 +22,7 @@
 	Sockets  int     `json:"sockets"` // file descriptors
 }
 
-// Config is all that a node is told at its start.
+// Config is all that a node is given at its start.
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort // clients
@@ -39,7 +39,7 @@
 	Fleet    *FleetConfig // nil: the node is in no fleet
 }
 
-// The least that a node can run with, and what it takes where it isn't told.
+// The least that a node can run with, and what it takes where nothing is given.
 const (
 	leastSockets  = 64
 	leastMemoryMB = 32
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -23,15 +23,15 @@
 
 const (
 	listLimit = 4 << 20 // bytes of a list, at most
-	// What discovery has to tell counts as told 6 s after it had it and could be reached, whatever failed before. So
+	// A change has to be known 6 s after discovery had it and could be reached, whatever failed before. So
 	// the longest call that may have begun before discovery's return, the longest wait after it (1.5 times retryLast,
-	// or of decide's askLast, 800 ms) and the call that then tells it have to fit into 6 s, in each of these orders:
+	// or of decide's askLast, 800 ms) and the call that then brings it have to fit into 6 s, in each of these orders:
 	//   a watch that fell silent, pushed:    watchWait + watchSlack + 0.3 s = 4.3 s; asked for: + 1.2 s = 5.2 s
 	//   the first call of a watch, pushed:   agentSlack + 0.75 s = 2.25 s; asked for: callSlack + 1.2 s = 3.7 s
 	//   SIGHUP, which ends the call (4 s):   pushed: at once; asked for: 1.2 s
 	// A dial is part of its call. It ends at dialLimit: a SYN that was lost is sent again only 1 s, 3 s and 7 s later,
 	// so one that hangs at discovery's return is made anew sooner than the system would.
-	watchWait   = 3 * time.Second         // for news, in one call of a watch
+	watchWait   = 3 * time.Second         // for changes, in one call of a watch
 	firstWait   = time.Millisecond        // the same in the call that begins one: the module waits for its answer
 	watchSlack  = time.Second             // a watch that is on has its turn: an answer later than this is none
 	callSlack   = 2500 * time.Millisecond // the same for a first call: it may wait its turn, 2 s at most
@@ -44,7 +44,7 @@
 	registryURL = "/registry/instances"
 )
 
-// list is what discovery tells: all backends, or those that changed.
+// list is what discovery answers: all backends, or those that changed.
 type list struct {
 	version uint64
 	full    bool
@@ -183,8 +183,8 @@
 
 // watch hands on changes from a version on, the answer to its first call even if it holds none, until a call
 // fails. A version may also go back, when discovery returns with an older list: it is followed from there, so that
-// nothing told since is missed.
-func (d *discovery) watch(ctx context.Context, since uint64, slack time.Duration, news func(list)) error {
+// nothing that has changed since is missed.
+func (d *discovery) watch(ctx context.Context, since uint64, slack time.Duration, update func(list)) error {
 	wait := firstWait
 	for first := true; ; first = false {
 		asked := time.Now()
@@ -193,7 +193,7 @@
 			return err
 		}
 		if first || l.full || len(l.entries) > 0 || l.version != since {
-			news(l)
+			update(l)
 		}
 		// An agent may answer at once, always: that must not become a busy loop. A watch goes on over 200 ms.
 		if !first && l.version == since && time.Since(asked) < agentPause {
@@ -207,11 +207,11 @@
 }
 
 // follow keeps a watch where lists are pushed and so nobody asks for one.
-func (d *discovery) follow(ctx context.Context, since uint64, news func(list)) {
+func (d *discovery) follow(ctx context.Context, since uint64, update func(list)) {
 	retry := retryFirst
 	for ctx.Err() == nil {
 		_, moved := d.at()
-		err := d.watch(ctx, since, agentSlack, func(l list) { since, retry = l.version, retryFirst; news(l) })
+		err := d.watch(ctx, since, agentSlack, func(l list) { since, retry = l.version, retryFirst; update(l) })
 		d.log.Debug("watch ended", "err", err)
 		select {
 		case <-ctx.Done():
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// registry is discovery as a test wants it: it answers call n with what says, and tells of each call.
+// registry is discovery as a test wants it: it answers call n with what says, and records each call.
 func registry(t *testing.T, says func(n int, query url.Values) string) netip.AddrPort {
 	var calls atomic.Int64
 	return netip.MustParseAddrPort(backend(t, answering(func(r *http.Request, _ []byte) string {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -104,7 +104,7 @@
 	return r
 }
 
-// roundTrip writes a request and reads its answer. keep tells whether the connection can take another.
+// roundTrip writes a request and reads its answer. keep reports whether the connection can take another.
 func roundTrip(ctx context.Context, w *requestWriter) (r result, keep bool) {
 	x := w.x
 	left := max(0, time.Until(x.deadline))
@@ -157,7 +157,7 @@
 	if !whole { // it has gone to the client
 		return result{code: decide.OK, report: parseReport(resp.Header.Get("X-Backend-Load"))}, !resp.Close
 	}
-	// An answer that may have no body ends with its head, whatever length it tells: what it may mean as a body is on its
+	// An answer that may have no body ends with its head, whatever length it states: what it may mean as a body is on its
 	// way, and would be read as the beginning of the next answer.
 	headOnly := resp.StatusCode < 200 || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	r = result{code: decide.ServerError, report: parseReport(resp.Header.Get("X-Backend-Load")), header: resp.Header, body: body}
--- a/internal/node/front_test.go
+++ b/internal/node/front_test.go
@@ -18,7 +18,7 @@
 	conns chan *cappedConn // as they are accepted
 }
 
-// noting is a listener that tells what it accepts.
+// noting is a listener that reports what it accepts.
 type noting struct {
 	*capped
 	conns chan *cappedConn
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -25,7 +25,7 @@
 	patienceLimit = time.Hour // no client waits longer
 	// answerMargin is kept from a client's patience: an answer has to get to it and be read by then.
 	answerMargin = 10 * time.Millisecond
-	busyHoldOff  = 500 * time.Millisecond // what a client is told that the node itself has no room for
+	busyHoldOff  = 500 * time.Millisecond // the hold-off for a client that the node itself has no room for
 )
 
 // frontend serves clients.
@@ -56,7 +56,7 @@
 		}, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)}
 }
 
-// unready tells why clients are not to come, or nothing if they may.
+// unready says why clients are not to come, or nothing if they may.
 func (f *frontend) unready() string {
 	switch {
 	case f.draining.Load():
@@ -69,11 +69,11 @@
 	return f.fleet.unready()
 }
 
-// shut tells whether the drain takes no more. A request that passes as it closes is one that came before: its deadline
+// shut reports whether the drain takes no more. A request that passes as it closes is one that came before: its deadline
 // was set before the look, and so lies within the time that the drain waits for answers.
 func (f *frontend) shut() bool { return isClosed(f.closing) }
 
-// isClosed tells whether a channel that is only ever closed has been.
+// isClosed reports whether a channel that is only ever closed has been.
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
@@ -83,7 +83,7 @@
 	}
 }
 
-// leaving tells whether clients are to go: each answer closes its connection.
+// leaving reports whether clients are to go: each answer closes its connection.
 func (f *frontend) leaving() bool { return f.draining.Load() || f.emptied.Load() }
 
 // letGo closes, while the node is emptied, connections that are idle and that their clients can't count on.
--- a/internal/node/incoming.go
+++ b/internal/node/incoming.go
@@ -79,7 +79,7 @@
 		header: endToEnd(r.Header), answer: make(chan answer, 1)}, 0, nil
 }
 
-// fact tells whether one of the further figures of a request is set.
+// fact reports whether one of the further figures of a request is set.
 func fact(text, name string) bool {
 	for field := range strings.SplitSeq(text, ",") {
 		if n, v, _ := strings.Cut(strings.TrimSpace(field), "="); n == name {
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -67,12 +67,12 @@
 	c.free()
 }
 
-// heard tells whether something has come of a request that is not over, perhaps while the one before was answered.
+// heard reports whether something has come of a request that is not over, perhaps while the one before was answered.
 func (c *cappedConn) heard() bool {
 	return c.behind.Load() || c.framing.requests.Load() > c.served.Load()
 }
 
-// stale tells whether what has come is a beginning that does not go on. net/http waits for the first four bytes of a
+// stale reports whether what has come is a beginning that does not go on. net/http waits for the first four bytes of a
 // further request as long as for none.
 func (c *cappedConn) stale() bool { return time.Since(time.Unix(0, c.last.Load())) > requestWait }
 
--- a/internal/node/listcross_test.go
+++ b/internal/node/listcross_test.go
@@ -173,7 +173,7 @@
 			first = <-since
 		}
 		await(t, "the new address's list", func() bool { return l.listed() == addrC })
-		<-since // its second call: what it told first has been followed
+		<-since // the second call: the first answer has been followed
 		if first != "3" || l.listed() != addrC {
 			t.Errorf("pushed %v: the new address is asked from version %s, the server is at %s", pushed, first, l.listed())
 		}
@@ -221,7 +221,7 @@
 }
 
 // An answer that breaks off changes nothing, and the next call asks from the same version on; what changed between the
-// end of a call and the next one is told by that, from the same version too.
+// end of a call and the next one is answered by that, from the same version too.
 func TestListBreaksOff(t *testing.T) {
 	t.Parallel()
 	for _, pushed := range []bool{true, false} {
@@ -267,7 +267,7 @@
 }
 
 // After a restart of discovery its versions may be lower. A whole list is the list then, also an older one; changes are
-// taken as such. The watch goes on from the lower version, so that whatever is told later than that is told here.
+// taken as such. The watch goes on from the lower version, so that whatever changes later than that arrives here.
 func TestOlderVersionIsFollowed(t *testing.T) {
 	t.Parallel()
 	for _, pushed := range []bool{true, false} {
--- a/internal/node/listing.go
+++ b/internal/node/listing.go
@@ -30,26 +30,27 @@
 		})
 	}
 	l.work.Go(func() {
-		err := l.disco.watch(ctx, since, callSlack, func(n list) { current(func() { l.watchOpen = true; l.news(n) }) })
+		err := l.disco.watch(ctx, since, callSlack, func(n list) { current(func() { l.watchOpen = true; l.updated(n) }) })
 		current(func() {
 			cancel()
 			l.endWatch = nil
-			l.told(list{}, err)
+			l.fetched(list{}, err)
 		})
 	})
 }
 
-// told takes the answer to a call that the module made.
-func (l *loop) told(n list, err error) {
+// fetched takes the answer to a call that the module made.
+func (l *loop) fetched(n list, err error) {
 	if err != nil {
 		l.log.Info("discovery", "err", err)
 		l.handle(decide.ListUpdate{Kind: decide.ListFailed, Version: l.version})
 		return
 	}
-	l.news(n)
+	l.updated(n)
 }
 
-func (l *loop) news(n list) {
+// updated takes what discovery has answered: a whole list or changes.
+func (l *loop) updated(n list) {
 	kind := decide.ListChanges
 	if n.full {
 		kind = decide.ListFull
@@ -89,8 +90,8 @@
 	l.handle(e)
 }
 
-// tellBans tells the module what the operators have changed.
-func (l *loop) tellBans() {
+// notifyBans notifies the module of what the operators have changed.
+func (l *loop) notifyBans() {
 	out, back := l.bans.now()
 	for name := range out {
 		if !l.out[name] {
@@ -98,7 +99,7 @@
 		}
 	}
 	for name := range l.out {
-		if _, told := back[name]; !out[name] && !told { // a file that people have edited
+		if _, known := back[name]; !out[name] && !known { // a file that people have edited
 			back[name] = time.Now()
 		}
 	}
--- a/internal/node/long.go
+++ b/internal/node/long.go
@@ -76,7 +76,7 @@
 	return nil
 }
 
-// end is called when no more comes. It tells whether the answer was held whole.
+// end is called when no more comes. It reports whether the answer was held whole.
 func (d *download) end(err error) (whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -21,8 +21,8 @@
 	eventQueue   = 1024
 )
 
-// loop owns the module: all that happens is put into words for it here, one thing at a time, and what it wants
-// is set going. Nothing in it waits for the network.
+// loop owns the module: all that happens becomes an event for it here, one at a time, and the actions that it asks for
+// are started. Nothing in it waits for the network.
 type loop struct {
 	module   *decide.Module
 	rules    atomic.Pointer[rules] // those for requests that come now; the loop's goroutine changes them
@@ -47,8 +47,8 @@
 	handling  bool
 	ready     map[decide.ServerID]bool
 	names     map[decide.ServerID]string // of the servers that are listed
-	out       map[string]bool            // bans that the module was told of
-	back      map[string]time.Time       // returns that it was told of
+	out       map[string]bool            // bans that the module was notified of
+	back      map[string]time.Time       // returns that it was notified of
 	version   uint64
 	endWatch  context.CancelFunc
 	watchOpen bool      // the watch has had its first answer
@@ -66,10 +66,10 @@
 }
 
 // now is the module's clock: it goes on evenly from the time of day at the start, so that the times at which
-// backends started can be told on it.
+// backends started can be expressed on it.
 func (l *loop) now() decide.Time { return l.base + time.Since(l.began) }
 
-// post has f run in the loop. It tells whether it will.
+// post has f run in the loop. It reports whether it will.
 func (l *loop) post(f func()) bool {
 	select {
 	case l.happened <- f:
@@ -87,7 +87,7 @@
 	changed := l.bans.changes()
 	if !l.rules.Load().AskForList {
 		since := known.version
-		l.work.Go(func() { l.disco.follow(l.ctx, since, func(n list) { l.post(func() { l.news(n) }) }) })
+		l.work.Go(func() { l.disco.follow(l.ctx, since, func(n list) { l.post(func() { l.updated(n) }) }) })
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -101,7 +101,7 @@
 		case f := <-l.happened:
 			f()
 		case <-changed:
-			l.tellBans()
+			l.notifyBans()
 		case <-timer.C:
 			for now := time.Now(); len(l.timers) > 0 && !l.timers[0].at.After(now); {
 				l.handle(decide.TimerFired{Token: heap.Pop(&l.timers).(runningTimer).token})
@@ -150,7 +150,7 @@
 	case decide.FetchList:
 		l.work.Go(func() {
 			n, err := l.disco.fetch(l.ctx)
-			l.post(func() { l.told(n, err) })
+			l.post(func() { l.fetched(n, err) })
 		})
 	case decide.CloseIdle:
 		l.backends.closeIdle(a.Server)
--- a/internal/node/told_test.go
+++ b/internal/node/notified_test.go
@@ -17,10 +17,10 @@
 )
 
 // outage is discovery on the test's clock, with connections that are pipes. It fails in its way, comes back just as the
-// last call that is to fail has begun, and has other news then. A call that began before that stays as it is.
+// last call that is to fail has begun, and has another list then. A call that began before that stays as it is.
 type outage struct {
-	way  string
-	news chan struct{} // closed when there is news, or when it goes down
+	way     string
+	changes chan struct{} // closed at each change, or when it goes down
 
 	mu      sync.Mutex
 	down    bool
@@ -37,8 +37,8 @@
 	defer o.mu.Unlock()
 	o.down, o.left = true, calls+1
 	o.failed()
-	close(o.news)
-	o.news = make(chan struct{})
+	close(o.changes)
+	o.changes = make(chan struct{})
 }
 
 // failed counts a call that fails, with the lock held.
@@ -52,7 +52,7 @@
 	}
 }
 
-// fails tells whether a call that begins now is to fail, and counts it.
+// fails reports whether a call that begins now is to fail, and counts it.
 func (o *outage) fails() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -95,12 +95,12 @@
 	since, _ := strconv.Atoi(req.FormValue("since"))
 	wait, _ := strconv.Atoi(req.FormValue("timeout_ms"))
 	o.mu.Lock()
-	news, known := o.news, o.version > since
+	changes, known := o.changes, o.version > since
 	o.mu.Unlock()
 	if !known && !broken {
 		select {
-		case <-news:
-			broken = true // what the outage brings is not told here
+		case <-changes:
+			broken = true // what the outage brings is not answered here
 		case <-time.After(time.Duration(wait) * time.Millisecond):
 		}
 	}
@@ -127,8 +127,8 @@
 
 // What discovery has is followed 6 s after it can be reached, and 4 s after SIGHUP, however and however often calls
 // failed before: at a start without a list, which is how long a restarted node takes to be ready, and with a watch that
-// was open. Discovery comes back just after a call has begun to fail, which is the worst moment, and has its news then.
-func TestListIsToldInTime(t *testing.T) {
+// was open. Discovery comes back just after a call has begun to fail, which is the worst moment, and has its change then.
+func TestListIsKnownInTime(t *testing.T) {
 	t.Parallel()
 	for _, pushed := range []bool{true, false} {
 		for _, nodes := range []int{4, 300} {
@@ -136,7 +136,7 @@
 				for _, moves := range []bool{false, true} {
 					t.Run(fmt.Sprintf("pushed %v, %d nodes, %s, moves %v", pushed, nodes, way, moves), func(t *testing.T) {
 						for _, calls := range []int{0, 1, 2, 3, 6} {
-							synctest.Test(t, func(t *testing.T) { toldInTime(t, pushed, nodes, way, moves, calls) })
+							synctest.Test(t, func(t *testing.T) { knownInTime(t, pushed, nodes, way, moves, calls) })
 						}
 					})
 				}
@@ -145,7 +145,7 @@
 	}
 }
 
-func toldInTime(t *testing.T, pushed bool, nodes int, way string, moves bool, calls int) {
+func knownInTime(t *testing.T, pushed bool, nodes int, way string, moves bool, calls int) {
 	c := &Config{Settings: settings(), Discovery: netip.MustParseAddrPort("127.0.0.1:1")}
 	c.Settings.Nodes, c.Settings.Self, c.Settings.AskForList = nodes, nodes-1, !pushed
 	c.Settings.MinTick = 100 * time.Millisecond // the module's clock; finer costs the test time
@@ -156,7 +156,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if at[addr] == nil {
-			at[addr] = &outage{way: way, news: make(chan struct{}), version: 1, ready: true, back: time.Now()}
+			at[addr] = &outage{way: way, changes: make(chan struct{}), version: 1, ready: true, back: time.Now()}
 		}
 		return at[addr]
 	}
@@ -172,8 +172,8 @@
 		d.client.CloseIdleConnections()
 		time.Sleep(2 * watchWait) // discovery's own goroutines end
 	}()
-	limit, old := toldWithin, place("127.0.0.1:1")
-	told := func(what string, o *outage, limit time.Duration) {
+	limit, old := notifiedWithin, place("127.0.0.1:1")
+	awaitList := func(what string, o *outage, limit time.Duration) {
 		t.Helper()
 		for {
 			o.mu.Lock()
@@ -183,7 +183,7 @@
 			case !down && l.able.Load() == ready:
 				return
 			case !down && took > limit, took > time.Hour:
-				t.Fatalf("%s: not told %v after discovery's return from %d failed calls", what, took, calls)
+				t.Fatalf("%s: not known %v after discovery's return from %d failed calls", what, took, calls)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -193,7 +193,7 @@
 		old.fall(calls)
 	}
 	running.Go(func() { l.run(c.Known) })
-	told("start", old, limit)
+	awaitList("start", old, limit)
 	time.Sleep(2*watchWait + time.Duration(calls)*170*time.Millisecond)
 	if moves {
 		// The new address has what the old one has at the signal, and a change more.
@@ -213,5 +213,5 @@
 	} else {
 		old.fall(calls)
 	}
-	told("watch", old, limit)
+	awaitList("watch", old, limit)
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -44,7 +44,7 @@
 	wholeClass = strings.Fields(`name aim_ns dedup_window_ns effect give_up_ns importance key_scope late_worth streamed`)
 )
 
-// complete tells what is missing from a configuration that is to be whole.
+// complete reports what is missing from a configuration that is to be whole.
 func complete(raw []byte) error {
 	var tree any
 	if err := json.Unmarshal(raw, &tree); err != nil {
@@ -75,7 +75,7 @@
 	return tree
 }
 
-// sensible tells what a node could not run with.
+// sensible reports what a node could not run with.
 func sensible(s decide.Settings) error {
 	if len(s.Classes) == 0 {
 		return errors.New("classes are missing")
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -12,11 +12,11 @@
 	"time"
 )
 
-// toldWithin is by when what a silent watch misses counts as told.
-const toldWithin = 6 * time.Second
+// notifiedWithin is by when a node has to know of what a silent watch misses.
+const notifiedWithin = 6 * time.Second
 
-// A watch that falls silent in the middle of its wait is broken and opened anew, before what it misses counts as
-// told; so is one that is silent when SIGHUP comes and leaves discovery where it is. What changed in the silence is
+// A watch that falls silent in the middle of its wait is broken and opened anew, before the node has to
+// know of what it misses; so is one that is silent when SIGHUP comes and leaves discovery where it is. What changed in the silence is
 // not sent again but with the list, and that comes indented. Both ways of following the list do so.
 func TestSilentWatch(t *testing.T) {
 	t.Parallel()
@@ -38,8 +38,8 @@
 				}
 				select {
 				case at := <-again:
-					if took := at.Sub(began); took > toldWithin {
-						t.Errorf("the watch was opened anew after %v, want %v at most", took, toldWithin)
+					if took := at.Sub(began); took > notifiedWithin {
+						t.Errorf("the watch was opened anew after %v, want %v at most", took, notifiedWithin)
 					}
 				case <-time.After(2 * patient):
 					t.Fatal("the silent watch is not opened anew")
@@ -58,7 +58,7 @@
 }
 
 // silentRegistry is discovery whose third call is never answered, though the list changes meanwhile: former is
-// replaced by later. It tells when that call and when the next one came.
+// replaced by later. It sends when that call and when the next one came.
 func silentRegistry(t *testing.T, former, later string, silent, again chan time.Time) netip.AddrPort {
 	return registry(t, func(n int, q url.Values) string {
 		switch {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -45,7 +45,7 @@
 	b.control.SetReadDeadline(time.Unix(1, 0))
 }
 
-// readBody reads a body, or its first 64 KiB; then more tells that there may be more of it.
+// readBody reads a body, or its first 64 KiB; then more is true if there may be more of it.
 func (b *pacedBody) readBody(length int64) (body []byte, more bool, err error) {
 	size := int64(bodyLimit)
 	if length >= 0 {
@@ -138,7 +138,7 @@
 	u.closed = true
 }
 
-// cutShort ends the reading, and tells whether that came before the last byte. If it did not, the request may have run:
+// cutShort ends the reading, and reports whether that came before the last byte. If it did not, the request may have run:
 // the last byte may come in the instant in which the drain takes no more.
 func (u *upload) cutShort() bool {
 	u.close()
--- a/internal/node/writing.go
+++ b/internal/node/writing.go
@@ -112,7 +112,7 @@
 		if w.b.closing(w.h) {
 			return 0, errClosed
 		}
-		// What comes after this look and before the answer can't be told from the answer.
+		// What comes after this look and before the answer can't be distinguished from the answer.
 		if w.c.used && w.x.upload == nil && !nothingCame(fd) {
 			return 0, errStale
 		}
@@ -127,7 +127,7 @@
 	}
 }
 
-// over tells why no more of the request may be written, or nothing if it may.
+// over says why no more of the request may be written, or nothing if it may.
 func (w *requestWriter) over() error {
 	now := time.Now()
 	switch limit := w.limit(); {
@@ -145,7 +145,7 @@
 	return nil
 }
 
-// untouched tells whether the connection is as it was before: nothing was written, and not for any fault of its own.
+// untouched reports whether the connection is as it was before: nothing was written, and not for any fault of its own.
 func (w *requestWriter) untouched(err error) bool {
 	return !w.begun && w.x.upload == nil && (errors.Is(err, errOver) || errors.Is(err, errWindow) ||
 		errors.Is(err, os.ErrDeadlineExceeded) || w.ctx.Err() != nil && errors.Is(err, w.ctx.Err()))
--- a/internal/node/writing_test.go
+++ b/internal/node/writing_test.go
@@ -16,7 +16,7 @@
 	"starlingvalve/decide"
 )
 
-// stalling dials a backend with so little room on the way that a body of bodyLimit does not fit into it, and tells when
+// stalling dials a backend with so little room on the way that a body of bodyLimit does not fit into it, and reports when
 // there is none left.
 func stalling(full chan struct{}) func(context.Context, net.Dialer, string) (*conn, error) {
 	return func(ctx context.Context, d net.Dialer, addr string) (*conn, error) {
@@ -44,7 +44,7 @@
 	})
 }
 
-// narrow is a backend with little room. It reads once it may, and tells how many requests came whole.
+// narrow is a backend with little room. It reads once it may, and reports how many requests came whole.
 func narrow(t *testing.T, may <-chan struct{}) (addr string, whole *atomic.Int64, end func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -205,7 +205,7 @@
 }
 
 // A request ends while its attempt connects: nothing is written any more and no other attempt is made, though there is
-// no leave to cancel. Word of a client that went may still be on its way to the loop.
+// no leave to cancel. The event for a client that went may still be on its way to the loop.
 func TestNothingIsBegunAfterTheEnd(t *testing.T) {
 	t.Parallel()
 	for name, end := range map[string]func(l *loop, r *request, gone context.CancelFunc){
