Call what comes behind a request that is out pipelined

ahead.go -> pipelining.go, readAhead -> readPipelined, aheadLimit -> pipelinedLimit, the field ahead -> pipelined. No change of behaviour. go test ./internal/node: passed.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -65,11 +65,11 @@
 	ending  atomic.Bool  // the node closes it: what comes is not taken
 	closing sync.Once
 
-	taken    int64        // requests that the handler has got; the serving goroutine's
-	answered atomic.Int64 // of these, those whose answer has begun
-	ahead    []byte       // what came behind a request that was out; the reader's
-	behind   atomic.Bool  // there is something in ahead
-	flooded  atomic.Bool  // more came than is kept: the connection ends with the answer
+	taken     int64        // requests that the handler has got; the serving goroutine's
+	answered  atomic.Int64 // of these, those whose answer has begun
+	pipelined []byte       // what came behind a request that was out; the reader's
+	behind    atomic.Bool  // there is something in pipelined
+	flooded   atomic.Bool  // more came than is kept: the connection ends with the answer
 }
 
 // bodyBy is when a body that does not begin is given up.
--- a/internal/node/ahead.go
+++ b/internal/node/pipelining.go
@@ -9,16 +9,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// aheadLimit is how much is kept of what comes behind a request while it is out. A client sends one request at a time:
+// pipelinedLimit is how much is kept of what comes behind a request while it is out. A client sends one request at a time:
 // what is more than a small request is a flood.
-const aheadLimit = headerLimit
+const pipelinedLimit = headerLimit
 
 // Read hands net/http what has come. While a request is out net/http has one byte read, to notice the client's end. It
 // takes any byte for the next request and looks no further: an end behind the byte would not be seen. So that read
 // ends with the client, or once the answer begins.
 func (c *cappedConn) Read(p []byte) (int, error) {
 	if len(p) == 1 && c.isOut() {
-		if err := c.readAhead(p); err != nil {
+		if err := c.readPipelined(p); err != nil {
 			return 0, err
 		}
 	}
@@ -27,13 +27,13 @@
 		return 0, errEnding
 	case c.flooded.Load():
 		return 0, io.EOF // some of what came is lost: nothing behind it is a request
-	case len(c.ahead) > 0:
-		n := copy(p, c.ahead)
-		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-			c.ahead = nil
+	case len(c.pipelined) > 0:
+		n := copy(p, c.pipelined)
+		if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
+			c.pipelined = nil
 		}
 		c.framing.follow(p[:n])
-		c.behind.Store(len(c.ahead) > 0) // after that, or it would seem for a moment that nothing has come
+		c.behind.Store(len(c.pipelined) > 0) // after that, or it would seem for a moment that nothing has come
 		return n, nil
 	}
 	n, err := c.receive(p)
@@ -64,18 +64,18 @@
 // isOut reports whether a request has been read whole and its answer has not begun.
 func (c *cappedConn) isOut() bool { return c.framing.whole > c.answered.Load() }
 
-// readAhead reads behind a request that is out. What it keeps is for the reads to come; of a flood it keeps nothing.
-func (c *cappedConn) readAhead(p []byte) error {
+// readPipelined reads behind a request that is out. What it keeps is for the reads to come; of a flood it keeps nothing.
+func (c *cappedConn) readPipelined(p []byte) error {
 	for c.isOut() {
 		n, err := c.receive(p)
 		if n > 0 {
-			if c.flooded.Load() || len(c.ahead)+n > aheadLimit {
+			if c.flooded.Load() || len(c.pipelined)+n > pipelinedLimit {
 				c.flooded.Store(true)
-				c.ahead = nil
+				c.pipelined = nil
 			} else {
-				c.ahead = append(c.ahead, p[:n]...)
+				c.pipelined = append(c.pipelined, p[:n]...)
 			}
-			c.behind.Store(len(c.ahead) > 0)
+			c.behind.Store(len(c.pipelined) > 0)
 			if len(p) == 1 { // nothing comes behind most requests, and no more room is needed for them
 				piece := pieces.Get().(*[pieceSize]byte)
 				defer pieces.Put(piece)
@@ -96,7 +96,7 @@
 	}
 }
 
-// settle tells that the answer begins: what comes from now on may be the next request, of any size.
+// settle notes that the answer begins: what comes from now on may be the next request, of any size.
 func (c *cappedConn) settle() {
 	if c != nil {
 		c.answered.Store(c.taken)
@@ -104,7 +104,7 @@
 }
 
 // left reports whether the client has ended its side or reset the connection, also behind bytes that are not read yet.
-// Where the system does not tell, the client counts as there until a read meets its end.
+// Where the system can't say, the client counts as there until a read meets its end.
 func (c *cappedConn) left() bool {
 	return c != nil && polled(c, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
--- a/internal/node/ahead_test.go
+++ b/internal/node/pipelining_test.go
@@ -162,7 +162,7 @@
 		t.Fatal(err)
 	}
 	conn.last.Store(0)
-	const length = 4 * aheadLimit
+	const length = 4 * pipelinedLimit
 	next := make(chan error, 1)
 	go func() { _, err := io.WriteString(c, message("order", "9.5", strings.Repeat("b", length))); next <- err }()
 	await(t, "the next request's bytes are read while the answer is under way", func() bool { return conn.last.Load() != 0 })
