--- a/internal/fleet/session/session_test.go
+++ b/internal/fleet/session/session_test.go
@@ -26,10 +26,9 @@
 }
 
 type flight struct {
-	t0    fleet.Time // by the agent's clock, before the sending
-	term  int        // that verified it; -1: not yet
-	left  int        // 0 on its way to a leader, 1 verified, 2 answered and on its way back
-	joins bool
+	t0   fleet.Time // by the agent's clock, before the sending
+	term int        // that verified it; -1: not yet
+	left int        // 0 on its way to a leader, 1 verified, 2 answered and on its way back
 }
 
 // Whatever the clocks' rates within 1 %, the stalls between any two steps, lost, late and reordered messages, and
--- a/internal/fleet/zones/play/world.go
+++ b/internal/fleet/zones/play/world.go
@@ -51,7 +51,7 @@
 	key, from, to   string
 	event           string
 	before, after   zones.Entry
-	hadPast, region bool
+	hadPast         bool
 }
 
 type wnode struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 	return serve(ctx, c, listen, admin, reloads, log)
 }
 
-// serve has no door for operators if admin is nil. With one, this may be an upgrade: it listens for clients once it
+// serve has no admin API if admin is nil. With one, this may be an upgrade: it listens for clients once it
 // can serve them.
 func serve(ctx context.Context, c *Config, listen func() (*net.TCPListener, error), admin *net.TCPListener,
 	reloads <-chan *Config, log *slog.Logger) error {
@@ -81,13 +81,13 @@
 	l := newLoop(inner, c, b, d, p, log)
 	if admin != nil {
 		l.bans = openBans(c, b, log)
-		if b.beside, err = openBeside(c, log); err != nil {
+		if b.restart, err = openHotRestart(c, log); err != nil {
 			log.Error("the limits are not shared with another process", "err", err)
 		}
 	}
 	f := newFrontend(l, int(float64(clients)*softPart), log)
 	f.maxOpen = min(f.maxOpen, int64(servers)) // each finds a descriptor for an attempt
-	f.conns.beside = b.beside
+	f.conns.restart = b.restart
 	f.fleet = newFleetLink(c, l, f.unready, log)
 	srv := f.server()
 
@@ -117,13 +117,13 @@
 		running.Go(func() { p.read(l.heard) })
 	}
 	if admin != nil {
-		o := &door{front: f, bans: l.bans, ctx: inner, log: log}
-		running.Go(func() { o.run(admin) })
+		api := &adminServer{front: f, bans: l.bans, ctx: inner, log: log}
+		running.Go(func() { api.run(admin) })
 		running.Go(func() { every(inner, lookEvery(c.Settings.DrainGrace), l.bans.look) })
 		running.Go(func() { every(inner, emptyEvery, f.letGo) })
 	}
-	if b.beside != nil {
-		running.Go(func() { every(inner, besideEvery, b.beside.look) })
+	if b.restart != nil {
+		running.Go(func() { every(inner, otherProcessEvery, b.restart.look) })
 	}
 	if tcp == nil {
 		select {
@@ -138,7 +138,7 @@
 	}
 	if tcp != nil {
 		served := make(chan error, 1)
-		taken := newCapped(tcp, clients, b.beside, f.conns)
+		taken := newCapped(tcp, clients, b.restart, f.conns)
 		running.Go(func() {
 			served <- srv.Serve(taken)
 		})
@@ -162,7 +162,7 @@
 }
 
 // shareSockets gives the most connections from clients and to servers, with descriptors left for all else: discovery, the
-// door and the fleet's agent are reached however many clients there are.
+// admin API and the fleet's agent are reached however many clients there are.
 func shareSockets(sockets int) (clients, servers int) {
 	room := sockets - ownSockets
 	clients = int(float64(room) * clientPart)
