Keep the list of all items over a revision without items

Need: of a change outside the scope an agent hears only a higher revision, and the judgement of its own node copied every item for it.

--- a/internal/fleet/agent/copy.go
+++ b/internal/fleet/agent/copy.go
@@ -73,7 +73,10 @@
 	for _, item := range in.Items {
 		c.put(item)
 	}
-	c.Revision, c.all = in.Revision, nil
+	if in.Full || len(in.Items) > 0 {
+		c.all = nil
+	}
+	c.Revision = in.Revision
 	c.forget()
 	return true, nil
 }
