--- a/internal/fleet/agent/disk_test.go
+++ b/internal/fleet/agent/disk_test.go
@@ -305,7 +305,7 @@
 	}
 }
 
-// failAt makes writes of d fail half way, as on a full disk, until it is called.
+// failWrites makes writes of d fail half way, as on a full disk, until end is called.
 func failWrites(d *disk) (end func()) {
 	d.writeSync = func(file *os.File, raw []byte) error {
 		if _, err := file.Write(raw[:len(raw)/2]); err != nil {
--- a/internal/fleet/agent/subscription_test.go
+++ b/internal/fleet/agent/subscription_test.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// Beside a replica of the last build, which ignores the subscription, an agent keeps and sends only what is in scope: a tenant that
+// With a replica of the last build, which ignores the subscription, an agent keeps and sends only what is in scope: a tenant that
 // leaves it during its rollout stays until the commit, and one that the copy never had is gone, as the node may have it.
 func TestReplicaOfTheLastBuild(t *testing.T) {
 	a := atRest(t, t.TempDir(), "billing")
