Have the nodes of the composed control plane's tests read by their scope

Need: the parts were tested apart: scoped rollouts with whole reads that the test itself filtered.

One test file of zones is formatted anew.

--- a/internal/fleet/control/fixture_test.go
+++ b/internal/fleet/control/fixture_test.go
@@ -68,12 +68,12 @@
 
 // read has a node take the newest intent.
 func (n *node) read(s *State) {
-	in := s.Read(n.revision, n.Node)
+	in := s.Read(n.revision, n.Node, n.services...)
 	if in.Full {
 		n.held = map[string]fleet.Item{}
 	}
 	for _, it := range in.Items {
-		if it.Gone || !n.keeps(it) {
+		if it.Gone {
 			delete(n.held, it.Key)
 		} else {
 			n.held[it.Key] = it
--- a/internal/fleet/zones/play/world.go
+++ b/internal/fleet/zones/play/world.go
@@ -47,11 +47,11 @@
 
 // step is a transition that was applied.
 type step struct {
-	at              fleet.Time
-	key, from, to   string
-	event           string
-	before, after   zones.Entry
-	hadPast         bool
+	at            fleet.Time
+	key, from, to string
+	event         string
+	before, after zones.Entry
+	hadPast       bool
 }
 
 type wnode struct {
