Move a node's mirror of the intent and its report into a package of their own

Need: hollow nodes of the scale tests make the same events and reports from the same answers, and logic is not to stand twice.

No behaviour changes.

--- /dev/null
+++ b/internal/fleet/nodelink/report.go
@@ -0,0 +1,62 @@
+package nodelink
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+)
+
+// Observed is what a report is made of, all read at one moment.
+type Observed struct {
+	Window   decide.FleetWindow
+	Facts    []decide.Fact
+	Now      decide.Time
+	Revision uint64 // newest intent that the module has whole
+	List     uint64 // version of the server list that it has
+	Ready    bool
+	Synced   bool
+	Settled  time.Time // when the settings in force were taken
+}
+
+// Idle tells whether nothing was seen that is evidence of anything.
+func (o *Observed) Idle() bool {
+	return !slices.ContainsFunc(o.Window.Zones, func(z decide.ZoneWindow) bool { return z.Attempts+z.Begun > 0 }) &&
+		!slices.ContainsFunc(o.Window.Tenants, func(t decide.TenantWindow) bool { return t.Arrived > 0 })
+}
+
+// Report makes the report of what was observed; want is what the last answer asked for.
+func (o *Observed) Report(m fleet.Member, seq uint64, want []string) fleet.Report {
+	span := max(o.Now-o.Window.Since, time.Millisecond)
+	r := fleet.Report{Member: m, Seq: seq, Revision: o.Revision, Ready: o.Ready, WindowMS: span.Milliseconds(), List: o.List}
+	for _, z := range o.Window.Zones {
+		if z.Zone == "" {
+			continue // a server without a zone is no evidence on one
+		}
+		r.Zones = append(r.Zones, fleet.ZoneCount{Zone: z.Zone, Attempts: z.Attempts, Lost: z.Lost, Servers: z.Servers,
+			LostServers: z.LostServers, OK: z.OK, Listed: z.Listed, Sent: z.Begun, Rate: z.Rate})
+	}
+	for _, t := range o.Window.Tenants {
+		r.Tenants = append(r.Tenants, fleet.TenantAck{Name: t.Name, UID: t.UID, Committed: t.Committed, Staged: t.Staged, Digest: t.Digest,
+			Refused: t.Refused, Open: t.Open, Offered: float64(t.Arrived) / span.Seconds(), Admitted: float64(t.Admitted) / span.Seconds(), Rate: t.Rate})
+	}
+	var held []fleet.Held
+	for _, f := range o.Facts {
+		h, ok, err := drift.Hold(f.Key, f.Value)
+		if err != nil || !ok {
+			continue // what can't be written is missing from the root: the judge names it
+		}
+		switch {
+		case f.Key == fleet.KeySettings:
+			h.By, h.SinceMS = "the configuration file", o.Settled.UnixMilli()
+		case strings.HasPrefix(f.Key, fleet.KeyBan):
+			h.By = "the operators' door"
+		}
+		held = append(held, h)
+	}
+	drift.Fill(&r, held, want)
+	return r
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -19,6 +19,7 @@
 
 	"starlingvalve/decide"
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/nodelink"
 )
 
 const (
@@ -116,13 +117,13 @@
 
 // watch asks for what is intended, again and again, and has it told.
 func (f *fleetLink) watch(ctx context.Context) {
-	m, retry := newMirror(f.member), backoff.NewExponentialBackOff()
+	m, retry := nodelink.NewMirror(f.member), backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = intentPause, intentWait
 	for ctx.Err() == nil {
 		asked := time.Now()
 		in, came, err := f.intent(ctx, m)
 		if err == nil {
-			err = m.merge(in)
+			err = m.Merge(in)
 		}
 		pause := intentPause
 		if err != nil {
@@ -131,7 +132,7 @@
 		} else {
 			retry.Reset()
 			f.tell(m, came, in.CaughtUp)
-			if !m.news && came.Sub(asked) < intentPause { // an agent may answer at once, always
+			if !m.News && came.Sub(asked) < intentPause { // an agent may answer at once, always
 				pause = f.Report
 			}
 		}
@@ -140,12 +141,12 @@
 }
 
 // intent makes one call of the watch, and tells when its answer came.
-func (f *fleetLink) intent(ctx context.Context, m *mirror) (fleet.Intent, time.Time, error) {
+func (f *fleetLink) intent(ctx context.Context, m *nodelink.Mirror) (fleet.Intent, time.Time, error) {
 	wait := intentWait
-	if !m.known {
+	if !m.Known {
 		wait = 0
 	}
-	path := fmt.Sprintf("/fleet/v1/intent?since=%d&timeout_ms=%d&node=%s", m.revision, wait.Milliseconds(), url.QueryEscape(f.member.Node))
+	path := fmt.Sprintf("/fleet/v1/intent?since=%d&timeout_ms=%d&node=%s", m.Revision, wait.Milliseconds(), url.QueryEscape(f.member.Node))
 	body, err := f.call(ctx, http.MethodGet, path, nil, wait+intentSlack, fleet.IntentLimit)
 	if err != nil {
 		return fleet.Intent{}, time.Time{}, err
@@ -156,16 +157,16 @@
 }
 
 // tell has the loop tell the module of the last answer, and waits for it.
-func (f *fleetLink) tell(m *mirror, came time.Time, whole bool) {
+func (f *fleetLink) tell(m *nodelink.Mirror, came time.Time, whole bool) {
 	done := make(chan struct{})
 	told := f.loop.post(func() {
 		defer close(done)
-		for _, e := range m.events(time.Since(came)) {
+		for _, e := range m.Events(time.Since(came)) {
 			f.loop.handle(e)
 		}
-		f.revision = m.revision
-		if m.news {
-			f.log.Info("fleet told", "revision", m.revision, "tenants", len(m.changed), "age", m.age)
+		f.revision = m.Revision
+		if m.News {
+			f.log.Info("fleet told", "revision", m.Revision, "tenants", len(m.Changed), "age", m.Age)
 		}
 		if whole {
 			f.sync()
@@ -212,10 +213,10 @@
 			f.once.Do(func() { close(f.caught) })
 		}
 		if since != 0 {
-			o.window.Since = since
+			o.Window.Since = since
 		}
-		if o.idle() && len(want) == 0 && time.Since(last) < reportMost && f.unready() == "" {
-			since = o.window.Since
+		if o.Idle() && len(want) == 0 && time.Since(last) < reportMost && f.unready() == "" {
+			since = o.Window.Since
 			continue
 		}
 		since, last = 0, time.Now()
@@ -225,7 +226,7 @@
 			continue
 		}
 		want = answer.Want
-		f.heed(answer, o.synced)
+		f.heed(answer, o.Synced)
 	}
 }
 
@@ -242,7 +243,7 @@
 	}
 	ttl := outLast
 	if a.TTLMS > 0 {
-		ttl = min(millis(a.TTLMS), outMost)
+		ttl = min(nodelink.Millis(a.TTLMS), outMost)
 	}
 	if f.out.Swap(time.Now().Add(ttl).UnixNano()) == 0 {
 		f.log.Warn("fleet: out of the front", "ttl", ttl)
@@ -251,8 +252,8 @@
 
 // observe reads what a report is made of, in one turn of the loop; nil once that has ended. over: the time to
 // catch up is.
-func (f *fleetLink) observe(over bool) *observed {
-	done := make(chan *observed, 1)
+func (f *fleetLink) observe(over bool) *nodelink.Observed {
+	done := make(chan *nodelink.Observed, 1)
 	posted := f.loop.post(func() {
 		if over {
 			f.sync()
@@ -260,8 +261,8 @@
 		now := f.loop.now()
 		window := f.loop.module.Window(now)
 		window.Since = max(window.Since, f.loop.base) // the first has no beginning
-		done <- &observed{window: window, facts: f.loop.module.Holds(), now: now, revision: f.revision, list: f.loop.version,
-			ready: f.unwell() == "", synced: f.synced, settled: f.loop.settled}
+		done <- &nodelink.Observed{Window: window, Facts: f.loop.module.Holds(), Now: now, Revision: f.revision, List: f.loop.version,
+			Ready: f.unwell() == "", Synced: f.synced, Settled: f.loop.settled}
 	})
 	if !posted {
 		return nil
@@ -275,14 +276,14 @@
 }
 
 // send posts a report. One that leaves is the last.
-func (f *fleetLink) send(ctx context.Context, o *observed, want []string, leaving bool) (a fleet.ReportAnswer, err error) {
+func (f *fleetLink) send(ctx context.Context, o *nodelink.Observed, want []string, leaving bool) (a fleet.ReportAnswer, err error) {
 	f.sending.Lock()
 	defer f.sending.Unlock()
 	if f.left {
 		return a, nil
 	}
 	f.seq++
-	r := o.report(f.member, f.seq, want)
+	r := o.Report(f.member, f.seq, want)
 	if f.left = leaving; leaving {
 		r.Leaving, r.Ready = true, false
 	}
