--- /dev/null
+++ b/cmd/fleetlab/hollow.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/scale/hollow"
+)
+
+// hollowCmd runs hollow nodes and app servers for the scale runner, which starts it and speaks to it over its standard input
+// and output.
+func hollowCmd() *cobra.Command {
+	return &cobra.Command{Use: "hollow", Short: "Run hollow nodes and app servers (of fleetlab scale)", Args: cobra.NoArgs, Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+			return hollow.Serve(ctx, c.InOrStdin(), c.OutOrStdout(), log)
+		}}
+}
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -37,7 +37,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), hollowCmd())
 	return cmd
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,19 +6,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"starlingvalve/decide"
+	"starlingvalve/internal/fleet/nodelink"
 )
 
 const (
@@ -96,18 +94,8 @@
 	return l, nil
 }
 
-// serverID makes the module's number of a name, the same at every node: the module's order of servers hangs on
-// it. Names that end in eight hex digits hold it; of others it is a hash.
-func serverID(name string) decide.ServerID {
-	if _, digits, ok := strings.Cut(name, "-"); ok && len(digits) == 8 {
-		if v, err := strconv.ParseUint(digits, 16, 32); err == nil {
-			return decide.ServerID(v)
-		}
-	}
-	h := fnv.New32a()
-	io.WriteString(h, name)
-	return decide.ServerID(h.Sum32())
-}
+// serverID is the module's number of a name.
+func serverID(name string) decide.ServerID { return nodelink.ServerID(name) }
 
 // discovery asks for the list of backends. Its calls go out on connections of its own.
 type discovery struct {
--- a/internal/scale/hollow/api.go
+++ b/internal/scale/hollow/api.go
@@ -4,8 +4,9 @@
 // A hollow app server is a registrant that holds its lease. Both speak the real calls over real loopback TCP to real
 // listd processes.
 //
-// The process is a child of the scale runner. It reads one Request a line (JSON) from its standard input and writes one
-// Reply a line to its standard output, in order. It ends when its standard input does.
+// The process is a child of the scale runner. It reads its Config as the first line (JSON) of its standard input, then one
+// Request a line, and writes one Reply a line to its standard output, in order: to the Config too. It ends when its standard
+// input does. Process is the runner's side.
 package hollow
 
 import "time"
@@ -45,6 +46,7 @@
 	First      int           `json:"first,omitempty"`
 	Count      int           `json:"count,omitempty"`
 	Tenant     string        `json:"tenant,omitempty"`
+	Service    string        `json:"service,omitempty"` // of Tenant, where it has one and no node here may have heard of it yet
 	Generation uint64        `json:"generation,omitempty"`
 	Wait       time.Duration `json:"wait,omitempty"` // ns
 }
--- /dev/null
+++ b/internal/scale/hollow/config.go
@@ -0,0 +1,112 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/registry"
+)
+
+// Bounds of a Config.
+const (
+	mostNodes    = 10_000  // of one process
+	mostServers  = 200_000 // of one process
+	mostNumber   = 1 << 22 // of a node or server: a server's address is made of it
+	mostServices = 100_000
+	mostRequests = 10_000 // a second, of one node
+)
+
+// decodeConfig reads the first line of a process's input. An error is one line that names the key.
+func decodeConfig(line []byte) (Config, error) {
+	var cfg Config
+	if len(bytes.TrimSpace(line)) == 0 {
+		return cfg, errors.New("config: missing")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&cfg); err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	return cfg, cfg.validate()
+}
+
+// validate gives the first fault of a Config, which names its key.
+func (c *Config) validate() error {
+	for _, bounded := range []struct {
+		key         string
+		value, most int
+	}{
+		{"first_node", c.FirstNode, mostNumber - mostNodes}, {"nodes", c.Nodes, mostNodes},
+		{"first_server", c.FirstServer, mostNumber - mostServers}, {"servers", c.Servers, mostServers},
+		{"services", c.Services, mostServices}, {"per_node", c.PerNode, fleet.ScopeLimit},
+		{"active_tenants", c.ActiveTenants, math.MaxInt32},
+	} {
+		if bounded.value < 0 || bounded.value > bounded.most {
+			return fmt.Errorf("config: %s: %d, must be 0 to %d", bounded.key, bounded.value, bounded.most)
+		}
+	}
+	for _, address := range c.Replicas {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return fmt.Errorf("config: replicas: %q: not HOST:PORT", address)
+		}
+	}
+	switch {
+	case len(c.Replicas) == 0:
+		return errors.New("config: replicas: none")
+	case c.Nodes+c.Servers == 0:
+		return errors.New("config: nodes, servers: both are 0")
+	case len(c.Zones) == 0 || slices.Contains(c.Zones, ""):
+		return errors.New("config: zones: none, or one without a name")
+	case c.PerNode > c.Services:
+		return fmt.Errorf("config: per_node: %d of %d services", c.PerNode, c.Services)
+	case c.Nodes > 0 && c.Dir == "":
+		return errors.New("config: dir: missing")
+	case !(c.RequestsPerS >= 0 && c.RequestsPerS <= mostRequests):
+		return fmt.Errorf("config: requests_per_s: %v, must be 0 to %d", c.RequestsPerS, mostRequests)
+	case c.Servers > 0 && (c.LeaseTTLMS < registry.MinTTLMS || c.LeaseTTLMS > registry.MaxTTLMS):
+		return fmt.Errorf("config: lease_ttl_ms: %d, must be %d to %d", c.LeaseTTLMS, registry.MinTTLMS, registry.MaxTTLMS)
+	}
+	return nil
+}
+
+// NodeName is the name of the hollow node of a number.
+func NodeName(number int) string { return fmt.Sprintf("h%05d", number) }
+
+// ServerName is the id of the hollow app server of a number: 8 hexadecimal digits, which hold its number in the module.
+func ServerName(number int) string { return fmt.Sprintf("s-%08x", number) }
+
+// ServiceName is the name of the service of a number.
+func ServiceName(number int) string { return fmt.Sprintf("svc-%03d", number) }
+
+// nodeZone is the zone of the node of a number.
+func (c *Config) nodeZone(number int) string { return c.Zones[number%len(c.Zones)] }
+
+// serverPlace gives the service and the zone of the server of a number. The servers of one service go over the zones in turn.
+func (c *Config) serverPlace(number int) (service, zone string) {
+	services := max(1, c.Services)
+	of, within := number%services, number/services
+	return ServiceName(of), c.Zones[(of+within)%len(c.Zones)]
+}
+
+// scope gives the services that a node serves, sorted; none where it has no scope: PerNode of Services, drawn by the seed.
+//
+// MARK(scope): the agent has no scope of its own yet. Once agent.Config has one, startAgent is to set it by this.
+func scope(cfg *Config, number int) []string {
+	if cfg.PerNode == 0 {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(cfg.Seed, uint64(number)))
+	var services []string
+	for _, service := range random.Perm(cfg.Services)[:cfg.PerNode] {
+		services = append(services, ServiceName(service))
+	}
+	slices.Sort(services)
+	return services
+}
--- /dev/null
+++ b/internal/scale/hollow/group.go
@@ -0,0 +1,183 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	stepEvery   = 25 * time.Millisecond // between two looks at what is due in the nodes' modules
+	atOnce      = 32                    // nodes or servers that a request starts or ends at the same time
+	inForceLook = 5 * time.Millisecond
+)
+
+// group is all that one process runs.
+type group struct {
+	cfg     Config
+	log     *slog.Logger
+	ctx     context.Context
+	stop    context.CancelFunc
+	state   *fleetState
+	nodes   []atomic.Pointer[node] // by number from FirstNode on; nil: down
+	servers *registrants
+	loops   sync.WaitGroup
+}
+
+// newGroup starts the nodes and the servers of a valid Config.
+func newGroup(ctx context.Context, cfg Config, log *slog.Logger) (*group, error) {
+	g := &group{cfg: cfg, log: log, state: newFleetState(), nodes: make([]atomic.Pointer[node], cfg.Nodes)}
+	g.ctx, g.stop = context.WithCancel(ctx)
+	g.servers = newRegistrants(&g.cfg, g.state, log)
+	for worker := range g.servers.workers {
+		g.loops.Go(func() { g.servers.renew(g.ctx, worker) })
+	}
+	drivers := min(runtime.GOMAXPROCS(0), max(1, cfg.Nodes))
+	for driver := range drivers {
+		g.loops.Go(func() { g.drive(driver, drivers) })
+	}
+	if err := g.start(cfg.FirstNode, cfg.Nodes); err != nil {
+		g.close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// close ends everything, without a goodbye of a node or a server.
+func (g *group) close() {
+	g.stop()
+	each(len(g.nodes), func(i int) error {
+		if n := g.nodes[i].Swap(nil); n != nil {
+			n.kill()
+		}
+		return nil
+	})
+	g.loops.Wait()
+}
+
+// drive has the modules of every so manieth node get what is due, until the group ends.
+func (g *group) drive(first, step int) {
+	for ticker := time.NewTicker(stepEvery); ; {
+		select {
+		case <-g.ctx.Done():
+			ticker.Stop()
+			return
+		case <-ticker.C:
+		}
+		for i := first; i < len(g.nodes); i += step {
+			if n := g.nodes[i].Load(); n != nil {
+				n.mu.Lock()
+				n.module.advance()
+				n.mu.Unlock()
+			}
+		}
+	}
+}
+
+// running gives the nodes that are up.
+func (g *group) running() (nodes []*node) {
+	for i := range g.nodes {
+		if n := g.nodes[i].Load(); n != nil {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// start starts those of the nodes that are down.
+func (g *group) start(first, count int) error {
+	return each(count, func(i int) error {
+		place := &g.nodes[first-g.cfg.FirstNode+i]
+		if place.Load() != nil {
+			return nil
+		}
+		n, err := startNode(g.ctx, &g.cfg, g.state, first+i, g.log)
+		if err == nil {
+			place.Store(n)
+		}
+		return err
+	})
+}
+
+// end ends those of the nodes that are up, by kill or leave.
+func (g *group) end(first, count int, how func(*node)) error {
+	return each(count, func(i int) error {
+		if n := g.nodes[first-g.cfg.FirstNode+i].Swap(nil); n != nil {
+			how(n)
+		}
+		return nil
+	})
+}
+
+// do carries out a request.
+func (g *group) do(ctx context.Context, r Request) Reply {
+	switch r.Op {
+	case OpUsage:
+		usage := g.usage()
+		return Reply{Usage: &usage}
+	case OpInForce:
+		if r.Tenant == "" {
+			return failure(fmt.Errorf("in_force: tenant: missing"))
+		}
+		inForce := g.inForce(ctx, r)
+		return Reply{InForce: &inForce}
+	case OpKill, OpLeave, OpStart:
+		if err := within(r, g.cfg.FirstNode, g.cfg.Nodes, "nodes"); err != nil {
+			return failure(err)
+		}
+		switch r.Op {
+		case OpKill:
+			return failure(g.end(r.First, r.Count, (*node).kill))
+		case OpLeave:
+			return failure(g.end(r.First, r.Count, (*node).leave))
+		}
+		return failure(g.start(r.First, r.Count))
+	case OpReplace:
+		if err := within(r, g.cfg.FirstServer, g.cfg.Servers, "servers"); err != nil {
+			return failure(err)
+		}
+		return failure(g.servers.replace(ctx, r.First, r.Count))
+	}
+	return failure(fmt.Errorf("op: unknown %.40q", r.Op))
+}
+
+// within checks that a request's numbers are this process's.
+func within(r Request, first, count int, what string) error {
+	if r.Count < 1 || r.First < first || r.First-first+r.Count > count {
+		return fmt.Errorf("%s: first, count: %d, %d: this process has %d %s from %d on", r.Op, r.First, r.Count, count, what, first)
+	}
+	return nil
+}
+
+// failure is a reply with an error, or none.
+func failure(err error) Reply {
+	if err == nil {
+		return Reply{}
+	}
+	return Reply{Err: oneLine(err.Error())}
+}
+
+// each does something for 0 to count-1, some at the same time, and gives the first error.
+func each(count int, do func(i int) error) error {
+	var all sync.WaitGroup
+	var next atomic.Int64
+	var first atomic.Pointer[error]
+	for range min(atOnce, count) {
+		all.Go(func() {
+			for i := int(next.Add(1)) - 1; i < count; i = int(next.Add(1)) - 1 {
+				if err := do(i); err != nil {
+					first.CompareAndSwap(nil, &err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if err := first.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/hollow/hollow_test.go
@@ -0,0 +1,313 @@
+package hollow_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/lab/listdlab"
+	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/scale/hollow"
+)
+
+const (
+	nodes   = 8
+	servers = 40
+	limit   = 90 * time.Second // for a condition that comes in a second or two on an idle machine
+)
+
+// TestMain lets the test's own binary be the hollow process: so that has the race detector where the test does.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == "hollow" {
+		log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+		if err := hollow.Serve(context.Background(), os.Stdin, os.Stdout, log); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// run is three replicas with a hollow process beside them.
+type run struct {
+	t       *testing.T
+	cluster *listdlab.Cluster
+	process *hollow.Process
+}
+
+func startRun(t *testing.T) *run {
+	t.Helper()
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	settings := filepath.Join(dir, "fleet.toml")
+	if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", nodes), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	cluster, err := listdlab.Start(filepath.Join(dir, "listd"), dir, 3, os.Getpid(), "--fleet", settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Close)
+	if _, err := cluster.Leader(limit, -1); err != nil {
+		t.Fatal(err)
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	process, err := hollow.Start(t.Context(), binary, hollow.Config{Replicas: cluster.HTTP, FirstNode: 100, Nodes: nodes,
+		FirstServer: 1000, Servers: servers, Services: 4, Zones: []string{"za", "zb", "zc"}, ActiveTenants: 2, RequestsPerS: 20, LeaseTTLMS: 6000,
+		Dir: filepath.Join(dir, "agents"), Seed: 1}, slog.New(slog.NewTextHandler(t.Output(), nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &run{t, cluster, process}
+}
+
+func (r *run) usage() hollow.Usage {
+	r.t.Helper()
+	usage, err := r.process.Usage()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return usage
+}
+
+func (r *run) must(err error) {
+	r.t.Helper()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// await waits for a condition on the process's usage.
+func (r *run) await(what string, holds func(hollow.Usage) bool) {
+	r.t.Helper()
+	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		usage := r.usage()
+		if holds(usage) {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatalf("not yet %s: %+v", what, usage)
+		}
+	}
+}
+
+// put has the leader take a tenant's generation, once it is through with the one before.
+func (r *run) put(name, service string, generation uint64) {
+	r.t.Helper()
+	body := map[string]any{"generation": generation, "spec": fleet.Spec{Name: name, Service: service, Quota: fleet.Quota{Rate: 100, Burst: 100}}}
+	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		code, text, unknown, err := played.Call(r.cluster.HTTP, http.MethodPut, "/fleet/v1/tenants/"+name, body)
+		if err == nil && (code == http.StatusOK || unknown) {
+			return
+		}
+		if err != nil || code != http.StatusConflict || !strings.Contains(text, "a rollout is on") || time.Now().After(end) {
+			r.t.Fatalf("put %s: %v, %d %s", name, err, code, text)
+		}
+	}
+}
+
+// inForce waits until a tenant's generation is in force on so many nodes, and no fewer are asked.
+func (r *run) inForce(tenant string, generation uint64, want int) hollow.InForce {
+	r.t.Helper()
+	seen, err := r.process.InForce(tenant, "", generation, limit)
+	if err != nil || seen.Nodes != want || seen.Have != want {
+		r.t.Fatalf("%s at %d: %+v, %v; want %d nodes", tenant, generation, seen, err, want)
+	}
+	return seen
+}
+
+// listed reads the addresses of the hollow servers on the list, by id.
+func (r *run) listed() map[string]string {
+	r.t.Helper()
+	response, err := http.Get("http://" + r.cluster.HTTP[0] + "/registry/instances")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var list struct {
+		Servers []struct{ ID, Addr string }
+	}
+	r.must(json.NewDecoder(response.Body).Decode(&list))
+	addresses := map[string]string{}
+	for _, server := range list.Servers {
+		addresses[server.ID] = server.Addr
+	}
+	return addresses
+}
+
+// Nodes come up and hold sessions, servers hold leases, and tenants come into force on every node; nodes that are killed, leave and
+// start again, and servers that are replaced, do what they say; the process ends when its runner says so.
+func TestHollowProcess(t *testing.T) {
+	t.Parallel()
+	r := startRun(t)
+	r.await("ready", func(u hollow.Usage) bool { return u.Ready == nodes && u.Registered == servers })
+	start := time.Now()
+	for i := range 5 {
+		r.put(fmt.Sprint("tenant-", i), "", 0)
+	}
+	for i := range 5 {
+		seen := r.inForce(fmt.Sprint("tenant-", i), 1, nodes)
+		if seen.Last.Before(start) || len(seen.Times) != nodes || !strings.HasPrefix(seen.Worst, "h001") {
+			t.Errorf("in force: %+v", seen)
+		}
+	}
+	r.put("tenant-0", "", 1)
+	r.inForce("tenant-0", 2, nodes)
+	r.inForce("nobody", 0, nodes)
+	if seen, err := r.process.InForce("tenant-1", "", 7, 10*time.Millisecond); err != nil || seen.Have != 0 || seen.Nodes != nodes {
+		t.Errorf("a generation that is not: %+v, %v", seen, err)
+	}
+
+	r.must(r.process.Kill(102, 2))
+	r.await("two killed", func(u hollow.Usage) bool { return u.Ready == nodes-2 })
+	r.must(r.process.Start(100, nodes))
+	r.await("back", func(u hollow.Usage) bool { return u.Ready == nodes })
+	r.inForce("tenant-0", 2, nodes)
+	r.must(r.process.Leave(104, 1))
+	r.put("tenant-0", "", 2)
+	r.inForce("tenant-0", 3, nodes-1)
+	r.must(r.process.Start(104, 1))
+	r.await("back again", func(u hollow.Usage) bool { return u.Ready == nodes })
+	r.inForce("tenant-0", 3, nodes)
+
+	before := r.listed()
+	r.must(r.process.Replace(1003, 4))
+	after := r.listed()
+	for i := range servers {
+		id := hollow.ServerName(1000 + i)
+		if replaced := i >= 3 && i < 7; replaced == (before[id] == after[id]) {
+			t.Errorf("%s: %q, then %q; replaced: %v", id, before[id], after[id], replaced)
+		}
+	}
+	r.await("every server registered", func(u hollow.Usage) bool { return u.Registered == servers && u.Behind == 0 })
+	r.checkUsage()
+	r.checkRefusals()
+
+	pid := r.process.PID()
+	if err := r.process.Close(); err != nil {
+		t.Errorf("the end: %v", err)
+	}
+	if err := syscall.Kill(pid, 0); !errors.Is(err, syscall.ESRCH) {
+		t.Errorf("process %d is still there: %v", pid, err)
+	}
+	if _, err := r.process.Usage(); err == nil {
+		t.Error("an ended process answers")
+	}
+}
+
+// checkUsage expects something of every counter.
+func (r *run) checkUsage() {
+	r.t.Helper()
+	u := r.usage()
+	for _, call := range []hollow.Call{hollow.CallIntent, hollow.CallList, hollow.CallReport, hollow.CallRegister} {
+		if c := u.Calls[call]; c.Calls == 0 || c.BytesIn < 50*c.Calls || c.BytesOut < 50*c.Calls {
+			r.t.Errorf("%s: %+v", call, c)
+		}
+	}
+	reports := u.Calls[hollow.CallReport]
+	if u.ReportBytes == 0 || u.ReportBytes >= reports.BytesOut || u.CPU <= 0 || u.HeapBytes == 0 || u.RSSBytes < u.HeapBytes || u.Items < 5*nodes ||
+		u.Goroutines < 8*nodes || u.Descriptors < nodes {
+		r.t.Errorf("usage: %+v", u)
+	}
+}
+
+// checkRefusals expects one line on a request that can't be carried out, and that it changes nothing.
+func (r *run) checkRefusals() {
+	r.t.Helper()
+	for what, err := range map[string]error{
+		"a node of another process": r.process.Kill(99, 2),
+		"too many nodes":            r.process.Leave(100, nodes+1),
+		"no nodes":                  r.process.Start(100, 0),
+		"a server out of range":     r.process.Replace(1000+servers, 1),
+	} {
+		if err == nil || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), "count") {
+			r.t.Errorf("%s: %v", what, err)
+		}
+	}
+	if _, err := r.process.InForce("", "", 1, 0); err == nil {
+		r.t.Error("in force without a tenant")
+	}
+	if u := r.usage(); u.Ready != nodes {
+		r.t.Errorf("after refusals: %+v", u)
+	}
+}
+
+// A bad Config is one reply with one line that names the key, and the end.
+func TestBadConfig(t *testing.T) {
+	t.Parallel()
+	good := `{"replicas":["127.0.0.1:1"],"nodes":1,"zones":["z"],"dir":"/nowhere"`
+	for line, key := range map[string]string{
+		"":                              "missing",
+		"{":                             "config",
+		`{"colour":1}`:                  "colour",
+		`{"nodes":1}`:                   "replicas",
+		good + `,"replicas":["x"]}`:     "replicas",
+		good + `,"zones":[]}`:           "zones",
+		good + `,"nodes":0}`:            "nodes",
+		good + `,"nodes":-1}`:           "nodes",
+		good + `,"nodes":1000000}`:      "nodes",
+		good + `,"dir":""}`:             "dir",
+		good + `,"servers":1}`:          "lease_ttl_ms",
+		good + `,"requests_per_s":-1}`:  "requests_per_s",
+		good + `,"per_node":3}`:         "per_node",
+		good + `,"active_tenants":-1}`:  "active_tenants",
+		good + `,"first_server":99e99}`: "first_server",
+	} {
+		var out bytes.Buffer
+		err := hollow.Serve(t.Context(), strings.NewReader(line+"\n"), &out, slog.New(slog.DiscardHandler))
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v, want an error on %s", line, err, key)
+		}
+		var reply hollow.Reply
+		if line != "" && (json.Unmarshal(out.Bytes(), &reply) != nil || !strings.Contains(reply.Err, key) || strings.Count(out.String(), "\n") != 1) {
+			t.Errorf("%s: replies %q", line, out.String())
+		}
+	}
+}
+
+// A bad request is answered with one line, and the next one is carried out. The end of the input ends the loop.
+func TestBadRequests(t *testing.T) {
+	t.Parallel()
+	config := hollow.Config{Replicas: []string{"127.0.0.1:1"}, Nodes: 1, Zones: []string{"z"}, Dir: t.TempDir()}
+	first, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := io.MultiReader(bytes.NewReader(first), strings.NewReader("\n{\n{\"op\":\"dance\"}\n{\"op\":\"usage\",\"x\":1}\n{\"op\":\"kill\"}\n{\"op\":\"usage\"}\n"))
+	var out bytes.Buffer
+	if err := hollow.Serve(t.Context(), in, &out, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	var errs []bool
+	for decoder := json.NewDecoder(&out); ; {
+		var reply hollow.Reply
+		if err := decoder.Decode(&reply); err != nil {
+			break
+		}
+		errs = append(errs, reply.Err != "")
+	}
+	if want := []bool{false, true, true, true, true, false}; !slices.Equal(errs, want) {
+		t.Errorf("errors %v, want %v", errs, want)
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/intent.go
@@ -0,0 +1,134 @@
+package hollow
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
+)
+
+// watchIntent follows the agent's intent and has the module know of it.
+func (n *node) watchIntent(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		intent, err := n.askIntent(ctx)
+		came := time.Now()
+		if err == nil {
+			err = n.mirror.Merge(intent)
+		}
+		wait := intentPause
+		if err != nil {
+			n.fault(ctx, "intent", err)
+			wait = mostCallPause
+		} else {
+			n.takeIntent(came, intent.CaughtUp)
+			if !n.mirror.News && came.Sub(asked) < intentPause {
+				wait = reportEvery
+			}
+		}
+		pause(ctx, wait)
+	}
+}
+
+func (n *node) askIntent(ctx context.Context) (fleet.Intent, error) {
+	wait := intentWait
+	if !n.mirror.Known {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	raw, err := call(ctx, n.agent, http.MethodGet, fmt.Sprintf("/fleet/v1/intent?since=%d&timeout_ms=%d&node=%s", n.mirror.Revision,
+		wait.Milliseconds(), n.member.Node), nil)
+	if err != nil {
+		return fleet.Intent{}, err
+	}
+	return fleet.DecodeIntent(raw)
+}
+
+// takeIntent has the module know of the mirror's last answer.
+func (n *node) takeIntent(came time.Time, whole bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, event := range n.mirror.Events(time.Since(came)) {
+		n.module.tell(event)
+		if tenant, ok := event.(decide.TenantTold); ok {
+			n.takeTenant(tenant)
+		}
+	}
+	n.revision, n.held, n.items = n.mirror.Revision, n.mirror.Held > 0, len(n.mirror.Items)
+	n.fleet.sawRevision(n.revision)
+	if whole {
+		n.sync()
+	}
+}
+
+// takeTenant notes by which generation the node now serves a tenant. The caller holds mu.
+func (n *node) takeTenant(tenant decide.TenantTold) {
+	var generation uint64
+	if tenant.Committed != nil && !tenant.Removing && !tenant.Gone {
+		generation = tenant.Committed.Generation
+	}
+	if was, known := n.serving[tenant.Name]; !known || was.generation != generation {
+		n.serving[tenant.Name] = served{generation, time.Now()}
+	}
+	if len(n.services) > 0 && !tenant.Gone {
+		n.fleet.sawTenant(tenant.Name, n.mirror.Items[fleet.KeyTenant+tenant.Name].Body)
+	}
+	n.setLoad(tenant.Name)
+}
+
+// sync has the module know, once, that it has all that was intended. The caller holds mu.
+func (n *node) sync() {
+	if !n.synced {
+		n.synced = true
+		n.module.tell(decide.FleetSynced{Revision: n.revision})
+	}
+}
+
+// setLoad has a tenant among those that the traffic model has load for, if the node serves it and it ranks among the first
+// ActiveTenants of the node's own order. The caller holds mu.
+func (n *node) setLoad(tenant string) {
+	m := n.module
+	at, had := slices.BinarySearchFunc(m.active, tenant, n.compareRank)
+	switch {
+	case n.loads(tenant) && !had:
+		m.active = slices.Insert(m.active, at, tenant)
+		m.active = m.active[:min(len(m.active), n.cfg.ActiveTenants)]
+	case !n.loads(tenant) && had:
+		m.active = m.active[:0]
+		for other := range n.serving {
+			if n.loads(other) {
+				m.active = append(m.active, other)
+			}
+		}
+		slices.SortFunc(m.active, n.compareRank)
+		m.active = slices.Clone(m.active[:min(len(m.active), n.cfg.ActiveTenants)])
+	}
+}
+
+// loads says whether a tenant may have load at the node. The caller holds mu.
+func (n *node) loads(tenant string) bool {
+	return n.serving[tenant].generation > 0 && n.serves(tenant)
+}
+
+// serves says whether a tenant is in the node's scope.
+func (n *node) serves(tenant string) bool {
+	return len(n.services) == 0 || fleet.Serves(n.services, n.fleet.serviceOf(tenant))
+}
+
+// compareRank is the order in which the node's tenants have load, drawn by the seed.
+func (n *node) compareRank(a, b string) int {
+	return cmp.Or(cmp.Compare(n.rank(a), n.rank(b)), cmp.Compare(a, b))
+}
+
+func (n *node) rank(tenant string) uint64 {
+	const spread = 0x9e3779b97f4a7c15 // odd: so that ranks of one node are in another order than of the next
+	return (xxhash.Sum64String(tenant) ^ xxhash.Sum64String(n.member.Node) ^ n.cfg.Seed) * spread
+}
--- /dev/null
+++ b/internal/scale/hollow/list.go
@@ -0,0 +1,73 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet/nodelink"
+	"starlingvalve/internal/registry"
+)
+
+const listPause = 50 * time.Millisecond // after an answer that came at once and was empty, or a call that failed
+
+// watchList follows the agent's list and has the module know of it.
+func (n *node) watchList(ctx context.Context) {
+	var version uint64
+	for ctx.Err() == nil {
+		asked := time.Now()
+		list, err := n.askList(ctx, version)
+		if err != nil {
+			n.fault(ctx, "list", err)
+			pause(ctx, listPause)
+			continue
+		}
+		if list.Full || len(list.Servers) > 0 || list.Version != version {
+			n.takeList(list)
+		} else if time.Since(asked) < listPause {
+			pause(ctx, listPause)
+		}
+		version = list.Version
+	}
+}
+
+func (n *node) askList(ctx context.Context, since uint64) (list registry.Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listWait+callSlack)
+	defer cancel()
+	raw, err := call(ctx, n.list, http.MethodGet, fmt.Sprintf("/registry/instances?since=%d&timeout_ms=%d", since, listWait.Milliseconds()), nil)
+	if err == nil {
+		err = json.Unmarshal(raw, &list)
+	}
+	return list, err
+}
+
+var serverStates = map[string]decide.ServerState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+// takeList has the module know of a list or of its changes.
+func (n *node) takeList(list registry.Answer) {
+	update := decide.ListUpdate{Kind: decide.ListChanges, Version: list.Version}
+	if list.Full {
+		update.Kind = decide.ListFull
+	}
+	for _, entry := range list.Servers {
+		update.Entries = append(update.Entries, decide.Server{ID: nodelink.ServerID(entry.ID), Name: entry.ID, Zone: entry.Zone, Kind: entry.Kind,
+			Cell: entry.Cell, State: serverStates[entry.State], Size: entry.Weight, StartedAt: time.Duration(entry.StartedMS) * time.Millisecond})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if list.Full {
+		clear(n.ready)
+	}
+	for _, server := range update.Entries {
+		if server.State == decide.Ready {
+			n.ready[server.ID] = true
+		} else {
+			delete(n.ready, server.ID)
+		}
+	}
+	n.version = list.Version
+	n.module.tell(update)
+}
--- /dev/null
+++ b/internal/scale/hollow/module.go
@@ -0,0 +1,188 @@
+package hollow
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"starlingvalve/decide"
+)
+
+const (
+	tickLeast    = 100 * time.Millisecond // between the module's ticks; a real node's is 25 ms
+	patience     = 2 * time.Second        // of the model's clients
+	answerLeast  = 5 * time.Millisecond   // of a server's answer
+	answerMean   = 15 * time.Millisecond  // over that, exponential
+	cancelTime   = time.Millisecond
+	maxAttempts  = 3
+	requestClass = "browse"
+)
+
+// settings are those of a hollow node's module: one class of safe requests.
+func settings(cfg *Config, number int) decide.Settings {
+	return decide.Settings{Nodes: max(1, cfg.Nodes), Self: number - cfg.FirstNode, Zone: cfg.nodeZone(number), Zones: cfg.Zones,
+		MaxAttempts: maxAttempts, MayCancel: true, MinTick: time.Millisecond, AskWithin: time.Hour, ConnectTimeout: 200 * time.Millisecond,
+		ColdFrom: 0.2, ColdTime: time.Second, OverloadFactor: 1, OverloadTime: time.Second, HoldOffs: true, MaxHoldOff: time.Second,
+		Fleet:   true,
+		Classes: []decide.Class{{Name: requestClass, Worth: 1, Aim: time.Second, Deadline: patience, Effect: decide.Safe}}}
+}
+
+// module drives a decide.Module: it keeps its clock, its timer, and the modelled requests with the servers' answers to them.
+// Its caller holds the node's lock.
+type module struct {
+	*decide.Module
+	began  time.Time
+	base   decide.Time // the clock's reading at began: Unix time, as a node's
+	random *rand.Rand
+	rate   float64  // requests/s
+	active []string // tenants that have load; none: requests name no tenant
+
+	due      dueHeap
+	requests uint64
+	open     map[decide.RequestID]*openRequest
+}
+
+// openRequest is a request that has attempts out, or no final answer.
+type openRequest struct {
+	ended []bool // by attempt
+	out   int    // attempts that have not ended
+	over  bool   // it has its final answer
+}
+
+// due is an event that the module gets at its time; none: the next request arrives.
+type due struct {
+	at    decide.Time
+	event decide.Event
+}
+
+func newModule(cfg *Config, number int, incarnation uint64) *module {
+	now := time.Now()
+	m := &module{Module: decide.New(settings(cfg, number), int64(cfg.Seed)*1000+int64(number)), began: now, base: time.Duration(now.UnixNano()),
+		random: rand.New(rand.NewPCG(cfg.Seed^incarnation, uint64(number))), rate: cfg.RequestsPerS,
+		open: map[decide.RequestID]*openRequest{}}
+	if m.rate > 0 {
+		m.arriveNext(m.base)
+	}
+	return m
+}
+
+// now reads the module's clock.
+func (m *module) now() decide.Time { return m.base + time.Since(m.began) }
+
+func (m *module) at(t decide.Time, e decide.Event) { heap.Push(&m.due, due{t, e}) }
+
+// arriveNext draws when the next request comes.
+func (m *module) arriveNext(after decide.Time) {
+	m.at(after+time.Duration(m.random.ExpFloat64()/m.rate*float64(time.Second)), nil)
+}
+
+// advance gives the module all that has become due, each event at its own time, and gives the time up to which it did.
+func (m *module) advance() (now decide.Time) {
+	for now = m.now(); len(m.due) > 0 && m.due[0].at <= now; {
+		next := heap.Pop(&m.due).(due)
+		switch e := next.event.(type) {
+		case nil:
+			m.arrive(next.at)
+			m.arriveNext(next.at)
+		case decide.AttemptEnded:
+			m.attemptEnded(next.at, e)
+		default:
+			m.handle(next.at, e)
+		}
+	}
+	return now
+}
+
+// tell gives the module an event now.
+func (m *module) tell(e decide.Event) { m.handle(m.advance(), e) }
+
+// arrive makes a request of one of the active tenants.
+func (m *module) arrive(at decide.Time) {
+	m.requests++
+	e := decide.RequestArrived{ID: decide.RequestID(strconv.FormatUint(m.requests, 10)), Class: requestClass, Patience: patience}
+	if len(m.active) > 0 {
+		e.Tenant = m.active[m.random.IntN(len(m.active))]
+	}
+	m.open[e.ID] = &openRequest{}
+	m.handle(at, e)
+}
+
+// attemptEnded gives the module the end of an attempt.
+func (m *module) attemptEnded(at decide.Time, e decide.AttemptEnded) {
+	r := m.open[e.ID]
+	if r == nil || r.ended[e.Attempt] {
+		return // it was cancelled
+	}
+	r.ended[e.Attempt] = true
+	r.out--
+	r.over = r.over || e.Code == decide.OK
+	e.Over = r.over
+	m.handle(at, e)
+	m.forget(e.ID)
+}
+
+// forget ends a request that has its final answer and no attempt out.
+func (m *module) forget(id decide.RequestID) {
+	if r := m.open[id]; r != nil && r.over && r.out == 0 {
+		delete(m.open, id)
+	}
+}
+
+// handle gives the module an event and does what it asks for.
+func (m *module) handle(at decide.Time, e decide.Event) {
+	for _, action := range m.Handle(at, e) {
+		switch a := action.(type) {
+		case decide.Send:
+			m.send(at, a)
+		case decide.CancelAttempt:
+			m.at(at+cancelTime, decide.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Code: decide.Cancelled})
+		case decide.Refuse:
+			m.finish(a.ID)
+		case decide.Fail:
+			m.finish(a.ID)
+		case decide.SetTimer:
+			m.at(at+max(a.After, tickLeast), decide.TimerFired{Token: a.Token})
+		}
+	}
+}
+
+// send has a server answer after a time drawn for it, or not within the attempt's time-out.
+func (m *module) send(at decide.Time, a decide.Send) {
+	r := m.open[a.ID]
+	if r == nil {
+		return
+	}
+	took := answerLeast + time.Duration(m.random.ExpFloat64()*float64(answerMean))
+	e := decide.AttemptEnded{ID: a.ID, Attempt: len(r.ended), Server: a.Server, Elapsed: took, Code: decide.OK}
+	if a.Timeout > 0 && took > a.Timeout {
+		e.Elapsed, e.Code = a.Timeout, decide.TimedOut
+	}
+	r.ended = append(r.ended, false)
+	r.out++
+	m.at(at+e.Elapsed, e)
+}
+
+func (m *module) finish(id decide.RequestID) {
+	if r := m.open[id]; r != nil {
+		r.over = true
+		m.forget(id)
+	}
+}
+
+// dueHeap has the soonest event first.
+type dueHeap []due
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds an event.
+func (h *dueHeap) Push(x any) { *h = append(*h, x.(due)) }
+
+// Pop takes the last event.
+func (h *dueHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- /dev/null
+++ b/internal/scale/hollow/node.go
@@ -0,0 +1,234 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
+	fleetagent "starlingvalve/internal/fleet/agent"
+	"starlingvalve/internal/fleet/nodelink"
+	listagent "starlingvalve/internal/registry/agent"
+)
+
+// Times of a node, as package node has them.
+const (
+	intentWait    = time.Second
+	intentPause   = 50 * time.Millisecond
+	listWait      = 3 * time.Second
+	reportEvery   = 250 * time.Millisecond
+	reportAtOnce  = 50 * time.Millisecond // where the answer wants more
+	reportMost    = time.Second           // between reports where nothing was seen
+	reportWait    = time.Second
+	leaveWait     = 500 * time.Millisecond
+	catchUp       = 10 * time.Second
+	leavePause    = 100 * time.Millisecond // for the agent to carry the last report
+	callSlack     = time.Second
+	mostCallPause = time.Second
+)
+
+// node is one run of a hollow node's process, with the agent beside it.
+type node struct {
+	cfg         *Config
+	fleet       *fleetState
+	number      int
+	services    []string
+	log         *slog.Logger
+	member      fleet.Member
+	began       time.Time
+	connections *connections
+	agent       http.Handler // of the intent and the reports
+	list        http.Handler
+	stop        context.CancelFunc
+	stopReports context.CancelFunc
+	loops       sync.WaitGroup
+	reporting   sync.WaitGroup
+
+	sequence uint64 // of the last report; the report loop's, then leave's
+
+	mu       sync.Mutex
+	module   *module
+	mirror   *nodelink.Mirror // changed by the intent loop alone
+	revision uint64           // that the module has whole
+	items    int              // of the mirror
+	synced   bool
+	held     bool // the newest answer said that the session is held
+	out      bool // the newest answer to a report said so
+	version  uint64
+	ready    map[decide.ServerID]bool
+	serving  map[string]served // by tenant
+}
+
+// served says by which generation a node serves a tenant, 0 for none, and since when.
+type served struct {
+	generation uint64
+	since      time.Time
+}
+
+// startNode starts a run of the node of a number. It ends with ctx, or by kill or leave.
+func startNode(ctx context.Context, cfg *Config, state *fleetState, number int, log *slog.Logger) (*node, error) {
+	ctx, stop := context.WithCancel(ctx)
+	now := time.Now()
+	n := &node{cfg: cfg, fleet: state, number: number, services: scope(cfg, number), began: now, stop: stop,
+		member:      fleet.Member{Node: NodeName(number), Zone: cfg.nodeZone(number), Incarnation: uint64(now.UnixNano())},
+		connections: state.sockets.connections(), ready: map[decide.ServerID]bool{}, serving: map[string]served{}}
+	n.log = log.With("node", n.member.Node, "incarnation", n.member.Incarnation)
+	n.module = newModule(cfg, number, n.member.Incarnation)
+	n.mirror = nodelink.NewMirror(n.member)
+	if err := n.startAgent(ctx, log); err != nil {
+		n.kill()
+		return nil, err
+	}
+	n.loops.Go(func() { n.watchIntent(ctx) })
+	n.loops.Go(func() { n.watchList(ctx) })
+	reportsCtx, stopReports := context.WithCancel(ctx)
+	n.stopReports = stopReports
+	n.reporting.Go(func() { n.reports(reportsCtx) })
+	return n, nil
+}
+
+// startAgent starts the two halves of the node's agent, as the command listd agent does.
+func (n *node) startAgent(ctx context.Context, log *slog.Logger) error {
+	half, err := fleetagent.Start(ctx, fleetagent.Config{Node: n.member.Node, Zone: n.member.Zone, Replicas: n.cfg.Replicas,
+		Dir: filepath.Join(n.cfg.Dir, n.member.Node), Dial: n.connections.dial, Log: log}, prometheus.NewRegistry())
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	half.Routes(mux)
+	n.agent = mux
+	list := listagent.New(n.cfg.Replicas, log)
+	list.Dial(n.connections.dial)
+	n.list = list
+	go list.Watch(ctx)
+	return nil
+}
+
+// kill ends the run at once, and its agent's connections.
+func (n *node) kill() {
+	n.stop()
+	n.connections.close()
+	n.loops.Wait()
+	n.reporting.Wait()
+}
+
+// leave has the run say goodbye, as a drained node does, and ends it.
+func (n *node) leave() {
+	n.stopReports()
+	n.reporting.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
+	defer cancel()
+	if _, err := n.report(ctx, n.observe(), nil, true); err != nil {
+		n.log.Warn("the last report is not answered", "err", err)
+	}
+	pause(ctx, leavePause)
+	n.kill()
+}
+
+// reports sends them: at every turn while something is seen, at least each second, and at once where the answer wants more.
+func (n *node) reports(ctx context.Context) {
+	pause(ctx, rand.N(reportEvery))
+	var want []string
+	var last time.Time
+	since := decide.Time(0) // of the windows with nothing in them
+	for ctx.Err() == nil {
+		wait := reportEvery
+		if len(want) > 0 {
+			wait = reportAtOnce
+		}
+		if pause(ctx, wait); ctx.Err() != nil {
+			return
+		}
+		observed := n.observe()
+		if since != 0 {
+			observed.Window.Since = since
+		}
+		if observed.Idle() && len(want) == 0 && time.Since(last) < reportMost && n.isReady() {
+			since = observed.Window.Since
+			continue
+		}
+		since, last = 0, time.Now()
+		answer, err := n.report(ctx, observed, want, false)
+		if want = nil; err != nil {
+			n.fault(ctx, "report", err)
+			continue
+		}
+		want = answer.Want
+		n.mu.Lock()
+		n.out = answer.Out
+		n.mu.Unlock()
+	}
+}
+
+// observe reads what a report is made of.
+func (n *node) observe() *nodelink.Observed {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Since(n.began) >= catchUp {
+		n.sync()
+	}
+	now := n.module.advance()
+	window := n.module.Window(now)
+	window.Since = max(window.Since, n.module.base)
+	return &nodelink.Observed{Window: window, Facts: n.module.Holds(), Now: now, Revision: n.revision, List: n.version,
+		Ready: len(n.ready) > 0, Synced: n.synced, Settled: n.began}
+}
+
+// report posts a report. One that leaves is the last.
+func (n *node) report(ctx context.Context, observed *nodelink.Observed, want []string, leaving bool) (answer fleet.ReportAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	n.sequence++
+	r := observed.Report(n.member, n.sequence, want)
+	r.Services = n.services
+	if leaving {
+		r.Leaving, r.Ready = true, false
+	}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return answer, err
+	}
+	if len(raw) > fleet.ReportLimit {
+		return answer, fmt.Errorf("a report of %d bytes, at most %d", len(raw), fleet.ReportLimit)
+	}
+	raw, err = call(ctx, n.agent, http.MethodPost, "/fleet/v1/report", raw)
+	if err == nil {
+		err = json.Unmarshal(raw, &answer)
+	}
+	return answer, err
+}
+
+// isReady says whether the node has caught up and is counted in.
+func (n *node) isReady() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.synced && n.held && !n.out
+}
+
+// fault counts and logs a call that gave nothing usable, unless the run ends.
+func (n *node) fault(ctx context.Context, kind string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.fleet.sockets.failures.Add(1)
+	n.log.Debug("the agent gives nothing usable", "call", kind, "err", err)
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/scale/hollow/registrants.go
@@ -0,0 +1,226 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"starlingvalve/internal/registry"
+)
+
+const (
+	serversPerWorker = 64
+	mostWorkers      = 256                    // each has one connection
+	renewPart        = 3                      // a lease is renewed when 1/renewPart of it is over
+	registerWait     = 5 * time.Second        // for the answer to one call
+	registerPause    = 50 * time.Millisecond  // after a call that failed
+	replaceWait      = 30 * time.Second       // for one server to be replaced
+	serverPort       = 10_000                 // of a server's first address; its replacements' are the next ones
+	serverPorts      = 50_000                 // that it goes through
+	lateAfter        = 100 * time.Millisecond // a worker that is later than this does not wait for its next turn
+)
+
+// registrants are the hollow app servers of a process. Each worker holds the leases of some of them, one call after another
+// over one connection, so that all together their calls are spread evenly over the renewal period.
+type registrants struct {
+	cfg     *Config
+	state   *fleetState
+	log     *slog.Logger
+	workers int
+	servers []*server
+	leader  atomic.Int64 // index of the replica that last took a call
+}
+
+// server is one hollow app server.
+type server struct {
+	number int
+
+	mu          sync.Mutex // held during its calls
+	replacement int        // addresses it has had before
+	startedMS   int64
+	registered  bool
+	renewed     atomic.Int64 // when the last call that extended its lease began, Unix ns
+}
+
+func newRegistrants(cfg *Config, state *fleetState, log *slog.Logger) *registrants {
+	r := &registrants{cfg: cfg, state: state, log: log}
+	if cfg.Servers == 0 {
+		return r
+	}
+	r.workers = min(max(1, cfg.Servers/serversPerWorker), mostWorkers)
+	now := time.Now().UnixMilli()
+	for i := range cfg.Servers {
+		r.servers = append(r.servers, &server{number: cfg.FirstServer + i, startedMS: now})
+	}
+	return r
+}
+
+// registered counts the servers whose lease is held, as far as they can know.
+func (r *registrants) registered() (count int) {
+	for _, s := range r.servers {
+		if s.renewed.Load() > time.Now().UnixNano()-r.cfg.LeaseTTLMS*int64(time.Millisecond) {
+			count++
+		}
+	}
+	return count
+}
+
+// renew registers a worker's servers and renews their leases until ctx ends.
+func (r *registrants) renew(ctx context.Context, worker int) {
+	connections := r.state.sockets.connections()
+	defer connections.close()
+	client := newClient(connections, 1)
+	period := time.Duration(r.cfg.LeaseTTLMS) * time.Millisecond / renewPart
+	every := period / time.Duration(len(r.servers))
+	turn := time.Now()
+	for ctx.Err() == nil {
+		for i := worker; i < len(r.servers) && ctx.Err() == nil; i += r.workers {
+			due := turn.Add(time.Duration(i) * every)
+			if wait := time.Until(due); wait > 0 {
+				pause(ctx, wait)
+			}
+			s := r.servers[i]
+			s.mu.Lock()
+			if err := r.hold(ctx, client, s); err != nil && ctx.Err() == nil {
+				r.log.Debug("lease not renewed", "server", ServerName(s.number), "err", err)
+			}
+			s.mu.Unlock()
+		}
+		if turn = turn.Add(period); time.Since(turn) > lateAfter {
+			turn = time.Now()
+		}
+	}
+}
+
+// newClient makes a client that has so many connections to a replica at most.
+func newClient(connections *connections, most int) *http.Client {
+	return &http.Client{Timeout: registerWait, Transport: &http.Transport{DialContext: connections.dial, MaxConnsPerHost: most,
+		MaxIdleConnsPerHost: most, IdleConnTimeout: time.Minute, DisableCompression: true}}
+}
+
+// errUnknown says that the lease is not held.
+var errUnknown = errors.New("no such registration")
+
+// hold extends a server's lease, or registers it where it has none. The caller holds its mu.
+func (r *registrants) hold(ctx context.Context, client *http.Client, s *server) error {
+	began := time.Now()
+	err := errUnknown
+	if s.registered {
+		err = r.post(ctx, client, "renew", renewal{ID: ServerName(s.number), TTLMS: r.cfg.LeaseTTLMS})
+	}
+	if errors.Is(err, errUnknown) {
+		s.registered = false
+		err = r.register(ctx, client, s)
+	}
+	if err == nil {
+		s.registered = true
+		s.renewed.Store(began.UnixNano())
+	}
+	return err
+}
+
+// registration is the body of a call that registers.
+type registration struct {
+	registry.Entry
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// renewal is the body of a call on a lease that is held: to extend it, or without a TTL to end it.
+type renewal struct {
+	ID    string `json:"id"`
+	TTLMS int64  `json:"ttl_ms,omitempty"`
+}
+
+func (r *registrants) register(ctx context.Context, client *http.Client, s *server) error {
+	service, zone := r.cfg.serverPlace(s.number)
+	return r.post(ctx, client, "register", registration{TTLMS: r.cfg.LeaseTTLMS,
+		Entry: registry.Entry{ID: ServerName(s.number), Addr: s.address(), Zone: zone, Kind: service, State: "ready", Weight: 1, StartedMS: s.startedMS}})
+}
+
+// address is where the server would listen; nothing does.
+func (s *server) address() string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+s.number>>16, s.number>>8&0xff, s.number&0xff, serverPort+s.replacement%serverPorts)
+}
+
+// post makes one call, at the replica that led last; it follows X-Leader, and goes on to the next replica where there is none.
+// It gives up when each has been asked twice.
+func (r *registrants) post(ctx context.Context, client *http.Client, operation string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	for range 2 * len(r.cfg.Replicas) {
+		at := int(r.leader.Load())
+		var leader string
+		leader, err = r.try(ctx, client, r.cfg.Replicas[at], operation, raw)
+		if err == nil || errors.Is(err, errUnknown) || ctx.Err() != nil {
+			return err
+		}
+		if next := slices.Index(r.cfg.Replicas, leader); next >= 0 && next != at {
+			r.leader.CompareAndSwap(int64(at), int64(next))
+			continue
+		}
+		r.leader.CompareAndSwap(int64(at), int64((at+1)%len(r.cfg.Replicas)))
+		pause(ctx, registerPause)
+	}
+	return err
+}
+
+// try makes one call at one replica; leader is where it says that the leader is.
+func (r *registrants) try(ctx context.Context, client *http.Client, replica, operation string, body []byte) (leader string, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+replica+"/registry/v1/"+operation, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+	switch {
+	case err != nil:
+		return "", err
+	case response.StatusCode == http.StatusNotFound:
+		return "", errUnknown
+	case response.StatusCode != http.StatusOK:
+		return response.Header.Get("X-Leader"), fmt.Errorf("%s: status %d: %.100q", operation, response.StatusCode, bytes.TrimSpace(text))
+	}
+	return "", nil
+}
+
+// replace has servers deregister and come back under new addresses.
+func (r *registrants) replace(ctx context.Context, first, count int) error {
+	connections := r.state.sockets.connections()
+	defer connections.close()
+	client := newClient(connections, atOnce)
+	return each(count, func(i int) error {
+		ctx, cancel := context.WithTimeout(ctx, replaceWait)
+		defer cancel()
+		s := r.servers[first-r.cfg.FirstServer+i]
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		err := r.post(ctx, client, "deregister", renewal{ID: ServerName(s.number)})
+		if err != nil && !errors.Is(err, errUnknown) {
+			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
+		}
+		s.registered = false
+		s.replacement++
+		s.startedMS = time.Now().UnixMilli()
+		s.renewed.Store(0)
+		if err := r.hold(ctx, client, s); err != nil {
+			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/scale/hollow/usage.go
@@ -0,0 +1,119 @@
+package hollow
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// usage is what the process has used and seen. It collects garbage first: the heap is what is live.
+func (g *group) usage() Usage {
+	u := Usage{Calls: g.state.sockets.traffic(), Failures: g.state.sockets.failures.Load(), ReportBytes: g.state.sockets.reportBytes.Load(),
+		Registered: g.servers.registered(), Goroutines: runtime.NumGoroutine(), CPU: processorTime(), RSSBytes: residentBytes(),
+		CopyBytes: writtenBytes()}
+	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
+		u.Descriptors = len(entries)
+	}
+	newest := g.state.newest.Load()
+	for _, n := range g.running() {
+		if n.isReady() {
+			u.Ready++
+		}
+		n.mu.Lock()
+		u.Behind = max(u.Behind, newest-min(newest, n.revision))
+		u.Items += n.items
+		n.mu.Unlock()
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	u.HeapBytes = memory.HeapAlloc
+	return u
+}
+
+// processorTime is what the process has taken, user and system.
+func processorTime() time.Duration {
+	var used unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &used) != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// residentBytes is the resident set, from /proc.
+func residentBytes() uint64 {
+	raw, _ := os.ReadFile("/proc/self/statm")
+	fields := strings.Fields(string(raw))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseUint(fields[1], 10, 64)
+	return pages * uint64(os.Getpagesize())
+}
+
+// writtenBytes is what the process has caused to be written to disks, from /proc. The durable copies are the only files that it
+// writes. It counts whole pages; of a file system in memory it is 0.
+func writtenBytes() uint64 {
+	raw, _ := os.ReadFile("/proc/self/io")
+	for line := range strings.Lines(string(raw)) {
+		if value, ok := strings.CutPrefix(line, "write_bytes: "); ok {
+			written, _ := strconv.ParseUint(strings.TrimSpace(value), 10, 64)
+			return written
+		}
+	}
+	return 0
+}
+
+// inForce waits until every node of a tenant's scope that is up serves it by the generation, or a later one; or until the wait
+// is over.
+func (g *group) inForce(ctx context.Context, r Request) InForce {
+	if r.Service != "" {
+		g.state.setService(r.Tenant, r.Service)
+	}
+	for end := time.Now().Add(r.Wait); ; pause(ctx, inForceLook) {
+		seen := g.lookInForce(r.Tenant, r.Generation)
+		if seen.Have == seen.Nodes || ctx.Err() != nil || time.Now().After(end) {
+			return seen
+		}
+	}
+}
+
+func (g *group) lookInForce(tenant string, generation uint64) InForce {
+	var seen InForce
+	lacking := ""
+	for _, n := range g.running() {
+		n.mu.Lock()
+		now, known := n.serving[tenant]
+		has := now.generation >= generation
+		if generation == 0 {
+			has = now.generation == 0 && n.synced
+		}
+		inScope := n.serves(tenant)
+		n.mu.Unlock()
+		if !inScope {
+			continue
+		}
+		seen.Nodes++
+		if !has {
+			lacking = n.member.Node
+			continue
+		}
+		seen.Have++
+		if !known {
+			continue // it never had the tenant
+		}
+		seen.Times = append(seen.Times, now.since.UnixNano())
+		if now.since.After(seen.Last) {
+			seen.Last, seen.Worst = now.since, n.member.Node
+		}
+	}
+	if lacking != "" {
+		seen.Worst = lacking
+	}
+	return seen
+}
