Compare hollow nodes with real ones: fleetlab calibrate

Change: internal/scale/calibrate takes real nodes with real agents and hollow nodes through one schedule beside listd processes, and counts both at the sockets by hollow's meter: for real agents in a relay. lab.Settings gives the settings that the lab's runs begin with. The check that the hollow subcommand is unlisted looks at the list's lines, as calibrate's line names hollow nodes.

--- a/cmd/fleetlab/hollow_test.go
+++ b/cmd/fleetlab/hollow_test.go
@@ -22,7 +22,7 @@
 	cmd = root()
 	cmd.SetArgs([]string{"--help"})
 	cmd.SetOut(&out)
-	if err := cmd.Execute(); err != nil || strings.Contains(out.String(), "hollow") {
+	if err := cmd.Execute(); err != nil || strings.Contains(out.String(), "\n  hollow ") {
 		t.Errorf("the help: %v, %q", err, out.String())
 	}
 }
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -4,6 +4,7 @@
 //	fleetlab list                 the bundled scenarios
 //	fleetlab run NAME|FILE.toml   one run; its directory holds node logs, records.json, report.json and plots
 //	fleetlab report RUN_DIR       the report again from a run's records
+//	fleetlab calibrate            hollow nodes of the scale tests against real ones
 //	fleetlab simulate             the fleet's pure cores with many nodes on seeded faults, in one process
 package main
 
@@ -37,7 +38,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), hollowCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), hollowCmd(), calibrateCmd())
 	return cmd
 }
 
--- a/internal/lab/workload.go
+++ b/internal/lab/workload.go
@@ -20,7 +20,10 @@
 	fraction float64
 }
 
-func (f *fleet) template() map[string]any {
+func (f *fleet) template() map[string]any { return Settings() }
+
+// Settings gives the nodes' settings that the runs begin with, as a copy to change.
+func Settings() map[string]any {
 	var m map[string]any
 	if err := json.Unmarshal(settingsTemplate, &m); err != nil {
 		panic(err) // embedded, tested
--- a/internal/scale/hollow/registrants.go
+++ b/internal/scale/hollow/registrants.go
@@ -143,12 +143,12 @@
 func (r *registrants) register(ctx context.Context, client *http.Client, s *server) error {
 	service, zone := r.cfg.serverPlace(s.number)
 	return r.post(ctx, client, "register", registration{TTLMS: r.cfg.LeaseTTLMS,
-		Entry: registry.Entry{ID: ServerName(s.number), Addr: s.address(), Zone: zone, Kind: service, State: "ready", Weight: 1, StartedMS: s.startedMS}})
+		Entry: registry.Entry{ID: ServerName(s.number), Addr: ServerAddress(s.number, s.replacement), Zone: zone, Kind: service, State: "ready", Weight: 1, StartedMS: s.startedMS}})
 }
 
-// address is where the server would listen; nothing does.
-func (s *server) address() string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+s.number>>16, s.number>>8&0xff, s.number&0xff, serverPort+s.replacement%serverPorts)
+// ServerAddress is where the server of a number would listen after so many replacements; nothing of this package does.
+func ServerAddress(number, replacements int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+number>>16, number>>8&0xff, number&0xff, serverPort+replacements%serverPorts)
 }
 
 // post makes one call, at the replica that led last; it follows X-Leader, and goes on to the next replica where there is none.
--- a/internal/scale/hollow/sockets.go
+++ b/internal/scale/hollow/sockets.go
@@ -65,27 +65,28 @@
 	return &connections{sockets: s, open: map[*countedConn]bool{}}
 }
 
-var errEnded = errors.New("the hollow node or server has ended")
-
 // dial makes a counted connection; it is the Dial of the agents and of the servers' clients.
 func (c *connections) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	inner, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		c.failed()
+		return nil, err
+	}
+	return c.add(inner), nil
+}
+
+// add has a connection counted. Where the owner has ended it is closed.
+func (c *connections) add(inner net.Conn) *countedConn {
+	conn := &countedConn{Conn: inner, owner: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case err != nil:
-		if !c.ended {
-			c.sockets.failures.Add(1)
-		}
-		return nil, err
-	case c.ended:
+	if c.ended {
 		inner.Close()
-		return nil, errEnded
+		return conn
 	}
-	conn := &countedConn{Conn: inner, owner: c}
 	c.open[conn] = true
-	return conn, nil
+	return conn
 }
 
 // close cuts every connection, as a killed process does, and lets no further one come.
