--- /dev/null
+++ b/internal/scale/bounds.go
@@ -0,0 +1,99 @@
+package scale
+
+import (
+	"fmt"
+)
+
+// What the parts of a run take, as measured on this build with some room (docs/scale.md, "Bounds"). They serve to refuse
+// in time; while a sweep runs, what is really used is watched (Watcher).
+const (
+	replicaBytes        = 64 << 20 // a replica without a fleet
+	replicaTenantBytes  = 8 << 10  // a tenant at a replica: state, items, log and its answers on their way
+	replicaServerBytes  = 2 << 10  // a server at a replica
+	replicaNodeBytes    = 128 << 10
+	processBytes        = 24 << 20 // a hollow process without nodes
+	nodeBytes           = 256 << 10
+	nodeTenantBytes     = 4 << 10 // a tenant at a node: the agent's copy, the module and the report
+	nodeServerBytes     = 1 << 10 // a server at a node: the agent's list and the module's
+	registrantBytes     = 24 << 10
+	runnerBytes         = 64 << 20
+	nodeConnections     = 4  // to replicas: the intent, the list, reports, one in change
+	registrantPerSocket = 1  // registrants that share a connection
+	spareDescriptors    = 64 // of any process: its logs, stores, listeners
+)
+
+// Limits are what a sweep may not pass.
+type Limits struct {
+	MemoryBytes uint64 // half of the machine's
+	Processes   int
+	Descriptors int // of one process
+	Ports       int // of connections to one replica's address
+}
+
+// MostProcesses is how many processes a sweep may have.
+const MostProcesses = 300
+
+// LimitsOf gives the limits on a machine.
+func LimitsOf(m Machine) Limits {
+	return Limits{MemoryBytes: m.MemoryBytes / 2, Processes: MostProcesses, Descriptors: int(m.Descriptors), Ports: ephemeralPorts()}
+}
+
+// Needs are what a load is reckoned to take.
+type Needs struct {
+	MemoryBytes uint64
+	Processes   int
+	Descriptors int // of the process that has the most
+	Ports       int // connections to the leader's address
+}
+
+// NeedsOf reckons what one point of a sweep takes. Every node is taken to hold every tenant and every server, as nodes without a
+// scope do.
+func NeedsOf(p *Plan, l Load) Needs {
+	nodeProcesses, serverProcesses := processesFor(l.Nodes, p.Hollow.NodesPerProcess), processesFor(l.Servers, p.Hollow.ServersPerProcess)
+	held := heldTenants(l)
+	node := uint64(nodeBytes + nodeTenantBytes*held + nodeServerBytes*l.Servers)
+	replica := uint64(replicaBytes + replicaTenantBytes*l.Tenants + replicaServerBytes*l.Servers + replicaNodeBytes*l.Nodes)
+	memory := uint64(runnerBytes) + uint64(p.Replicas)*replica + uint64(nodeProcesses+serverProcesses)*processBytes +
+		uint64(l.Nodes)*node + uint64(l.Servers)*registrantBytes
+	atLeader := nodeConnections*l.Nodes + l.Servers/registrantPerSocket
+	inProcess := max(nodeConnections*min(l.Nodes, p.Hollow.NodesPerProcess), min(l.Servers, p.Hollow.ServersPerProcess)/registrantPerSocket)
+	return Needs{MemoryBytes: memory, Processes: 1 + p.Replicas + nodeProcesses + serverProcesses,
+		Descriptors: spareDescriptors + max(atLeader, inProcess), Ports: atLeader}
+}
+
+// heldTenants is how many tenants a node of the load holds, at most.
+func heldTenants(l Load) int {
+	if l.PerNode == 0 {
+		return l.Tenants
+	}
+	return (l.Tenants*l.PerNode + l.Services - 1) / l.Services
+}
+
+// processesFor is how many processes hold count at so many each.
+func processesFor(count, each int) int { return (count + each - 1) / each }
+
+// Check refuses a plan of which a point would pass a limit. The error is one line.
+func Check(p *Plan, limits Limits) error {
+	for i, size := range p.Sizes {
+		needs := NeedsOf(p, p.Base.At(p.Dimension, size))
+		if err := needs.within(limits); err != nil {
+			return fmt.Errorf("sizes[%d]: %s %v: %w", i, p.Dimension, size, err)
+		}
+	}
+	return nil
+}
+
+// within compares what is needed with the limits.
+func (n Needs) within(l Limits) error {
+	switch {
+	case n.MemoryBytes > l.MemoryBytes:
+		return fmt.Errorf("needs %d MiB of memory, half of the machine's is %d MiB", n.MemoryBytes>>20, l.MemoryBytes>>20)
+	case n.Processes > l.Processes:
+		return fmt.Errorf("needs %d processes, at most %d are allowed", n.Processes, l.Processes)
+	case n.Descriptors > l.Descriptors:
+		return fmt.Errorf("needs %d descriptors in one process, the limit is %d", n.Descriptors, l.Descriptors)
+	case n.Ports > l.Ports:
+		return fmt.Errorf("needs %d ports for one replica, the machine has %d", n.Ports, l.Ports)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/load.go
@@ -0,0 +1,125 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+)
+
+// Load is the size of a fleet and what happens to it.
+type Load struct {
+	Nodes             int     `toml:"nodes" json:"nodes"`
+	Servers           int     `toml:"servers" json:"servers"`
+	Services          int     `toml:"services" json:"services"`
+	PerNode           int     `toml:"per_node" json:"per_node"`                                 // services that a node serves; 0: all
+	Tenants           int     `toml:"tenants" json:"tenants"`                                   // in all
+	TenantsPerService int     `toml:"tenants_per_service" json:"tenants_per_service,omitempty"` // above 0: Tenants is Services times this
+	Routes            int     `toml:"routes" json:"routes"`                                     // in all, spread over the tenants
+	ChangesPerS       float64 `toml:"changes_per_s" json:"changes_per_s"`                       // next generations of tenants
+	RestartsPerS      float64 `toml:"restarts_per_s" json:"restarts_per_s"`                     // of nodes
+	ReplacementsPerS  float64 `toml:"replacements_per_s" json:"replacements_per_s"`             // of servers
+}
+
+// Dimension names what a sweep varies: a key of Load.
+type Dimension string
+
+// The dimensions of sweeps.
+const (
+	Nodes        Dimension = "nodes"
+	Servers      Dimension = "servers"
+	Services     Dimension = "services"
+	PerNode      Dimension = "per_node"
+	Tenants      Dimension = "tenants"
+	Routes       Dimension = "routes"
+	Changes      Dimension = "changes_per_s"
+	Restarts     Dimension = "restarts_per_s"
+	Replacements Dimension = "replacements_per_s"
+)
+
+// bound is what a key of Load may be.
+type bound struct {
+	key         Dimension
+	least, most float64
+	whole       bool
+	of          func(*Load) float64
+	set         func(*Load, float64)
+}
+
+// wholeBound is the bound of a count.
+func wholeBound(key Dimension, least, most float64, field func(*Load) *int) bound {
+	return bound{key: key, least: least, most: most, whole: true,
+		of:  func(l *Load) float64 { return float64(*field(l)) },
+		set: func(l *Load, v float64) { *field(l) = int(v) }}
+}
+
+// rateBound is the bound of something a second.
+func rateBound(key Dimension, most float64, field func(*Load) *float64) bound {
+	return bound{key: key, most: most,
+		of:  func(l *Load) float64 { return *field(l) },
+		set: func(l *Load, v float64) { *field(l) = v }}
+}
+
+// bounds are those of each key of Load, in the order of the file's keys. Nodes are bounded by the slots that a fleet may
+// have, the rest with room over the plan of docs/CAPACITY.md.
+var bounds = []bound{
+	wholeBound(Nodes, 1, 4096, func(l *Load) *int { return &l.Nodes }),
+	wholeBound(Servers, 1, 100_000, func(l *Load) *int { return &l.Servers }),
+	wholeBound(Services, 1, 10_000, func(l *Load) *int { return &l.Services }),
+	wholeBound(PerNode, 0, 128, func(l *Load) *int { return &l.PerNode }),
+	wholeBound(Tenants, 1, 1_000_000, func(l *Load) *int { return &l.Tenants }),
+	wholeBound("tenants_per_service", 0, 100_000, func(l *Load) *int { return &l.TenantsPerService }),
+	wholeBound(Routes, 0, 1_000_000, func(l *Load) *int { return &l.Routes }),
+	rateBound(Changes, 1000, func(l *Load) *float64 { return &l.ChangesPerS }),
+	rateBound(Restarts, 1000, func(l *Load) *float64 { return &l.RestartsPerS }),
+	rateBound(Replacements, 10_000, func(l *Load) *float64 { return &l.ReplacementsPerS }),
+}
+
+// boundOf finds a dimension's bound.
+func boundOf(d Dimension) (bound, bool) {
+	for _, b := range bounds {
+		if b.key == d && d != "tenants_per_service" {
+			return b, true
+		}
+	}
+	return bound{}, false
+}
+
+// check compares one value with the bound.
+func (b bound) check(key string, v float64) error {
+	switch {
+	case math.IsNaN(v) || v < b.least || v > b.most:
+		return fmt.Errorf("%s: %v is not within %v to %v", key, v, b.least, b.most)
+	case b.whole && v != math.Trunc(v):
+		return fmt.Errorf("%s: %v is not a whole number", key, v)
+	}
+	return nil
+}
+
+// routesPerTenant is how many routes the schema of tenants allows.
+const routesPerTenant = 64
+
+// check compares a load with the bounds, and its keys with each other.
+func (l Load) check(prefix string) error {
+	for _, b := range bounds {
+		if err := b.check(prefix+string(b.key), b.of(&l)); err != nil {
+			return err
+		}
+	}
+	switch {
+	case l.PerNode > l.Services:
+		return fmt.Errorf("%sper_node: %d is over services, %d", prefix, l.PerNode, l.Services)
+	case l.Routes > l.Tenants*routesPerTenant:
+		return fmt.Errorf("%sroutes: %d is over %d for each of %d tenants", prefix, l.Routes, routesPerTenant, l.Tenants)
+	}
+	return nil
+}
+
+// At is the load with one dimension at a size.
+func (l Load) At(d Dimension, size float64) Load {
+	if b, ok := boundOf(d); ok {
+		b.set(&l, size)
+	}
+	if l.TenantsPerService > 0 {
+		l.Tenants = l.Services * l.TenantsPerService
+	}
+	return l
+}
--- /dev/null
+++ b/internal/scale/plan.go
@@ -0,0 +1,171 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Plan is a sweep as its TOML file gives it (docs/scale.md). Times are in seconds.
+type Plan struct {
+	Name      string    `toml:"name" json:"name"`
+	About     string    `toml:"about" json:"about"`
+	Dimension Dimension `toml:"dimension" json:"dimension"`
+	Sizes     []float64 `toml:"sizes" json:"sizes"`
+	Repeats   int       `toml:"repeats" json:"repeats"`
+	ReadyS    float64   `toml:"ready_s" json:"ready_s"`     // the longest that nodes and servers may take to come up
+	SettleS   float64   `toml:"settle_s" json:"settle_s"`   // between that and the measured window
+	MeasureS  float64   `toml:"measure_s" json:"measure_s"` // the measured window
+	LimitS    float64   `toml:"limit_s" json:"limit_s"`     // the longest that the whole sweep may take
+	Seed      uint64    `toml:"seed" json:"seed"`
+	Replicas  int       `toml:"replicas" json:"replicas"`
+	Zones     []string  `toml:"zones" json:"zones"`
+	Base      Load      `toml:"base" json:"base"`
+	Hollow    Grouping  `toml:"hollow" json:"hollow"`
+}
+
+// Grouping is how hollow nodes and servers share processes, and how they behave.
+type Grouping struct {
+	NodesPerProcess   int     `toml:"nodes_per_process" json:"nodes_per_process"`
+	ServersPerProcess int     `toml:"servers_per_process" json:"servers_per_process"`
+	ActiveTenants     int     `toml:"active_tenants" json:"active_tenants"` // that a node's traffic is of
+	RequestsPerS      float64 `toml:"requests_per_s" json:"requests_per_s"` // of a node
+	LeaseTTLMS        int64   `toml:"lease_ttl_ms" json:"lease_ttl_ms"`     // of a server
+}
+
+// Bounds of a plan.
+const (
+	leastSizes   = 5
+	mostSizes    = 20
+	mostRepeats  = 20
+	mostReplicas = 7
+	mostLimitS   = 6 * 3600
+	leastStep    = 1.25 // of a size to the one before
+	mostStep     = 4.0
+)
+
+// defaultPlan is what a file that says nothing of it gets.
+func defaultPlan() Plan {
+	return Plan{Repeats: 3, ReadyS: 60, SettleS: 5, MeasureS: 10, LimitS: 1800, Seed: 1, Replicas: 3,
+		Zones: []string{"za", "zb", "zc"},
+		Base:  Load{Nodes: 16, Servers: 16, Services: 8, Tenants: 100, ChangesPerS: 1},
+		Hollow: Grouping{NodesPerProcess: 100, ServersPerProcess: 2000, ActiveTenants: 10, RequestsPerS: 77,
+			LeaseTTLMS: 6000}}
+}
+
+// ParsePlan reads a sweep file and fills in what it leaves out. The error of a bad one is one line that names the key.
+func ParsePlan(name string, text []byte) (*Plan, error) {
+	p := defaultPlan()
+	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&p)
+	if err != nil {
+		return nil, fmt.Errorf("sweep %s: %w", name, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("sweep %s: unknown key %q", name, unknown[0].String())
+	}
+	if p.Name == "" {
+		p.Name = name
+	}
+	if err := p.Check(); err != nil {
+		return nil, fmt.Errorf("sweep %s: %w", name, err)
+	}
+	return &p, nil
+}
+
+// Check compares the plan with its bounds.
+func (p *Plan) Check() error {
+	if p.Dimension == "" {
+		return fmt.Errorf("dimension: is missing: one of the keys of base")
+	}
+	dimension, ok := boundOf(p.Dimension)
+	if !ok {
+		return fmt.Errorf("dimension: %q is none of the keys of base that can be varied", p.Dimension)
+	}
+	if err := p.checkTimes(); err != nil {
+		return err
+	}
+	if err := p.checkGrouping(); err != nil {
+		return err
+	}
+	if err := p.checkSizes(dimension); err != nil {
+		return err
+	}
+	if err := p.Base.At(p.Dimension, p.Sizes[0]).check("base."); err != nil {
+		return err
+	}
+	for i, size := range p.Sizes {
+		if err := p.Base.At(p.Dimension, size).check("base."); err != nil {
+			return fmt.Errorf("sizes[%d]: %v: %w", i, size, err)
+		}
+	}
+	return nil
+}
+
+// checkTimes checks repeats, replicas and the times.
+func (p *Plan) checkTimes() error {
+	switch {
+	case p.Repeats < 1 || p.Repeats > mostRepeats:
+		return fmt.Errorf("repeats: %d is not within 1 to %d", p.Repeats, mostRepeats)
+	case p.Replicas < 1 || p.Replicas > mostReplicas:
+		return fmt.Errorf("replicas: %d is not within 1 to %d", p.Replicas, mostReplicas)
+	case len(p.Zones) == 0:
+		return fmt.Errorf("zones: is empty")
+	}
+	for _, t := range []struct {
+		key   string
+		value float64
+	}{{"limit_s", p.LimitS}, {"ready_s", p.ReadyS}, {"settle_s", p.SettleS}, {"measure_s", p.MeasureS}} {
+		if !(t.value > 0 && t.value <= mostLimitS) {
+			return fmt.Errorf("%s: %v is not above 0 and up to %d", t.key, t.value, mostLimitS)
+		}
+	}
+	return nil
+}
+
+// checkGrouping checks how processes are shared.
+func (p *Plan) checkGrouping() error {
+	g := p.Hollow
+	switch {
+	case g.NodesPerProcess < 1:
+		return fmt.Errorf("hollow.nodes_per_process: %d is not above 0", g.NodesPerProcess)
+	case g.ServersPerProcess < 1:
+		return fmt.Errorf("hollow.servers_per_process: %d is not above 0", g.ServersPerProcess)
+	case g.ActiveTenants < 0:
+		return fmt.Errorf("hollow.active_tenants: %d is below 0", g.ActiveTenants)
+	case !(g.RequestsPerS >= 0):
+		return fmt.Errorf("hollow.requests_per_s: %v is below 0", g.RequestsPerS)
+	case g.LeaseTTLMS < 500 || g.LeaseTTLMS > 60_000:
+		return fmt.Errorf("hollow.lease_ttl_ms: %d is not within 500 to 60000", g.LeaseTTLMS)
+	}
+	return nil
+}
+
+// checkSizes checks the sizes: enough of them, in the dimension's bounds, in geometric steps upwards.
+func (p *Plan) checkSizes(dimension bound) error {
+	if len(p.Sizes) < leastSizes || len(p.Sizes) > mostSizes {
+		return fmt.Errorf("sizes: %d of them, %d to %d are needed", len(p.Sizes), leastSizes, mostSizes)
+	}
+	for i, size := range p.Sizes {
+		key := fmt.Sprintf("sizes[%d]", i)
+		if !(size > 0) {
+			return fmt.Errorf("%s: %v is not above 0", key, size)
+		}
+		if err := dimension.check(key, size); err != nil {
+			return err
+		}
+		if i == 0 {
+			continue
+		}
+		if before := p.Sizes[i-1]; size <= before {
+			return fmt.Errorf("%s: %v is not above the one before, %v", key, size, before)
+		} else if step := size / before; step < leastStep || step > mostStep {
+			return fmt.Errorf("%s: %v is %.2f times the one before, not %v to %v times", key, size, step, leastStep, mostStep)
+		}
+	}
+	return nil
+}
+
+// seconds makes a duration of a number of seconds.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/scale/proc.go
@@ -0,0 +1,102 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+)
+
+// ReadMachine reads what the machine has.
+func ReadMachine() (Machine, error) {
+	raw, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return Machine{}, err
+	}
+	total, ok := procField(string(raw), "MemTotal:")
+	if !ok {
+		return Machine{}, fmt.Errorf("/proc/meminfo has no MemTotal")
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return Machine{}, err
+	}
+	return Machine{Cores: runtime.NumCPU(), MemoryBytes: total, Descriptors: limit.Cur}, nil
+}
+
+// procField finds a line "Name:  N kB" and gives N in bytes.
+func procField(text, name string) (uint64, bool) {
+	for line := range strings.Lines(text) {
+		rest, ok := strings.CutPrefix(line, name)
+		if !ok {
+			continue
+		}
+		kib, err := strconv.ParseUint(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+		return kib << 10, err == nil
+	}
+	return 0, false
+}
+
+// residentBytes is a process's resident memory, 0 where there is no such process.
+func residentBytes(pid int) uint64 {
+	raw, _ := os.ReadFile(procPath(pid, "status"))
+	n, _ := procField(string(raw), "VmRSS:")
+	return n
+}
+
+// openDescriptors counts a process's open descriptors, 0 where there is no such process.
+func openDescriptors(pid int) int {
+	names, _ := os.ReadDir(procPath(pid, "fd"))
+	return len(names)
+}
+
+// writtenBytes is what a process has sent to disks so far.
+func writtenBytes(pid int) uint64 {
+	raw, _ := os.ReadFile(procPath(pid, "io"))
+	for line := range bytes.Lines(raw) {
+		if rest, ok := bytes.CutPrefix(line, []byte("write_bytes:")); ok {
+			n, _ := strconv.ParseUint(string(bytes.TrimSpace(rest)), 10, 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// machineLoad is the load average of the last minute.
+func machineLoad() float64 {
+	raw, _ := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(raw), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
+
+// ephemeralPorts is how many local ports the machine has for connections to one address.
+func ephemeralPorts() int {
+	raw, _ := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	var low, high int
+	if _, err := fmt.Sscan(string(raw), &low, &high); err != nil || high < low {
+		return defaultPorts
+	}
+	return high - low + 1
+}
+
+// defaultPorts is Linux's range where the machine does not say.
+const defaultPorts = 28_232
+
+// directoryBytes is the size of a file, or of all regular files under a directory.
+func directoryBytes(path string) uint64 {
+	var sum uint64
+	filepath.Walk(path, func(_ string, info os.FileInfo, err error) error {
+		if err == nil && info.Mode().IsRegular() {
+			sum += uint64(info.Size())
+		}
+		return nil
+	})
+	return sum
+}
+
+func procPath(pid int, name string) string { return filepath.Join("/proc", strconv.Itoa(pid), name) }
--- /dev/null
+++ b/lab/sweeps/sweeps.go
@@ -0,0 +1,26 @@
+// Package sweeps holds the bundled sweeps of fleetlab scale, one TOML file each (docs/scale.md gives the format).
+package sweeps
+
+import (
+	"embed"
+	"io/fs"
+	"sort"
+	"strings"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Names lists the bundled sweeps.
+func Names() []string {
+	entries, _ := fs.ReadDir(files, ".")
+	var out []string
+	for _, e := range entries {
+		out = append(out, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Read gives a bundled sweep's text.
+func Read(name string) ([]byte, error) { return files.ReadFile(name + ".toml") }
