--- a/internal/scale/bounds_test.go
+++ b/internal/scale/bounds_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,17 +81,18 @@
 
 func TestWatcherEndsARunThatPassesALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		memory := uint64(10)
+		var memory atomic.Uint64
+		memory.Store(10)
 		w := Watcher{limits: Limits{MemoryBytes: 100, Processes: 3, Descriptors: 10, Ports: 10},
 			pids: func() []int { return []int{1} },
-			use:  func(int) Use { return Use{MemoryBytes: memory, Descriptors: 1} }}
+			use:  func(int) Use { return Use{MemoryBytes: memory.Load(), Descriptors: 1} }}
 		ctx, cancel := context.WithCancelCause(t.Context())
 		go w.run(ctx, cancel)
 		time.Sleep(10 * time.Second)
 		if ctx.Err() != nil {
 			t.Fatalf("ended within the limits: %v", context.Cause(ctx))
 		}
-		memory = 51 // of each of two processes
+		memory.Store(51) // of each of two processes
 		time.Sleep(2 * time.Second)
 		if err := context.Cause(ctx); !errors.Is(err, ErrPartial) || !strings.Contains(err.Error(), "memory") {
 			t.Errorf("cause: %v", err)
--- /dev/null
+++ b/internal/scale/fleetrun.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+	"unicode"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"starlingvalve/internal/scale/hollow"
+)
+
+// fleetRun is the processes of one repeat: replicas, hollow nodes and hollow app servers.
+type fleetRun struct {
+	plan    *Plan
+	load    Load
+	options Options
+	dir     string
+	seed    uint64
+
+	plane   ControlPlane
+	nodes   *group
+	servers *group
+
+	closing sync.Mutex // held while processes are ended: close returns once they all are
+
+	mu      sync.Mutex
+	started []Hollow     // that are to be closed
+	running ControlPlane // the same; nil: none
+}
+
+// pollEvery is how often it is looked whether nodes and servers are up. A look has every process collect its garbage.
+const pollEvery = 500 * time.Millisecond
+
+// measure starts everything, waits until it is up and settled, carries out the schedule, and gives the figures.
+func (f *fleetRun) measure(ctx context.Context) (Repeat, error) {
+	tenants, err := f.startReplicas(ctx)
+	if err != nil {
+		return Repeat{}, err
+	}
+	began := time.Now()
+	if err := f.startHollow(ctx); err != nil {
+		return Repeat{}, err
+	}
+	up, err := f.ready(ctx)
+	if err != nil {
+		return Repeat{}, err
+	}
+	startup := time.Since(began)
+	if err := pause(ctx, seconds(f.plan.SettleS)); err != nil {
+		return Repeat{}, err
+	}
+	w := &window{tenants: tenants, nodes: f.nodes, servers: f.servers, random: tenants.random, seen: newOutcome()}
+	before, err := f.sample()
+	if err != nil {
+		return Repeat{}, err
+	}
+	length := seconds(f.plan.MeasureS)
+	if err := w.run(ctx, stepsOf(f.load, length), length); err != nil {
+		return Repeat{}, err
+	}
+	after, err := f.sample()
+	if err != nil {
+		return Repeat{}, err
+	}
+	values := valuesOf(f.load, before, after, w.seen)
+	values[StartupTime] = startup.Seconds()
+	values[StartupBytes] = float64(up.Calls[hollow.CallIntent].BytesIn+up.Calls[hollow.CallList].BytesIn) / float64(f.load.Nodes)
+	return Repeat{Values: values, WindowS: after.at.Sub(before.at).Seconds(), Changes: w.seen.changes, Late: w.seen.late,
+		Restarts: w.seen.restarts, Replaced: w.seen.replaced, WorstNode: w.seen.worst, Histogram: encoded(w.seen.took)}, nil
+}
+
+// startReplicas starts the replicas and puts the tenants: before there are nodes, each is in force at once.
+func (f *fleetRun) startReplicas(ctx context.Context) (*population, error) {
+	plane, err := f.options.StartReplicas(ctx, f.dir, f.plan.Replicas, f.load.Nodes)
+	if err != nil {
+		return nil, fmt.Errorf("replicas: %w", err)
+	}
+	f.plane = plane
+	f.mu.Lock()
+	f.running = plane
+	f.mu.Unlock()
+	tenants := &population{load: f.load, plane: plane, generations: make([]uint64, f.load.Tenants),
+		random: rand.New(rand.NewPCG(f.seed, 1))}
+	if err := tenants.putAll(ctx); err != nil {
+		return nil, fmt.Errorf("tenants: %w", err)
+	}
+	return tenants, nil
+}
+
+// startHollow starts the hollow processes, servers first.
+func (f *fleetRun) startHollow(ctx context.Context) (err error) {
+	config := hollow.Config{Replicas: f.plane.Addresses(), Services: f.load.Services, PerNode: f.load.PerNode, Zones: f.plan.Zones,
+		ActiveTenants: f.plan.Hollow.ActiveTenants, RequestsPerS: f.plan.Hollow.RequestsPerS, LeaseTTLMS: f.plan.Hollow.LeaseTTLMS}
+	started := func(h Hollow) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.started = append(f.started, h)
+	}
+	servers := starting{start: f.options.StartHollow, config: config, each: f.plan.Hollow.ServersPerProcess, members: f.load.Servers,
+		started: started, fill: func(c *hollow.Config, process, first, count int) {
+			c.FirstServer, c.Servers, c.Seed = first, count, f.seed*1000+uint64(process)
+			c.Dir = filepath.Join(f.dir, fmt.Sprintf("servers-%03d", process))
+		}}
+	if f.servers, err = servers.run(ctx); err != nil {
+		return err
+	}
+	nodes := starting{start: f.options.StartHollow, config: config, each: f.plan.Hollow.NodesPerProcess, members: f.load.Nodes,
+		started: started, fill: func(c *hollow.Config, process, first, count int) {
+			c.FirstNode, c.Nodes, c.Seed = first, count, f.seed*1000+500+uint64(process)
+			c.Dir = filepath.Join(f.dir, fmt.Sprintf("nodes-%03d", process))
+		}}
+	f.nodes, err = nodes.run(ctx)
+	return err
+}
+
+// ready waits until every node is counted in and every server registered, and gives the nodes' usage then.
+func (f *fleetRun) ready(ctx context.Context) (hollow.Usage, error) {
+	end := time.Now().Add(seconds(f.plan.ReadyS))
+	for {
+		nodes, err := f.nodes.usage()
+		if err != nil {
+			return nodes, err
+		}
+		servers, err := f.servers.usage()
+		if err != nil {
+			return nodes, err
+		}
+		if nodes.Ready >= f.load.Nodes && servers.Registered >= f.load.Servers {
+			return nodes, nil
+		}
+		if time.Now().After(end) {
+			return nodes, fmt.Errorf("after %v s %d of %d nodes are ready, %d of %d servers registered", f.plan.ReadyS,
+				nodes.Ready, f.load.Nodes, servers.Registered, f.load.Servers)
+		}
+		if err := pause(ctx, pollEvery); err != nil {
+			return nodes, err
+		}
+	}
+}
+
+// sample reads the accounts of every role.
+func (f *fleetRun) sample() (s sample, err error) {
+	if s.nodes, err = f.nodes.usage(); err != nil {
+		return s, err
+	}
+	if s.servers, err = f.servers.usage(); err != nil {
+		return s, err
+	}
+	s.at = time.Now()
+	s.replicas, err = f.plane.Sample()
+	return s, err
+}
+
+// pids gives the processes that run now.
+func (f *fleetRun) pids() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []int
+	if f.running != nil {
+		out = f.running.PIDs()
+	}
+	for _, h := range f.started {
+		out = append(out, h.PID())
+	}
+	return out
+}
+
+// close ends every process that was started so far. It may be called again, and at the same time.
+func (f *fleetRun) close() {
+	f.closing.Lock()
+	defer f.closing.Unlock()
+	f.mu.Lock()
+	started, plane := f.started, f.running
+	f.started, f.running = nil, nil
+	f.mu.Unlock()
+	(&group{processes: started}).close()
+	if plane != nil {
+		plane.Close()
+	}
+}
+
+// encoded is a histogram as HdrHistogram's libraries exchange it, "" where it has none.
+func encoded(h *hdrhistogram.Histogram) string {
+	if h.TotalCount() == 0 {
+		return ""
+	}
+	raw, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return ""
+	}
+	return string(raw) // in base64
+}
+
+// summary is a repeat in a few words, for a line of progress.
+func summary(r Repeat) string {
+	if r.Failed != "" {
+		return ", failed: " + r.Failed
+	}
+	return fmt.Sprintf(", %d changes, p99 %.3f s, leader %.2f cores, a node %.0f bytes/s, load %.1f", r.Changes, r.Values[ChangeP99],
+		r.Values[LeaderCPU], r.Values[NodeBytes], r.MachineLoad)
+}
+
+// oneLine keeps a message on one line.
+func oneLine(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, s)
+}
--- /dev/null
+++ b/internal/scale/hollows.go
@@ -0,0 +1,125 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/scale/hollow"
+)
+
+// Hollow is one hollow process (hollow.Process, or a test's double). First and count of a call are the numbers of the nodes or
+// servers by the whole fleet's count.
+type Hollow interface {
+	Usage() (hollow.Usage, error)
+	InForce(tenant string, generation uint64, wait time.Duration) (hollow.InForce, error)
+	Kill(first, count int) error
+	Start(first, count int) error
+	Replace(first, count int) error
+	PID() int
+	Close() error
+}
+
+// group is the hollow processes of one role: nodes, or servers.
+type group struct {
+	processes []Hollow
+	each      int // members of a process, of the last one at most
+	members   int
+}
+
+// of is the process that has a member.
+func (g *group) of(member int) Hollow { return g.processes[member/g.each] }
+
+// all calls every process at once, and gives the first error.
+func (g *group) all(call func(i int, h Hollow) error) error {
+	errs := make([]error, len(g.processes))
+	var done sync.WaitGroup
+	for i, h := range g.processes {
+		done.Go(func() { errs[i] = call(i, h) })
+	}
+	done.Wait()
+	return errors.Join(errs...)
+}
+
+// close ends every process.
+func (g *group) close() {
+	g.all(func(_ int, h Hollow) error { return h.Close() })
+}
+
+// usage sums what the processes have used; Behind is the largest.
+func (g *group) usage() (hollow.Usage, error) {
+	each := make([]hollow.Usage, len(g.processes))
+	err := g.all(func(i int, h Hollow) (err error) {
+		each[i], err = h.Usage()
+		return err
+	})
+	sum := hollow.Usage{Calls: map[hollow.Call]hollow.Traffic{}}
+	for _, u := range each {
+		addUsage(&sum, u)
+	}
+	return sum, err
+}
+
+// addUsage adds one process's usage to a sum.
+func addUsage(sum *hollow.Usage, u hollow.Usage) {
+	for call, t := range u.Calls {
+		s := sum.Calls[call]
+		s.Calls, s.BytesIn, s.BytesOut = s.Calls+t.Calls, s.BytesIn+t.BytesIn, s.BytesOut+t.BytesOut
+		sum.Calls[call] = s
+	}
+	sum.CPU += u.CPU
+	sum.HeapBytes += u.HeapBytes
+	sum.RSSBytes += u.RSSBytes
+	sum.Ready += u.Ready
+	sum.Registered += u.Registered
+	sum.Behind = max(sum.Behind, u.Behind)
+	sum.Items += u.Items
+	sum.Goroutines += u.Goroutines
+	sum.Descriptors += u.Descriptors
+	sum.Failures += u.Failures
+	sum.CopyBytes += u.CopyBytes
+	sum.ReportBytes += u.ReportBytes
+}
+
+// pids gives the processes' ids.
+func (g *group) pids() []int {
+	var out []int
+	for _, h := range g.processes {
+		out = append(out, h.PID())
+	}
+	return out
+}
+
+// StartHollow starts one hollow process. It ends when it is closed, or with this process.
+type StartHollow func(ctx context.Context, config hollow.Config) (Hollow, error)
+
+// starting is what a group is started from.
+type starting struct {
+	start   StartHollow
+	config  hollow.Config // of all processes; first, count and directory are filled in
+	each    int
+	members int
+	fill    func(c *hollow.Config, process, first, count int)
+	started func(h Hollow) // hears of every process
+}
+
+// run starts a group's processes one after the other. Where it fails, those that were started are left to the caller.
+func (s starting) run(ctx context.Context) (*group, error) {
+	g := &group{each: s.each, members: s.members}
+	for first := 0; first < s.members; first += s.each {
+		config := s.config
+		s.fill(&config, len(g.processes), first, min(s.each, s.members-first))
+		h, err := s.start(ctx, config)
+		if err != nil {
+			return nil, fmt.Errorf("hollow process %d: %w", len(g.processes), err)
+		}
+		g.processes = append(g.processes, h)
+		s.started(h)
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+	}
+	return g, nil
+}
--- /dev/null
+++ b/internal/scale/operator.go
@@ -0,0 +1,129 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// operator calls the operators' API of the replicas' leader.
+type operator struct {
+	replicas []string
+	client   *http.Client
+
+	mu     sync.Mutex
+	leader int // index of the replica that is asked first
+}
+
+// Bounds of an operator's call.
+const (
+	proposeWithin = 30 * time.Second
+	proposeRest   = 20 * time.Millisecond
+	answerLimit   = 1 << 20
+)
+
+// errConflict says that a tenant is at another generation than the proposal names, or not done with its last one.
+var errConflict = errors.New("conflict")
+
+func newOperator(replicas []string) *operator {
+	return &operator{replicas: replicas, client: &http.Client{Timeout: 10 * time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: putsAtOnce}}}
+}
+
+// proposal is the body of a PUT of a tenant.
+type proposal struct {
+	Generation uint64     `json:"generation"` // the present one; 0: there is no such tenant
+	Spec       fleet.Spec `json:"spec"`
+}
+
+// propose puts a tenant's next generation, following the leader. A try whose outcome is not known is made again; the conflict
+// that an earlier try of the same call causes is no error.
+func (o *operator) propose(ctx context.Context, generation uint64, spec fleet.Spec) error {
+	body, err := json.Marshal(proposal{Generation: generation, Spec: spec})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+	defer cancel()
+	unknown := false
+	for {
+		status, text, err := o.put(ctx, spec.Name, body)
+		switch {
+		case err == nil && status == http.StatusOK, err == nil && status == http.StatusConflict && unknown:
+			return nil
+		case err == nil && status == http.StatusConflict:
+			return fmt.Errorf("tenant %s: %w: %s", spec.Name, errConflict, text)
+		case err == nil && status < http.StatusInternalServerError:
+			return fmt.Errorf("tenant %s: %d: %s", spec.Name, status, text)
+		}
+		unknown = unknown || err != nil
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("tenant %s: no leader answers: %w", spec.Name, errors.Join(context.Cause(ctx), err))
+		case <-time.After(proposeRest):
+		}
+	}
+}
+
+// put makes one try at the replica that is taken for the leader.
+func (o *operator) put(ctx context.Context, name string, body []byte) (status int, text []byte, err error) {
+	o.mu.Lock()
+	at := o.leader
+	o.mu.Unlock()
+	address := "http://" + o.replicas[at] + "/fleet/v1/tenants/" + url.PathEscape(name)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, address, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := o.client.Do(req)
+	if err != nil {
+		o.follow(at, "")
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	text, err = io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		o.follow(at, resp.Header.Get("X-Leader"))
+	}
+	return resp.StatusCode, bytes.TrimSpace(text), err
+}
+
+// follow turns from a replica to the one it names, or to the next.
+func (o *operator) follow(from int, leader string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.leader != from {
+		return
+	}
+	if i := slices.Index(o.replicas, leader); i >= 0 {
+		o.leader = i
+		return
+	}
+	o.leader = (from + 1) % len(o.replicas)
+}
+
+// metrics reads a replica's metrics.
+func (o *operator) metrics(replica string) (ReplicaMetrics, error) {
+	resp, err := o.client.Get("http://" + replica + "/metrics")
+	if err != nil {
+		return ReplicaMetrics{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return ReplicaMetrics{}, fmt.Errorf("metrics: status %d", resp.StatusCode)
+	}
+	return parseMetrics(resp.Body)
+}
+
+// close gives back the connections.
+func (o *operator) close() { o.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/scale/replicas.go
@@ -0,0 +1,173 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/lab/listdlab"
+)
+
+// ControlPlane is the replicas of a run.
+type ControlPlane interface {
+	Addresses() []string // of the replicas' HTTP
+	PIDs() []int
+	Propose(ctx context.Context, generation uint64, spec fleet.Spec) error // the generation after the one given
+	Sample() (Replicas, error)
+	Close()
+}
+
+// Replicas are the samples of all replicas at one moment.
+type Replicas struct {
+	Leader int // index of the one that leads
+	Each   []ReplicaSample
+}
+
+// ReplicaSample is what one replica has used and done since its start.
+type ReplicaSample struct {
+	CPU           time.Duration
+	RSSBytes      uint64
+	RaftBytes     uint64 // over raft's links, both ways
+	LogBytes      uint64 // of the log's file, now
+	SnapshotBytes uint64 // of the newest snapshot
+	WrittenBytes  uint64 // to the disk
+	Metrics       ReplicaMetrics
+}
+
+// StartReplicas starts the replicas of one run, with slots nodes at most, their data under dir.
+type StartReplicas func(ctx context.Context, dir string, replicas, slots int) (ControlPlane, error)
+
+// leaderWithin is how long a leader is waited for.
+const leaderWithin = 30 * time.Second
+
+// ListdReplicas gives what starts listd processes of a program.
+func ListdReplicas(binary string) StartReplicas {
+	return func(ctx context.Context, dir string, replicas, slots int) (ControlPlane, error) {
+		settings := filepath.Join(dir, "fleet.toml")
+		if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", slots), 0o644); err != nil {
+			return nil, err
+		}
+		network, err := freeNetwork(replicas)
+		if err != nil {
+			return nil, err
+		}
+		cluster, err := listdlab.Start(binary, dir, replicas, network, "--fleet", settings)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := cluster.Leader(leaderWithin, -1); err != nil {
+			cluster.Close()
+			return nil, err
+		}
+		return &listdPlane{cluster: cluster, operator: newOperator(cluster.HTTP)}, nil
+	}
+}
+
+// listdNetworks is how many networks listdlab's addresses are spread over.
+const listdNetworks = 250
+
+// freeNetwork finds a network on which nobody listens at the replicas' addresses.
+func freeNetwork(replicas int) (int, error) {
+	first := os.Getpid()
+	for i := range listdNetworks {
+		network := first + i
+		if networkFree(network, replicas) {
+			return network, nil
+		}
+	}
+	return 0, fmt.Errorf("no network of 127.3.0.0/16 is free for %d replicas", replicas)
+}
+
+// networkFree says whether all addresses of replicas on a network can be listened on.
+func networkFree(network, replicas int) bool {
+	for i := range replicas {
+		for _, port := range []int{7000, 8000} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:%d", network%listdNetworks+1, i+1, port))
+			if err != nil {
+				return false
+			}
+			ln.Close()
+		}
+	}
+	return true
+}
+
+// listdPlane is a control plane of listd processes.
+type listdPlane struct {
+	cluster  *listdlab.Cluster
+	operator *operator
+}
+
+// Addresses gives the replicas' HTTP addresses.
+func (p *listdPlane) Addresses() []string { return p.cluster.HTTP }
+
+// PIDs gives the replicas' process ids.
+func (p *listdPlane) PIDs() []int {
+	var out []int
+	for i := range p.cluster.HTTP {
+		if pid := p.cluster.Pid(i); pid != 0 {
+			out = append(out, pid)
+		}
+	}
+	return out
+}
+
+// Propose puts a tenant's next generation.
+func (p *listdPlane) Propose(ctx context.Context, generation uint64, spec fleet.Spec) error {
+	return p.operator.propose(ctx, generation, spec)
+}
+
+// Sample reads every replica's accounts.
+func (p *listdPlane) Sample() (Replicas, error) {
+	leader, err := p.cluster.Leader(leaderWithin, -1)
+	if err != nil {
+		return Replicas{}, err
+	}
+	out := Replicas{Leader: leader, Each: make([]ReplicaSample, len(p.cluster.HTTP))}
+	for i := range out.Each {
+		if out.Each[i], err = p.sample(i); err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
+
+// sample reads one replica's accounts.
+func (p *listdPlane) sample(i int) (ReplicaSample, error) {
+	pid, dir := p.cluster.Pid(i), p.cluster.Dirs[i]
+	metrics, err := p.operator.metrics(p.cluster.HTTP[i])
+	if err != nil {
+		return ReplicaSample{}, fmt.Errorf("replica %d: %w", i, err)
+	}
+	s := ReplicaSample{CPU: listdlab.CPUTime(pid), RSSBytes: residentBytes(pid), WrittenBytes: writtenBytes(pid),
+		LogBytes: directoryBytes(filepath.Join(dir, "raft.db")), SnapshotBytes: newestSnapshot(dir), Metrics: metrics}
+	for pair, link := range p.cluster.Links {
+		if pair[0] == i || pair[1] == i {
+			s.RaftBytes += uint64(link.Bytes.Load())
+		}
+	}
+	return s, nil
+}
+
+// newestSnapshot is the size of the newest of a replica's snapshots, 0 where there is none.
+func newestSnapshot(dir string) uint64 {
+	paths, _ := filepath.Glob(filepath.Join(dir, "snapshots", "*", "state.bin"))
+	var newest time.Time
+	var size uint64
+	for _, path := range paths {
+		if info, err := os.Stat(path); err == nil && info.ModTime().After(newest) {
+			newest, size = info.ModTime(), uint64(info.Size())
+		}
+	}
+	return size
+}
+
+// Close ends the replicas.
+func (p *listdPlane) Close() {
+	p.operator.close()
+	p.cluster.Close()
+}
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,185 @@
+package scale
+
+import (
+	"context"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const runPlan = `
+dimension = "nodes"
+sizes = [8, 16, 32, 64, 128]
+repeats = 2
+measure_s = 20
+[base]
+tenants = 50
+changes_per_s = 2
+restarts_per_s = 0.5
+replacements_per_s = 0.25
+[hollow]
+nodes_per_process = 20
+servers_per_process = 10
+`
+
+func TestRunMeasuresEveryRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		r := w.play(t, t.Context(), runPlan)
+		if r.Partial != "" || len(r.Points) != 5 {
+			t.Fatalf("partial %q, %d points", r.Partial, len(r.Points))
+		}
+		for _, point := range r.Points {
+			if len(point.Repeats) != 2 || point.Load.Nodes != int(point.Size) {
+				t.Fatalf("size %v: %+v", point.Size, point)
+			}
+			for _, repeat := range point.Repeats {
+				if repeat.Changes != 40 || repeat.Restarts != 10 || repeat.Replaced != 5 || repeat.Late != 0 || repeat.Histogram == "" {
+					t.Errorf("size %v: %d changes, %d late, %d restarts, %d replaced", point.Size, repeat.Changes, repeat.Late, repeat.Restarts, repeat.Replaced)
+				}
+				if !strings.HasPrefix(repeat.WorstNode, "h") {
+					t.Errorf("worst node %q", repeat.WorstNode)
+				}
+			}
+		}
+		want := Values{LeaderCPU: 0.1, FollowerCPU: 0.01, LeaderStepMean: 0.002, LeaderStepP99: 0.01, NodeBytes: 1000, NodeCPU: 0.001,
+			RegistrantBytes: 100, RegistrantCalls: 1, ChangeP99: 0.02, NodeItems: 50, ChangeMissed: 0, ChangesDone: 2}
+		last := r.Points[4].Repeats[1].Values
+		for metric, value := range want {
+			if got, ok := last[metric]; !ok || math.Abs(got-value) > 0.01*value+1e-9 {
+				t.Errorf("%s: %v, want %v", metric, got, value)
+			}
+		}
+		if w.alive != 0 || w.started == 0 {
+			t.Errorf("%d of %d are left", w.alive, w.started)
+		}
+	})
+}
+
+func TestRunRefusesBeforeAnythingStarts(t *testing.T) {
+	w := newWorld()
+	options := w.options(t)
+	options.Limits.Processes = 3
+	if r, err := Run(t.Context(), planOf(t, runPlan), options); err == nil || w.started != 0 {
+		t.Errorf("%+v, %v, %d started", r, err, w.started)
+	}
+	p := planOf(t, runPlan)
+	p.Sizes[0] = 0
+	if r, err := Run(t.Context(), p, w.options(t)); err == nil || w.started != 0 {
+		t.Errorf("%+v, %v, %d started", r, err, w.started)
+	}
+}
+
+// TestRunEndsEarlyWithWhatItHas has one row for each way in which a sweep ends before its end.
+func TestRunEndsEarlyWithWhatItHas(t *testing.T) {
+	rows := []struct {
+		name, text, want string
+		set              func(w *world, cancel func())
+		points           int
+	}{
+		{"its time is over", "limit_s = 60\n" + runPlan, "limit_s, 60, is over", func(*world, func()) {}, 1},
+		{"interrupted", runPlan, "interrupted", func(_ *world, cancel func()) {
+			time.AfterFunc(130*time.Second, cancel)
+		}, 3},
+		{"interrupted in a call that waits", runPlan, "interrupted", func(w *world, cancel func()) {
+			w.hang = true
+			time.AfterFunc(20*time.Second, cancel)
+		}, 0},
+		{"no replicas", runPlan, "nodes 8: replicas: no leader in 30 s", func(w *world, _ func()) { w.broken = "replicas" }, 1},
+		{"no hollow process", runPlan, "hollow process 0: no such program", func(w *world, _ func()) { w.broken = "hollow" }, 1},
+		{"never ready", runPlan, "after 60 s 0 of 8 nodes are ready, 16 of 16 servers registered", func(w *world, _ func()) { w.broken = "ready" }, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				w := newWorld()
+				row.set(w, cancel)
+				r := w.play(t, ctx, row.text)
+				if !strings.Contains(r.Partial, row.want) || strings.Contains(r.Partial, "\n") {
+					t.Errorf("partial: %q, want %q", r.Partial, row.want)
+				}
+				if len(r.Points) != row.points {
+					t.Errorf("%d points, want %d", len(r.Points), row.points)
+				}
+				if w.alive != 0 {
+					t.Errorf("%d are left", w.alive)
+				}
+			})
+		})
+	}
+}
+
+func TestRunEndsWhereALimitIsPassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		options := w.options(t)
+		options.Limits.MemoryBytes = 1
+		s := &sweep{plan: planOf(t, runPlan), options: options, results: &Results{}}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		watcher := Watcher{limits: options.Limits, pids: s.pids, use: processUse}
+		go watcher.run(ctx, cancel)
+		if err := s.run(ctx); err == nil || !strings.Contains(reason(err), "MiB of memory") {
+			t.Errorf("ended by %v", err)
+		}
+		if w.alive != 0 {
+			t.Errorf("%d are left", w.alive)
+		}
+	})
+}
+
+func TestRunLeavesNoDataBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		options := w.options(t)
+		if _, err := Run(t.Context(), planOf(t, runPlan), options); err != nil {
+			t.Fatal(err)
+		}
+		if left, _ := os.ReadDir(options.Dir); len(left) != 0 {
+			t.Errorf("left: %v", left)
+		}
+	})
+}
+
+func TestChangePassesOverTenantsThatAreNotDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.conflicts = 5
+		r := w.play(t, t.Context(), runPlan)
+		if r.Partial != "" {
+			t.Fatal(r.Partial)
+		}
+	})
+}
+
+func TestSlowChangesAreLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.takes = 2 * time.Second
+		r := w.play(t, t.Context(), runPlan)
+		if late := r.Points[0].Repeats[0].Late; late < 30 {
+			t.Errorf("%d changes late", late)
+		}
+	})
+}
+
+// TestSweepFlagsPlantedCost has the same sweep with a cost that grows as n^1.5, and one that does not grow.
+func TestSweepFlagsPlantedCost(t *testing.T) {
+	for _, row := range []struct {
+		exponent    float64
+		superlinear bool
+	}{{0, false}, {1, false}, {1.5, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			w.bytes = func(nodes, _ int) float64 { return 1000 * math.Pow(float64(nodes), row.exponent) }
+			fit, ok := w.play(t, t.Context(), runPlan).Fit(NodeBytes)
+			if !ok || fit.Superlinear != row.superlinear || math.Abs(fit.Exponent-row.exponent) > 0.02 {
+				t.Errorf("planted n^%v: %+v", row.exponent, fit)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scale/values.go
@@ -0,0 +1,139 @@
+package scale
+
+import (
+	"time"
+
+	"starlingvalve/internal/scale/hollow"
+)
+
+// sample is what every role has used up to one moment.
+type sample struct {
+	at       time.Time
+	replicas Replicas
+	nodes    hollow.Usage
+	servers  hollow.Usage
+}
+
+// valuesOf turns two samples and what happened between them into the figures of each role.
+func valuesOf(l Load, before, after sample, seen outcome) Values {
+	v := Values{}
+	window := after.at.Sub(before.at).Seconds()
+	v.addLeader(before, after, window)
+	v.addFollowers(before.replicas, after.replicas, window)
+	v.addNodes(l, before.nodes, after.nodes, window)
+	v.addRegistrants(l, before.servers, after.servers, window)
+	v.addChanges(l, before.nodes, after.nodes, window, seen)
+	return v
+}
+
+// addLeader adds the leader's figures, where one replica led at both ends.
+func (v Values) addLeader(before, after sample, window float64) {
+	lead := after.replicas.Leader
+	if before.replicas.Leader != lead {
+		return
+	}
+	b, a := before.replicas.Each[lead], after.replicas.Each[lead]
+	v[LeaderCPU] = (a.CPU - b.CPU).Seconds() / window
+	v[LeaderRSS] = float64(a.RSSBytes)
+	v[LeaderRaftBytes] = difference(b.RaftBytes, a.RaftBytes) / window
+	v[LeaderWritten] = difference(b.WrittenBytes, a.WrittenBytes) / window
+	v[LeaderLogBytes] = float64(a.LogBytes)
+	if a.SnapshotBytes > 0 {
+		v[LeaderSnapBytes] = float64(a.SnapshotBytes)
+	}
+	v[LeaderCommands] = (a.Metrics.Commands - b.Metrics.Commands) / window
+	v[LeaderReports] = (a.Metrics.Reports - b.Metrics.Reports) / window
+	steps := a.Metrics.Step.Since(b.Metrics.Step)
+	if mean, ok := steps.Mean(); ok {
+		v[LeaderStepMean] = mean
+	}
+	if p99, ok := steps.Quantile(0.99); ok {
+		v[LeaderStepP99] = p99
+	}
+	reports := trafficBetween(before.nodes, after.nodes, hollow.CallReport)
+	registered := trafficBetween(before.servers, after.servers, hollow.CallRegister)
+	v[LeaderHTTPIn] = float64(reports.BytesOut+registered.BytesOut) / window
+	v[LeaderHTTPOut] = float64(reports.BytesIn+registered.BytesIn) / window
+}
+
+// addFollowers adds the mean of the replicas that did not lead.
+func (v Values) addFollowers(before, after Replicas, window float64) {
+	followers := float64(len(after.Each) - 1)
+	if followers < 1 || before.Leader != after.Leader {
+		return
+	}
+	var cpu, rss, raft float64
+	for i, a := range after.Each {
+		if i == after.Leader {
+			continue
+		}
+		cpu += (a.CPU - before.Each[i].CPU).Seconds()
+		rss += float64(a.RSSBytes)
+		raft += difference(before.Each[i].RaftBytes, a.RaftBytes)
+	}
+	v[FollowerCPU] = cpu / window / followers
+	v[FollowerRSS] = rss / followers
+	v[FollowerRaftBytes] = raft / window / followers
+}
+
+// addNodes adds the mean of the hollow nodes.
+func (v Values) addNodes(l Load, before, after hollow.Usage, window float64) {
+	nodes := float64(l.Nodes)
+	v[NodeCPU] = (after.CPU - before.CPU).Seconds() / window / nodes
+	v[NodeHeap] = float64(after.HeapBytes) / nodes
+	v[NodeRSS] = float64(after.RSSBytes) / nodes
+	v[NodeItems] = float64(after.Items) / nodes
+	v[NodeCopyBytes] = difference(before.CopyBytes, after.CopyBytes) / window / nodes
+	v[NodeFailures] = difference(before.Failures, after.Failures) / window / nodes
+	var all hollow.Traffic
+	for _, call := range []struct {
+		call   hollow.Call
+		metric Metric
+	}{{hollow.CallIntent, NodeIntentBytes}, {hollow.CallList, NodeListBytes}, {hollow.CallReport, NodeReportBytes}} {
+		t := trafficBetween(before, after, call.call)
+		v[call.metric] = float64(t.BytesIn+t.BytesOut) / window / nodes
+		all.Calls, all.BytesIn, all.BytesOut = all.Calls+t.Calls, all.BytesIn+t.BytesIn, all.BytesOut+t.BytesOut
+	}
+	v[NodeBytesIn] = float64(all.BytesIn) / window / nodes
+	v[NodeBytesOut] = float64(all.BytesOut) / window / nodes
+	v[NodeBytes] = v[NodeBytesIn] + v[NodeBytesOut]
+	v[NodeCalls] = float64(all.Calls) / window / nodes
+	if reports := trafficBetween(before, after, hollow.CallReport).Calls; reports > 0 {
+		v[NodeReportBody] = difference(before.ReportBytes, after.ReportBytes) / float64(reports)
+	}
+}
+
+// addRegistrants adds the mean of the hollow app servers.
+func (v Values) addRegistrants(l Load, before, after hollow.Usage, window float64) {
+	servers := float64(l.Servers)
+	t := trafficBetween(before, after, hollow.CallRegister)
+	v[RegistrantCPU] = (after.CPU - before.CPU).Seconds() / window / servers
+	v[RegistrantBytes] = float64(t.BytesIn+t.BytesOut) / window / servers
+	v[RegistrantCalls] = float64(t.Calls) / window / servers
+}
+
+// addChanges adds the times of changes.
+func (v Values) addChanges(l Load, before, after hollow.Usage, window float64, seen outcome) {
+	if seen.changes == 0 {
+		return
+	}
+	v[ChangesDone] = float64(seen.changes) / window
+	v[ChangeMissed] = float64(seen.missed)
+	read := trafficBetween(before, after, hollow.CallIntent).BytesIn
+	v[ChangeBytes] = float64(read) / float64(l.Nodes) / float64(seen.changes)
+	if seen.took.TotalCount() == 0 {
+		return
+	}
+	v[ChangeP50] = float64(seen.took.ValueAtQuantile(50)) / 1e6
+	v[ChangeP99] = float64(seen.took.ValueAtQuantile(99)) / 1e6
+	v[ChangeMax] = seen.longest.Seconds()
+}
+
+// trafficBetween is what went over the sockets for a call between two samples.
+func trafficBetween(before, after hollow.Usage, call hollow.Call) hollow.Traffic {
+	b, a := before.Calls[call], after.Calls[call]
+	return hollow.Traffic{Calls: a.Calls - b.Calls, BytesIn: a.BytesIn - b.BytesIn, BytesOut: a.BytesOut - b.BytesOut}
+}
+
+// difference of two readings of a counter.
+func difference(before, after uint64) float64 { return float64(after) - float64(before) }
