--- a/internal/scale/proc.go
+++ b/internal/lab/bounds/proc.go
@@ -1,4 +1,4 @@
-package scale
+package bounds
 
 import (
 	"bytes"
@@ -11,6 +11,13 @@
 	"syscall"
 )
 
+// Machine is what a run has to do with.
+type Machine struct {
+	Cores       int    `json:"cores"`
+	MemoryBytes uint64 `json:"memory_bytes"`
+	Descriptors uint64 `json:"descriptors"` // that a process may open
+}
+
 // ReadMachine reads what the machine has.
 func ReadMachine() (Machine, error) {
 	raw, err := os.ReadFile("/proc/meminfo")
@@ -41,8 +48,8 @@
 	return 0, false
 }
 
-// residentBytes is a process's resident memory, 0 where there is no such process.
-func residentBytes(pid int) uint64 {
+// ResidentBytes is a process's resident memory, 0 where there is no such process.
+func ResidentBytes(pid int) uint64 {
 	raw, _ := os.ReadFile(procPath(pid, "status"))
 	n, _ := procField(string(raw), "VmRSS:")
 	return n
@@ -54,8 +61,8 @@
 	return len(names)
 }
 
-// writtenBytes is what a process has sent to disks so far.
-func writtenBytes(pid int) uint64 {
+// WrittenBytes is what a process has sent to disks so far.
+func WrittenBytes(pid int) uint64 {
 	raw, _ := os.ReadFile(procPath(pid, "io"))
 	for line := range bytes.Lines(raw) {
 		if rest, ok := bytes.CutPrefix(line, []byte("write_bytes:")); ok {
@@ -66,8 +73,8 @@
 	return 0
 }
 
-// machineLoad is the load average of the last minute.
-func machineLoad() float64 {
+// MachineLoad is the load average of the last minute.
+func MachineLoad() float64 {
 	raw, _ := os.ReadFile("/proc/loadavg")
 	first, _, _ := strings.Cut(string(raw), " ")
 	load, _ := strconv.ParseFloat(first, 64)
@@ -87,8 +94,8 @@
 // defaultPorts is Linux's range where the machine does not say.
 const defaultPorts = 28_232
 
-// directoryBytes is the size of a file, or of all regular files under a directory.
-func directoryBytes(path string) uint64 {
+// DirectoryBytes is the size of a file, or of all regular files under a directory.
+func DirectoryBytes(path string) uint64 {
 	var sum uint64
 	filepath.Walk(path, func(_ string, info os.FileInfo, err error) error {
 		if err == nil && info.Mode().IsRegular() {
--- /dev/null
+++ b/internal/lab/needs.go
@@ -0,0 +1,47 @@
+package lab
+
+import (
+	"fmt"
+
+	"starlingvalve/internal/lab/bounds"
+)
+
+// What the parts of a lab run take, with some room: it is refused by them before it starts.
+const (
+	labBytes         = 64 << 20
+	linkBytes        = 32 << 10 // a relay at rest; docs/lab.md, "What runs"
+	nodeBytes        = 24 << 20
+	agentBytes       = 20 << 20
+	memberBytes      = 20 << 20
+	replicaBytes     = 64 << 20
+	spareDescriptors = 128 // of the lab: logs, listeners, probes
+	nodeDescriptors  = 4   // of the lab, for each node: its log, the front's connections
+)
+
+// needs reckons what a scenario takes. The lab's own process has the most descriptors: a listener for each relay.
+func (s *Scenario) needs() bounds.Needs {
+	links := s.Fleet.Nodes * (s.Fleet.Servers + 2)
+	processes := 1 + s.Fleet.Nodes
+	memory := labBytes + nodeBytes*s.Fleet.Nodes
+	if s.Fleet.Discovery == "listd" {
+		links += s.Fleet.Replicas * (s.Fleet.Replicas - 1 + s.Fleet.Nodes)
+		processes += s.Fleet.Nodes + s.Fleet.Replicas
+		memory += agentBytes*s.Fleet.Nodes + replicaBytes*s.Fleet.Replicas
+	}
+	if s.Fleet.Gossip {
+		links += s.Fleet.Nodes * s.Fleet.Nodes
+		processes += s.Fleet.Nodes
+		memory += memberBytes * s.Fleet.Nodes
+	}
+	memory += links * linkBytes
+	return bounds.Needs{MemoryBytes: uint64(memory), Processes: processes,
+		Descriptors: spareDescriptors + links + s.Fleet.Servers + nodeDescriptors*s.Fleet.Nodes}
+}
+
+// checkNeeds refuses a scenario that the machine does not bear.
+func (s *Scenario) checkNeeds(limits bounds.Limits) error {
+	if err := s.needs().Within(limits); err != nil {
+		return fmt.Errorf("scenario %s: fleet: %w", s.Name, err)
+	}
+	return nil
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingvalve/internal/invariants"
+	"starlingvalve/internal/lab/bounds"
 	"starlingvalve/internal/lab/faults"
 	"starlingvalve/internal/lab/listdlab"
 	"starlingvalve/internal/lab/load"
@@ -122,7 +123,13 @@
 	f.recs.Scenario = s
 	f.recs.Fleet = &invariants.Fleet{ServerZone: map[string]string{}, Faulted: map[string]time.Duration{}, Settings: map[string]bool{}}
 	f.recs.NoFile = raiseNoFile()
-	var err error
+	machine, err := bounds.ReadMachine()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.checkNeeds(bounds.LimitsOf(machine)); err != nil {
+		return nil, err
+	}
 	if f.place, err = takePlace(); err != nil {
 		return nil, err
 	}
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -58,9 +58,9 @@
 		set: func(l *Load, v float64) { *field(l) = v }}
 }
 
-// bounds are those of each key of Load, in the order of the file's keys. Nodes are bounded by the slots that a fleet may
+// loadBounds are those of each key of Load, in the order of the file's keys. Nodes are bounded by the slots that a fleet may
 // have, the rest with room over the plan of docs/CAPACITY.md.
-var bounds = []bound{
+var loadBounds = []bound{
 	wholeBound(Nodes, 1, 4096, func(l *Load) *int { return &l.Nodes }),
 	wholeBound(Servers, 1, 100_000, func(l *Load) *int { return &l.Servers }),
 	wholeBound(Services, 1, 10_000, func(l *Load) *int { return &l.Services }),
@@ -75,7 +75,7 @@
 
 // boundOf finds a dimension's bound.
 func boundOf(d Dimension) (bound, bool) {
-	for _, b := range bounds {
+	for _, b := range loadBounds {
 		if b.key == d && d != "tenants_per_service" {
 			return b, true
 		}
@@ -99,7 +99,7 @@
 
 // check compares a load with the bounds, and its keys with each other.
 func (l Load) check(prefix string) error {
-	for _, b := range bounds {
+	for _, b := range loadBounds {
 		if err := b.check(prefix+string(b.key), b.of(&l)); err != nil {
 			return err
 		}
--- a/internal/scale/replicas.go
+++ b/internal/scale/replicas.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/lab/bounds"
 	"starlingvalve/internal/lab/listdlab"
 )
 
@@ -143,8 +144,8 @@
 	if err != nil {
 		return ReplicaSample{}, fmt.Errorf("replica %d: %w", i, err)
 	}
-	s := ReplicaSample{CPU: listdlab.CPUTime(pid), RSSBytes: residentBytes(pid), WrittenBytes: writtenBytes(pid),
-		LogBytes: directoryBytes(filepath.Join(dir, "raft.db")), SnapshotBytes: newestSnapshot(dir), Metrics: metrics}
+	s := ReplicaSample{CPU: listdlab.CPUTime(pid), RSSBytes: bounds.ResidentBytes(pid), WrittenBytes: bounds.WrittenBytes(pid),
+		LogBytes: bounds.DirectoryBytes(filepath.Join(dir, "raft.db")), SnapshotBytes: newestSnapshot(dir), Metrics: metrics}
 	for pair, link := range p.cluster.Links {
 		if pair[0] == i || pair[1] == i {
 			s.RaftBytes += uint64(link.Bytes.Load())
