--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -9,19 +9,19 @@
 // What the parts of a run take, as measured on this build with some room (docs/scale.md, "Bounds"). They serve to refuse
 // in time; while a sweep runs, what is really used is watched (bounds.Watcher).
 const (
-	replicaBytes        = 64 << 20 // a replica without a fleet
-	replicaTenantBytes  = 8 << 10  // a tenant at a replica: state, items, log and its answers on their way
-	replicaServerBytes  = 2 << 10  // a server at a replica
-	replicaNodeBytes    = 128 << 10
-	processBytes        = 24 << 20 // a hollow process without nodes
-	nodeBytes           = 256 << 10
-	nodeTenantBytes     = 4 << 10 // a tenant at a node: the agent's copy, the module and the report
-	nodeServerBytes     = 1 << 10 // a server at a node: the agent's list and the module's
-	registrantBytes     = 24 << 10
-	runnerBytes         = 64 << 20
-	nodeConnections     = 4  // to replicas: the intent, the list, reports, one in change
-	registrantPerSocket = 1  // registrants that share a connection
-	spareDescriptors    = 64 // of any process: its logs, stores, listeners
+	replicaBytes       = 64 << 20 // a replica without a fleet
+	replicaTenantBytes = 8 << 10  // a tenant at a replica: state, items, log and its answers on their way
+	replicaServerBytes = 2 << 10  // a server at a replica
+	replicaNodeBytes   = 128 << 10
+	processBytes       = 24 << 20 // a hollow process without nodes
+	nodeBytes          = 256 << 10
+	nodeTenantBytes    = 4 << 10 // a tenant at a node: the agent's copy, the module and the report
+	nodeServerBytes    = 1 << 10 // a server at a node: the agent's list and the module's
+	registrantBytes    = 24 << 10
+	runnerBytes        = 64 << 20
+	nodeConnections    = 4  // to replicas: the intent, the list, reports, one in change
+	registrantsASocket = 16 // registrants that share a connection, with room
+	spareDescriptors   = 64 // of any process: its logs, stores, listeners
 )
 
 // NeedsOf reckons what one point of a sweep takes. Every node is taken to hold every tenant and every server, as nodes without a
@@ -33,8 +33,8 @@
 	replica := uint64(replicaBytes + replicaTenantBytes*l.Tenants + replicaServerBytes*l.Servers + replicaNodeBytes*l.Nodes)
 	memory := uint64(runnerBytes) + uint64(p.Replicas)*replica + uint64(nodeProcesses+serverProcesses)*processBytes +
 		uint64(l.Nodes)*node + uint64(l.Servers)*registrantBytes
-	atLeader := nodeConnections*l.Nodes + l.Servers/registrantPerSocket
-	inProcess := max(nodeConnections*min(l.Nodes, p.Hollow.NodesPerProcess), min(l.Servers, p.Hollow.ServersPerProcess)/registrantPerSocket)
+	atLeader := nodeConnections*l.Nodes + l.Servers/registrantsASocket
+	inProcess := max(nodeConnections*min(l.Nodes, p.Hollow.NodesPerProcess), min(l.Servers, p.Hollow.ServersPerProcess)/registrantsASocket)
 	return bounds.Needs{MemoryBytes: memory, Processes: 1 + p.Replicas + nodeProcesses + serverProcesses,
 		Descriptors: spareDescriptors + max(atLeader, inProcess), Ports: atLeader}
 }
--- /dev/null
+++ b/internal/scale/growth_test.go
@@ -0,0 +1,45 @@
+package scale
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"testing/synctest"
+)
+
+// TestOverLimitsFindsPlantedCost plays a sweep on the double for each exponent that is planted.
+func TestOverLimitsFindsPlantedCost(t *testing.T) {
+	for _, row := range []struct {
+		planted, most float64
+		over          bool
+	}{{0, 0.1, false}, {0.5, 0.1, true}, {1, 1.1, false}, {1.5, 1.1, true}, {1.5, 0.1, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			w.bytes = func(nodes, _ int) float64 { return 1000 * math.Pow(float64(nodes), row.planted) }
+			lines := w.play(t, t.Context(), runPlan).OverLimits([]GrowthLimit{{NodeBytes, row.most}})
+			if over := len(lines) == 1; over != row.over || len(lines) > 1 {
+				t.Errorf("planted n^%v, limit %v: %q", row.planted, row.most, lines)
+			}
+		})
+	}
+}
+
+func TestOverLimitsWantsAWholeSweep(t *testing.T) {
+	r := resultsOf(func(n float64) float64 { return n })
+	r.Sweep.Sizes = fitSizes
+	if lines := r.OverLimits([]GrowthLimit{{NodeBytes, 1.1}}); len(lines) != 0 {
+		t.Errorf("%q", lines)
+	}
+	if lines := r.OverLimits([]GrowthLimit{{LeaderCPU, 1.1}}); len(lines) != 1 || !strings.Contains(lines[0], "not measured") {
+		t.Errorf("%q", lines)
+	}
+	r.Partial = "interrupted"
+	if lines := r.OverLimits([]GrowthLimit{{NodeBytes, 1.1}}); len(lines) != 1 || !strings.Contains(lines[0], "partial") {
+		t.Errorf("%q", lines)
+	}
+	zero := resultsOf(func(float64) float64 { return -1 })
+	zero.Sweep.Sizes = fitSizes
+	if lines := zero.OverLimits([]GrowthLimit{{NodeBytes, 1.1}}); len(lines) != 1 {
+		t.Errorf("%q", lines)
+	}
+}
--- a/internal/scale/hollows.go
+++ b/internal/scale/hollows.go
@@ -14,7 +14,7 @@
 // servers by the whole fleet's count.
 type Hollow interface {
 	Usage() (hollow.Usage, error)
-	InForce(tenant string, generation uint64, wait time.Duration) (hollow.InForce, error)
+	InForce(tenant, service string, generation uint64, wait time.Duration) (hollow.InForce, error)
 	Kill(first, count int) error
 	Start(first, count int) error
 	Replace(first, count int) error
--- a/internal/scale/tenants.go
+++ b/internal/scale/tenants.go
@@ -81,18 +81,19 @@
 const triesForOne = 20
 
 // change proposes the next generation of a random tenant.
-func (p *population) change(ctx context.Context) (name string, generation uint64, err error) {
+func (p *population) change(ctx context.Context) (spec fleet.Spec, generation uint64, err error) {
 	for range triesForOne {
 		tenant := p.random.IntN(p.load.Tenants)
 		at := p.generations[tenant]
-		err = p.plane.Propose(ctx, at, p.load.spec(tenant, at+1))
+		spec = p.load.spec(tenant, at+1)
+		err = p.plane.Propose(ctx, at, spec)
 		if err == nil {
 			p.generations[tenant]++
-			return tenantName(tenant), at + 1, nil
+			return spec, at + 1, nil
 		}
 		if !errors.Is(err, errConflict) {
-			return "", 0, err
+			return spec, 0, err
 		}
 	}
-	return "", 0, err
+	return spec, 0, err
 }
