--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -5,6 +5,7 @@
 //	fleetlab run NAME|FILE.toml   one run; its directory holds node logs, records.json, report.json and plots
 //	fleetlab report RUN_DIR       the report again from a run's records
 //	fleetlab simulate             the fleet's pure cores with many nodes on seeded faults, in one process
+//	fleetlab scale NAME|FILE.toml how the control plane bears its size: a sweep over one dimension (docs/scale.md)
 package main
 
 import (
@@ -37,7 +38,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), hollowCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), scaleCmd(), hollowCmd())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/fleetlab/scale.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"context"
+	"debug/buildinfo"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingvalve/internal/lab/bounds"
+	"starlingvalve/internal/scale"
+	"starlingvalve/internal/scale/hollow"
+	"starlingvalve/lab/sweeps"
+)
+
+// defaultListd is the listd program that is built with this one.
+const defaultListd = "bin/listd"
+
+// scaleFlags are the flags of scale.
+type scaleFlags struct {
+	out, listd, commit, listdCommit string
+	seed                            uint64
+	repeats                         int
+	sizes                           []float64
+}
+
+func scaleCmd() *cobra.Command {
+	var flags scaleFlags
+	cmd := &cobra.Command{Use: "scale NAME|FILE.toml", Short: "Measure how the control plane bears its size, over one dimension (docs/scale.md)",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error { return runScale(c, args[0], flags) }}
+	cmd.Flags().StringVar(&flags.out, "out", "logs/scale", "where the run's directory is made")
+	cmd.Flags().StringVar(&flags.listd, "listd-binary", defaultListd, "the listd program")
+	cmd.Flags().StringVar(&flags.commit, "commit", "", "the commit of this program; by default as its build says")
+	cmd.Flags().StringVar(&flags.listdCommit, "listd-commit", "", "the commit of the listd program; by default as its build says; of the default program, --commit")
+	cmd.Flags().Uint64Var(&flags.seed, "seed", 0, "a seed other than the sweep's")
+	cmd.Flags().IntVar(&flags.repeats, "repeats", 0, "repeats other than the sweep's")
+	cmd.Flags().Float64SliceVar(&flags.sizes, "sizes", nil, "sizes other than the sweep's, as 25,50,100,200,400")
+	cmd.AddCommand(scaleListCmd(), scaleShowCmd())
+	return cmd
+}
+
+func scaleListCmd() *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "List the bundled sweeps", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		for _, name := range sweeps.Names() {
+			plan, err := loadSweep(name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%-16s %-14s %v  %s\n", name, plan.Dimension, plan.Sizes, plan.About)
+		}
+		return nil
+	}}
+}
+
+func scaleShowCmd() *cobra.Command {
+	return &cobra.Command{Use: "show RESULTS.json", Short: "Print a sweep's table again, its fits made anew", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			results, err := scale.ReadResults(args[0])
+			if err != nil {
+				return err
+			}
+			results.FitAll()
+			results.Table(c.OutOrStdout())
+			return nil
+		}}
+}
+
+// loadSweep reads a sweep by bundled name or by path.
+func loadSweep(arg string) (*scale.Plan, error) {
+	text, err := sweeps.Read(arg)
+	name := arg
+	if err != nil {
+		if text, err = os.ReadFile(arg); err != nil {
+			return nil, fmt.Errorf("sweep %s: neither bundled (fleetlab scale list) nor a file: %w", arg, err)
+		}
+		name = strings.TrimSuffix(filepath.Base(arg), ".toml")
+	}
+	return scale.ParsePlan(name, text)
+}
+
+// runScale runs a sweep and writes its results.
+func runScale(c *cobra.Command, arg string, flags scaleFlags) error {
+	plan, err := loadSweep(arg)
+	if err != nil {
+		return err
+	}
+	flags.apply(plan)
+	if err := plan.Check(); err != nil {
+		return fmt.Errorf("sweep %s: %w", plan.Name, err)
+	}
+	machine, err := bounds.ReadMachine()
+	if err != nil {
+		return err
+	}
+	limits := bounds.LimitsOf(machine)
+	if err := scale.Check(plan, limits); err != nil {
+		return fmt.Errorf("sweep %s: %w", plan.Name, err)
+	}
+	if _, err := os.Stat(flags.listd); err != nil {
+		return fmt.Errorf("--listd-binary: %w", err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir := filepath.Join(flags.out, fmt.Sprintf("%s-%s", plan.Name, time.Now().UTC().Format("20060102T150405")))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	logFile, err := os.Create(filepath.Join(dir, "scale.log"))
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	log := slog.New(slog.NewJSONHandler(logFile, nil)).With("run", filepath.Base(dir))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	results, err := scale.Run(ctx, plan, scale.Options{Dir: dir, Progress: c.ErrOrStderr(), Commit: flags.ownCommit(), ListdCommit: flags.replicasCommit(),
+		Machine: machine, Limits: limits, StartReplicas: scale.ListdReplicas(flags.listd), StartHollow: hollowProcess(self, log)})
+	if err != nil {
+		return err
+	}
+	return writeScale(c, dir, results)
+}
+
+// writeScale writes a sweep's results and plots, and prints its table.
+func writeScale(c *cobra.Command, dir string, results *scale.Results) error {
+	if err := results.Write(dir); err != nil {
+		return err
+	}
+	if _, err := results.Plot(dir); err != nil {
+		return err
+	}
+	results.Table(c.OutOrStdout())
+	fmt.Fprintln(c.OutOrStdout(), "results, plots and logs:", dir)
+	return nil
+}
+
+// hollowProcess starts hollow processes by this program's own subcommand.
+func hollowProcess(binary string, log *slog.Logger) scale.StartHollow {
+	return func(_ context.Context, config hollow.Config) (scale.Hollow, error) {
+		// The processes are ended by Close, not with the sweep's context: what they have used is read first.
+		process, err := hollow.Start(context.Background(), binary, config, log)
+		if err != nil {
+			return nil, err
+		}
+		return process, nil
+	}
+}
+
+// apply puts the flags over the sweep's own values.
+func (f scaleFlags) apply(plan *scale.Plan) {
+	if f.seed != 0 {
+		plan.Seed = f.seed
+	}
+	if f.repeats != 0 {
+		plan.Repeats = f.repeats
+	}
+	if len(f.sizes) > 0 {
+		plan.Sizes = f.sizes
+	}
+}
+
+// unknownCommit is what a build says that knows of none.
+const unknownCommit = "unknown"
+
+// ownCommit is this program's commit.
+func (f scaleFlags) ownCommit() string {
+	if f.commit != "" {
+		return f.commit
+	}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return unknownCommit
+	}
+	return commitOf(info)
+}
+
+// replicasCommit is the listd program's commit.
+func (f scaleFlags) replicasCommit() string {
+	if f.listdCommit != "" {
+		return f.listdCommit
+	}
+	if info, err := buildinfo.ReadFile(f.listd); err == nil {
+		if commit := commitOf(info); commit != unknownCommit {
+			return commit
+		}
+	}
+	if f.listd != defaultListd {
+		return unknownCommit
+	}
+	return f.ownCommit()
+}
+
+// commitOf reads the commit that a build was made of.
+func commitOf(info *debug.BuildInfo) string {
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return unknownCommit
+}
