--- a/cmd/fleetlab/scale.go
+++ b/cmd/fleetlab/scale.go
@@ -28,6 +28,7 @@
 type scaleFlags struct {
 	out, listd, commit, listdCommit string
 	seed                            uint64
+	unscoped                        bool
 	repeats                         int
 	sizes                           []float64
 }
@@ -43,6 +44,7 @@
 	cmd.Flags().Uint64Var(&flags.seed, "seed", 0, "a seed other than the sweep's")
 	cmd.Flags().IntVar(&flags.repeats, "repeats", 0, "repeats other than the sweep's")
 	cmd.Flags().Float64SliceVar(&flags.sizes, "sizes", nil, "sizes other than the sweep's, as 25,50,100,200,400")
+	cmd.Flags().BoolVar(&flags.unscoped, "unscoped", false, "nodes without a scope, tenants without a service: as for replicas that do not know of them")
 	cmd.AddCommand(scaleListCmd(), scaleShowCmd())
 	return cmd
 }
@@ -164,6 +166,9 @@
 	if f.repeats != 0 {
 		plan.Repeats = f.repeats
 	}
+	if f.unscoped {
+		plan.Base.PerNode = 0
+	}
 	if len(f.sizes) > 0 {
 		plan.Sizes = f.sizes
 	}
--- a/internal/scale/tenants.go
+++ b/internal/scale/tenants.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/scale/hollow"
 )
 
 // putsAtOnce is how many tenants are put at the same time before the nodes start.
@@ -24,14 +25,14 @@
 // tenantName names tenant i.
 func tenantName(i int) string { return fmt.Sprintf("tenant-%06d", i) }
 
-// serviceName names service i, as hollow nodes and servers do.
-func serviceName(i int) string { return fmt.Sprintf("svc-%03d", i) }
-
-// spec is the specification of a tenant at a generation. Tenants are spread evenly over the services, and routes over the
-// tenants. Each generation has a slightly higher quota than the one before.
+// spec is the specification of a tenant at a generation. Where nodes have a scope, tenants are spread evenly over the
+// services; routes are over the tenants. Each generation has a slightly higher quota than the one before.
 func (l Load) spec(tenant int, generation uint64) fleet.Spec {
 	rate := 100 + float64(generation)
-	s := fleet.Spec{Name: tenantName(tenant), Service: serviceName(tenant % l.Services), Quota: fleet.Quota{Rate: rate, Burst: rate}}
+	s := fleet.Spec{Name: tenantName(tenant), Quota: fleet.Quota{Rate: rate, Burst: rate}}
+	if l.PerNode > 0 {
+		s.Service = hollow.ServiceName(tenant % l.Services)
+	}
 	routes := l.Routes / l.Tenants
 	if tenant < l.Routes%l.Tenants {
 		routes++
@@ -45,36 +46,31 @@
 	return s
 }
 
-// putAll puts the first generation of every tenant.
+// putAll puts the first generation of every tenant. The first that fails ends it.
 func (p *population) putAll(ctx context.Context) error {
 	next := make(chan int)
-	errs := make([]error, putsAtOnce)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 	var done sync.WaitGroup
-	for worker := range putsAtOnce {
+	for range putsAtOnce {
 		done.Go(func() {
 			for tenant := range next {
 				if err := p.plane.Propose(ctx, 0, p.load.spec(tenant, 1)); err != nil {
-					errs[worker] = err
-					cancel(err)
-					return
+					fail(err)
 				}
+				p.generations[tenant] = 1
 			}
 		})
 	}
 	for tenant := range p.load.Tenants {
-		select {
-		case next <- tenant:
-		case <-ctx.Done():
+		if ctx.Err() != nil {
+			break
 		}
+		next <- tenant
 	}
 	close(next)
 	done.Wait()
-	for i := range p.generations {
-		p.generations[i] = 1
-	}
-	return errors.Join(errs...)
+	return context.Cause(ctx)
 }
 
 // triesForOne is how many tenants are tried for one change: one that is not done with its last generation is passed over.
