--- a/internal/scale/metric.go
+++ b/internal/scale/metric.go
@@ -41,9 +41,12 @@
 	NodeListBytes   Metric = "node.list_bytes_per_s"
 	NodeReportBytes Metric = "node.report_bytes_per_s"
 	NodeReportBody  Metric = "node.report_body_bytes" // of one report
-	NodeItems       Metric = "node.items"             // of the intent that it holds
-	NodeCopyBytes   Metric = "node.copy_bytes_per_s"  // written to its durable copy
-	NodeFailures    Metric = "node.failures_per_s"    // calls that failed
+	NodeIntentCall  Metric = "node.intent_call_bytes" // of one call, both ways, the mean
+	NodeListCall    Metric = "node.list_call_bytes"
+	NodeReportCall  Metric = "node.report_call_bytes"
+	NodeItems       Metric = "node.items"            // of the intent that it holds
+	NodeCopyBytes   Metric = "node.copy_bytes_per_s" // written to its durable copy
+	NodeFailures    Metric = "node.failures_per_s"   // calls that failed
 )
 
 // The figures of a registrant, the mean over them.
@@ -51,6 +54,7 @@
 	RegistrantCPU   Metric = "registrant.cpu_cores"
 	RegistrantBytes Metric = "registrant.bytes_per_s"
 	RegistrantCalls Metric = "registrant.calls_per_s"
+	RegistrantCall  Metric = "registrant.call_bytes" // of one call, both ways, the mean
 )
 
 // The figures of changes: from the request that proposes a generation to a node that serves by it.
--- a/internal/scale/values.go
+++ b/internal/scale/values.go
@@ -87,11 +87,13 @@
 	v[NodeFailures] = difference(before.Failures, after.Failures) / window / nodes
 	var all hollow.Traffic
 	for _, call := range []struct {
-		call   hollow.Call
-		metric Metric
-	}{{hollow.CallIntent, NodeIntentBytes}, {hollow.CallList, NodeListBytes}, {hollow.CallReport, NodeReportBytes}} {
+		call            hollow.Call
+		perSecond, each Metric
+	}{{hollow.CallIntent, NodeIntentBytes, NodeIntentCall}, {hollow.CallList, NodeListBytes, NodeListCall},
+		{hollow.CallReport, NodeReportBytes, NodeReportCall}} {
 		t := trafficBetween(before, after, call.call)
-		v[call.metric] = float64(t.BytesIn+t.BytesOut) / window / nodes
+		v[call.perSecond] = float64(t.BytesIn+t.BytesOut) / window / nodes
+		v.addMean(call.each, t)
 		all.Calls, all.BytesIn, all.BytesOut = all.Calls+t.Calls, all.BytesIn+t.BytesIn, all.BytesOut+t.BytesOut
 	}
 	v[NodeBytesIn] = float64(all.BytesIn) / window / nodes
@@ -110,6 +112,14 @@
 	v[RegistrantCPU] = (after.CPU - before.CPU).Seconds() / window / servers
 	v[RegistrantBytes] = float64(t.BytesIn+t.BytesOut) / window / servers
 	v[RegistrantCalls] = float64(t.Calls) / window / servers
+	v.addMean(RegistrantCall, t)
+}
+
+// addMean adds the bytes of one call, where there were any.
+func (v Values) addMean(metric Metric, t hollow.Traffic) {
+	if t.Calls > 0 {
+		v[metric] = float64(t.BytesIn+t.BytesOut) / float64(t.Calls)
+	}
 }
 
 // addChanges adds the times of changes.
