--- /dev/null
+++ b/internal/scale/change.go
@@ -0,0 +1,117 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/scale/hollow"
+)
+
+// A change is waited for on every node for changeWait at most. A process is asked in calls of changeLook, so that others get
+// their turn; when a node came to a change is by the node's own account.
+const (
+	changeWait = 10 * time.Second
+	changeLook = 100 * time.Millisecond
+	changeRest = 20 * time.Millisecond
+)
+
+// mostMicroseconds is the longest time that a histogram of changes holds.
+const mostMicroseconds = int64(time.Hour / time.Microsecond)
+
+// spread is how long changes took to come into force.
+type spread struct {
+	took    *hdrhistogram.Histogram // of each pair of a node and a change, microseconds
+	longest time.Duration
+	worst   string // the node that came to a change last
+	missed  int    // pairs that did not come into force in time
+}
+
+func newSpread() *spread { return &spread{took: hdrhistogram.New(1, mostMicroseconds, 3)} }
+
+// take brings in what the nodes of one process came to after a put.
+func (s *spread) take(f hollow.InForce, put time.Time) {
+	s.missed += f.Nodes - f.Have
+	for _, ns := range f.Times {
+		s.took.RecordValue(max(1, time.Unix(0, ns).Sub(put).Microseconds()))
+	}
+	if f.Have == 0 {
+		return
+	}
+	if took := f.Last.Sub(put); took > s.longest {
+		s.longest, s.worst = took, f.Worst
+	}
+}
+
+// quantile is in seconds; ok is false where nothing came into force.
+func (s *spread) quantile(q float64) (value float64, ok bool) {
+	return float64(s.took.ValueAtQuantile(q)) / 1e6, s.took.TotalCount() > 0
+}
+
+// outcome is what a window's schedule came to.
+type outcome struct {
+	mu                                         sync.Mutex
+	changes, late, refused, restarts, replaced int
+	each                                       *spread   // of the changes at a steady rate
+	burst                                      *spread   // of those at once
+	releases, recoveries                       []float64 // s of each release, and restart of all replicas, until every node was up again
+}
+
+func newOutcome() *outcome { return &outcome{each: newSpread(), burst: newSpread()} }
+
+// add changes the outcome.
+func (o *outcome) add(change func(o *outcome)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	change(o)
+}
+
+// change puts a random tenant's next generation and waits until every node of its scope serves by it.
+func (w *window) change(ctx context.Context, random *rand.Rand, late bool) error {
+	spec, generation, put, err := w.tenants.change(ctx, random)
+	if errors.Is(err, errConflict) {
+		w.seen.add(func(o *outcome) { o.refused++ })
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("change: %w", err)
+	}
+	w.seen.add(func(o *outcome) {
+		o.changes++
+		if late {
+			o.late++
+		}
+	})
+	return w.awaitInForce(ctx, spec, generation, put, w.seen.each)
+}
+
+// awaitInForce waits until every node of a tenant's scope serves by a generation, and records when each did.
+func (w *window) awaitInForce(ctx context.Context, spec fleet.Spec, generation uint64, put time.Time, to *spread) error {
+	each := make([]hollow.InForce, len(w.nodes.processes))
+	err := w.nodes.all(func(i int, h Hollow) (err error) {
+		for {
+			each[i], err = h.InForce(spec.Name, spec.Service, generation, changeLook)
+			if err != nil || each[i].Have == each[i].Nodes || time.Since(put) > changeWait {
+				return err
+			}
+			if err := pause(ctx, changeRest); err != nil {
+				return err
+			}
+		}
+	})
+	if err != nil {
+		return fmt.Errorf("tenant %s, generation %d: %w", spec.Name, generation, err)
+	}
+	w.seen.add(func(*outcome) {
+		for _, f := range each {
+			to.take(f, put)
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/scale/events.go
@@ -0,0 +1,190 @@
+package scale
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Event is one thing that a plan has happen in every measured window, beside its rates.
+type Event struct {
+	AtS   float64 `toml:"at_s" json:"at_s"`             // from the window's start
+	Do    Action  `toml:"do" json:"do"`                 //
+	Count int     `toml:"count" json:"count,omitempty"` // changes of a burst; nodes that are killed
+	Part  float64 `toml:"part" json:"part,omitempty"`   // of the nodes, restarted at a time in a release
+	DownS float64 `toml:"down_s" json:"down_s,omitempty"`
+}
+
+// Action is what an Event does.
+type Action string
+
+// The actions of events.
+const (
+	Burst           Action = "burst"            // Count changes of different tenants at once
+	Release         Action = "release"          // every node restarted, Part of them at a time, each time until they are up again
+	KillNodes       Action = "kill"             // Count nodes of consecutive numbers (a rack) killed, and started again after DownS
+	RestartReplicas Action = "restart-replicas" // all replicas killed at once, and started again after DownS
+)
+
+// mostDownS is the longest that an event has something down.
+const mostDownS = 600
+
+// check compares an event with its bounds and the load. The sizes of a dimension are checked one by one.
+func (e Event) check(key string, p *Plan, l Load) error {
+	switch {
+	case !(e.AtS >= 0 && e.AtS < p.MeasureS):
+		return fmt.Errorf("%s.at_s: %v is not within the window of %v s", key, e.AtS, p.MeasureS)
+	case !(e.DownS >= 0 && e.DownS <= mostDownS):
+		return fmt.Errorf("%s.down_s: %v is not within 0 to %d", key, e.DownS, mostDownS)
+	}
+	switch e.Do {
+	case Burst:
+		return countWithin(key, e.Count, l.Tenants, "tenants")
+	case KillNodes:
+		return countWithin(key, e.Count, l.Nodes, "nodes")
+	case Release:
+		if !(e.Part > 0 && e.Part <= 1) {
+			return fmt.Errorf("%s.part: %v is not above 0 and up to 1", key, e.Part)
+		}
+		return nil
+	case RestartReplicas:
+		return nil
+	}
+	return fmt.Errorf("%s.do: %q is not one of %s, %s, %s, %s", key, e.Do, Burst, Release, KillNodes, RestartReplicas)
+}
+
+// countWithin checks an event's count.
+func countWithin(key string, count, most int, what string) error {
+	if count < 1 || count > most {
+		return fmt.Errorf("%s.count: %d is not within 1 to the %d %s", key, count, most, what)
+	}
+	return nil
+}
+
+// events carries out a plan's events, each at its time or, where the one before took longer, right after it.
+func (w *window) events(ctx context.Context, events []Event, start time.Time) error {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.AtS, b.AtS) })
+	random := rand.New(rand.NewPCG(w.seed, uint64(len("events"))))
+	for _, e := range events {
+		if err := pause(ctx, seconds(e.AtS)-time.Since(start)); err != nil {
+			return err
+		}
+		if err := w.event(ctx, e, random); err != nil {
+			return fmt.Errorf("event %s: %w", e.Do, err)
+		}
+	}
+	return nil
+}
+
+// event carries out one event.
+func (w *window) event(ctx context.Context, e Event, random *rand.Rand) error {
+	switch e.Do {
+	case Burst:
+		return w.burst(ctx, e.Count, random)
+	case Release:
+		return w.releaseAll(ctx, e.Part)
+	case KillNodes:
+		return w.rack(ctx, e, random)
+	case RestartReplicas:
+		return w.restartReplicas(ctx, seconds(e.DownS))
+	}
+	return nil
+}
+
+// burst puts the next generations of so many tenants at once and waits for all.
+func (w *window) burst(ctx context.Context, count int, random *rand.Rand) error {
+	changes, ctx := errgroup.WithContext(ctx)
+	for _, tenant := range random.Perm(w.tenants.load.Tenants)[:count] {
+		changes.Go(func() error { return w.burstChange(ctx, tenant) })
+	}
+	return changes.Wait()
+}
+
+// burstChange puts one tenant's next generation, again while it is not done with its last one, and waits for it.
+func (w *window) burstChange(ctx context.Context, tenant int) error {
+	for began := time.Now(); ; {
+		put := time.Now()
+		spec, generation, err := w.tenants.next(ctx, tenant)
+		switch {
+		case err == nil:
+			return w.awaitInForce(ctx, spec, generation, put, w.seen.burst)
+		case !errors.Is(err, errConflict) || put.Sub(began) > changeWait:
+			return err
+		}
+		if err := pause(ctx, changeRest); err != nil {
+			return err
+		}
+	}
+}
+
+// releaseAll restarts every node, part of them at a time, the next part once all are up again.
+func (w *window) releaseAll(ctx context.Context, part float64) error {
+	began := time.Now()
+	step := max(1, int(part*float64(w.nodes.members)))
+	for first := 0; first < w.nodes.members; first += step {
+		count := min(step, w.nodes.members-first)
+		if err := w.restartNodes(first, count); err != nil {
+			return err
+		}
+		w.seen.add(func(o *outcome) { o.restarts += count })
+		if err := w.awaitReady(ctx); err != nil {
+			return fmt.Errorf("after nodes %d to %d: %w", first, first+count-1, err)
+		}
+	}
+	w.seen.add(func(o *outcome) { o.releases = append(o.releases, time.Since(began).Seconds()) })
+	return nil
+}
+
+// rack kills nodes of consecutive numbers and starts them again once their time is over.
+func (w *window) rack(ctx context.Context, e Event, random *rand.Rand) error {
+	first := random.IntN(w.nodes.members - e.Count + 1)
+	w.seen.add(func(o *outcome) { o.restarts += e.Count })
+	if err := w.nodes.span(first, e.Count, Hollow.Kill); err != nil {
+		return err
+	}
+	if err := pause(ctx, seconds(e.DownS)); err != nil {
+		return err
+	}
+	return w.nodes.span(first, e.Count, Hollow.Start)
+}
+
+// restartReplicas kills all replicas and starts them again, and waits until every node is counted in once more. A node notices
+// by its lease, so this is looked at only after a leader is there again.
+func (w *window) restartReplicas(ctx context.Context, down time.Duration) error {
+	if err := w.plane.Restart(ctx, down); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := w.awaitReady(ctx); err != nil {
+		return err
+	}
+	w.seen.add(func(o *outcome) { o.recoveries = append(o.recoveries, time.Since(began).Seconds()) })
+	return nil
+}
+
+// awaitReady waits until every node is counted in.
+func (w *window) awaitReady(ctx context.Context) error {
+	end := time.Now().Add(seconds(w.readyS))
+	for {
+		usage, err := w.nodes.usage()
+		if err != nil {
+			return err
+		}
+		if usage.Ready >= w.nodes.members {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("after %v s %d of %d nodes are ready", w.readyS, usage.Ready, w.nodes.members)
+		}
+		if err := pause(ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/scale/fleetrun.go
+++ b/internal/scale/fleetrun.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -55,13 +54,12 @@
 	if err := pause(ctx, seconds(f.plan.SettleS)); err != nil {
 		return Repeat{}, err
 	}
-	w := &window{tenants: tenants, nodes: f.nodes, servers: f.servers, random: tenants.random, seen: newOutcome()}
+	w := &window{tenants: tenants, plane: f.plane, nodes: f.nodes, servers: f.servers, seed: f.seed, readyS: f.plan.ReadyS, seen: newOutcome()}
 	before, err := f.sample()
 	if err != nil {
 		return Repeat{}, err
 	}
-	length := seconds(f.plan.MeasureS)
-	if err := w.run(ctx, stepsOf(f.load, length), length); err != nil {
+	if err := w.run(ctx, f.load, f.plan.Events, seconds(f.plan.MeasureS)); err != nil {
 		return Repeat{}, err
 	}
 	after, err := f.sample()
@@ -71,8 +69,8 @@
 	values := valuesOf(f.load, before, after, w.seen)
 	values[StartupTime] = startup.Seconds()
 	values[StartupBytes] = float64(up.Calls[hollow.CallIntent].BytesIn+up.Calls[hollow.CallList].BytesIn) / float64(f.load.Nodes)
-	return Repeat{Values: values, WindowS: after.at.Sub(before.at).Seconds(), Changes: w.seen.changes, Late: w.seen.late,
-		Restarts: w.seen.restarts, Replaced: w.seen.replaced, WorstNode: w.seen.worst, Histogram: encoded(w.seen.took)}, nil
+	return Repeat{Values: values, WindowS: after.at.Sub(before.at).Seconds(), Changes: w.seen.changes, Late: w.seen.late, Refused: w.seen.refused,
+		Restarts: w.seen.restarts, Replaced: w.seen.replaced, WorstNode: w.seen.each.worst, Histogram: encoded(w.seen.each.took)}, nil
 }
 
 // startReplicas starts the replicas and puts the tenants: before there are nodes, each is in force at once.
@@ -85,8 +83,7 @@
 	f.mu.Lock()
 	f.running = plane
 	f.mu.Unlock()
-	tenants := &population{load: f.load, plane: plane, generations: make([]uint64, f.load.Tenants),
-		random: rand.New(rand.NewPCG(f.seed, 1))}
+	tenants := &population{load: f.load, plane: plane, generations: make([]uint64, f.load.Tenants)}
 	if err := tenants.putAll(ctx); err != nil {
 		return nil, fmt.Errorf("tenants: %w", err)
 	}
--- a/internal/scale/hollows.go
+++ b/internal/scale/hollows.go
@@ -32,6 +32,17 @@
 // of is the process that has a member.
 func (g *group) of(member int) Hollow { return g.processes[member/g.each] }
 
+// span calls the processes that have members of consecutive numbers, each with its part of them.
+func (g *group) span(first, count int, call func(h Hollow, first, count int) error) error {
+	var errs []error
+	for end := first + count; first < end; {
+		part := min(end, (first/g.each+1)*g.each) - first
+		errs = append(errs, call(g.of(first), first, part))
+		first += part
+	}
+	return errors.Join(errs...)
+}
+
 // all calls every process at once, and gives the first error.
 func (g *group) all(call func(i int, h Hollow) error) error {
 	errs := make([]error, len(g.processes))
--- a/internal/scale/metric.go
+++ b/internal/scale/metric.go
@@ -65,6 +65,12 @@
 	ChangeBytes  Metric = "change.node_bytes" // read by a node over the window, for each change
 	ChangesDone  Metric = "change.done_per_s"
 	ChangeMissed Metric = "change.missed" // pairs of a node and a change that did not come into force in time
+	BurstP50     Metric = "burst.p50_s"   // the same of changes at once
+	BurstP99     Metric = "burst.p99_s"
+	BurstMax     Metric = "burst.max_s"
+	BurstMissed  Metric = "burst.missed"
+	ReleaseTime  Metric = "release.s"  // until every node was restarted and up again
+	RecoveryTime Metric = "recovery.s" // from a leader's return, after all replicas were down, until every node is counted in
 	StartupTime  Metric = "startup.ready_s"
 	StartupBytes Metric = "startup.node_bytes" // read by a node until all are ready
 )
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -24,6 +24,7 @@
 	Zones     []string  `toml:"zones" json:"zones"`
 	Base      Load      `toml:"base" json:"base"`
 	Hollow    Grouping  `toml:"hollow" json:"hollow"`
+	Events    []Event   `toml:"events" json:"events,omitempty"`
 }
 
 // Grouping is how hollow nodes and servers share processes, and how they behave.
@@ -92,17 +93,30 @@
 	if err := p.checkSizes(dimension); err != nil {
 		return err
 	}
-	if err := p.Base.At(p.Dimension, p.Sizes[0]).check("base."); err != nil {
+	if err := p.checkLoad(p.Base.At(p.Dimension, p.Sizes[0])); err != nil {
 		return err
 	}
 	for i, size := range p.Sizes {
-		if err := p.Base.At(p.Dimension, size).check("base."); err != nil {
+		if err := p.checkLoad(p.Base.At(p.Dimension, size)); err != nil {
 			return fmt.Errorf("sizes[%d]: %v: %w", i, size, err)
 		}
 	}
 	return nil
 }
 
+// checkLoad checks the load of one size, and the events with it.
+func (p *Plan) checkLoad(l Load) error {
+	if err := l.check("base."); err != nil {
+		return err
+	}
+	for i, e := range p.Events {
+		if err := e.check(fmt.Sprintf("events[%d]", i), p, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkTimes checks repeats, replicas and the times.
 func (p *Plan) checkTimes() error {
 	switch {
--- a/internal/scale/replicas.go
+++ b/internal/scale/replicas.go
@@ -18,6 +18,7 @@
 	Addresses() []string // of the replicas' HTTP
 	PIDs() []int
 	Propose(ctx context.Context, generation uint64, spec fleet.Spec) error // the generation after the one given
+	Restart(ctx context.Context, down time.Duration) error                 // all replicas, at once; until one leads again
 	Sample() (Replicas, error)
 	Close()
 }
@@ -30,6 +31,7 @@
 
 // ReplicaSample is what one replica has used and done since its start.
 type ReplicaSample struct {
+	PID           int
 	CPU           time.Duration
 	RSSBytes      uint64
 	RaftBytes     uint64 // over raft's links, both ways
@@ -122,6 +124,23 @@
 	return p.operator.propose(ctx, generation, spec)
 }
 
+// Restart kills all replicas, starts them again after down, and waits for a leader.
+func (p *listdPlane) Restart(ctx context.Context, down time.Duration) error {
+	for i := range p.cluster.HTTP {
+		p.cluster.Kill(i)
+	}
+	if err := pause(ctx, down); err != nil {
+		return err
+	}
+	for i := range p.cluster.HTTP {
+		if err := p.cluster.Restart(i); err != nil {
+			return err
+		}
+	}
+	_, err := p.cluster.Leader(leaderWithin, -1)
+	return err
+}
+
 // Sample reads every replica's accounts.
 func (p *listdPlane) Sample() (Replicas, error) {
 	leader, err := p.cluster.Leader(leaderWithin, -1)
@@ -144,7 +163,7 @@
 	if err != nil {
 		return ReplicaSample{}, fmt.Errorf("replica %d: %w", i, err)
 	}
-	s := ReplicaSample{CPU: listdlab.CPUTime(pid), RSSBytes: bounds.ResidentBytes(pid), WrittenBytes: bounds.WrittenBytes(pid),
+	s := ReplicaSample{PID: pid, CPU: listdlab.CPUTime(pid), RSSBytes: bounds.ResidentBytes(pid), WrittenBytes: bounds.WrittenBytes(pid),
 		LogBytes: bounds.DirectoryBytes(filepath.Join(dir, "raft.db")), SnapshotBytes: newestSnapshot(dir), Metrics: metrics}
 	for pair, link := range p.cluster.Links {
 		if pair[0] == i || pair[1] == i {
--- a/internal/scale/results.go
+++ b/internal/scale/results.go
@@ -49,6 +49,7 @@
 	WindowS     float64 `json:"window_s"`             // as it was measured
 	Changes     int     `json:"changes"`              // put and waited for
 	Late        int     `json:"late,omitempty"`       // of them, begun after their time, as the one before took so long
+	Refused     int     `json:"refused,omitempty"`    // changes not put, as every tenant that was tried was not done with its last one
 	Restarts    int     `json:"restarts,omitempty"`   // of nodes
 	Replaced    int     `json:"replaced,omitempty"`   // servers
 	WorstNode   string  `json:"worst_node,omitempty"` // that came to a change last
--- a/internal/scale/schedule.go
+++ b/internal/scale/schedule.go
@@ -1,166 +1,95 @@
 package scale
 
 import (
-	"cmp"
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"starlingvalve/internal/scale/hollow"
+	"golang.org/x/sync/errgroup"
 )
 
-// action is one kind of step of a schedule.
-type action int
-
-const (
-	changeTenant action = iota
-	restartNode
-	replaceServer
-)
-
-// step is one thing that happens in a measured window.
-type step struct {
-	at time.Duration // from the window's start
-	do action
-}
-
-// stepsOf gives the steps of a window of length d: those of each kind evenly spaced by its rate, the first after half of a
-// space.
-func stepsOf(l Load, d time.Duration) []step {
-	var out []step
-	add := func(do action, rate float64) {
-		if rate <= 0 {
-			return
-		}
-		space := seconds(1 / rate)
-		for at := space / 2; at < d; at += space {
-			out = append(out, step{at: at, do: do})
-		}
-	}
-	add(changeTenant, l.ChangesPerS)
-	add(restartNode, l.RestartsPerS)
-	add(replaceServer, l.ReplacementsPerS)
-	slices.SortStableFunc(out, func(a, b step) int { return cmp.Compare(a.at, b.at) })
-	return out
-}
-
-// changeWait is how long a change is waited for on every node.
-const changeWait = 10 * time.Second
-
-// window is a schedule under way: its steps are carried out one after the other.
+// window is a schedule under way. Changes, restarts, replacements and events each go in a lane of their own, in which one
+// follows the other.
 type window struct {
 	tenants *population
+	plane   ControlPlane
 	nodes   *group
 	servers *group
-	random  *rand.Rand
-	seen    outcome
+	seed    uint64
+	readyS  float64 // the longest that nodes may take to be up again after an event
+	seen    *outcome
 }
 
-// outcome is what the steps of a window came to.
-type outcome struct {
-	changes, late, restarts, replaced int
-	missed                            int                     // pairs of a node and a change that did not come into force in time
-	took                              *hdrhistogram.Histogram // of each pair that did, microseconds
-	longest                           time.Duration
-	worst                             string // the node that came to a change last
+// lane is things that happen at a steady rate, the first after half of a space.
+type lane struct {
+	rate float64 // a second; 0: it is empty
+	do   func(ctx context.Context, random *rand.Rand, late bool) error
 }
 
-// mostMicroseconds is the longest time that the histogram of changes holds.
-const mostMicroseconds = int64(time.Hour / time.Microsecond)
-
-// newOutcome makes an outcome of no steps.
-func newOutcome() outcome { return outcome{took: hdrhistogram.New(1, mostMicroseconds, 3)} }
-
-// run carries out the steps, each at its time or, where the one before took longer, right after it. It lasts d at least.
-func (w *window) run(ctx context.Context, steps []step, d time.Duration) error {
+// run carries out a load's rates and a plan's events over a window of length d. It lasts d at least, and until the last thing
+// that began in it is over. The first error ends it.
+func (w *window) run(ctx context.Context, l Load, events []Event, d time.Duration) error {
+	lanes := []lane{{l.ChangesPerS, w.change}, {l.RestartsPerS, w.restart}, {l.ReplacementsPerS, w.replace}}
+	group, ctx := errgroup.WithContext(ctx)
 	start := time.Now()
-	for _, s := range steps {
-		late := time.Since(start) - s.at
-		if err := pause(ctx, -late); err != nil {
-			return err
-		}
-		if err := w.carryOut(ctx, s, late > 0); err != nil {
-			return err
-		}
+	for i, lane := range lanes {
+		random := rand.New(rand.NewPCG(w.seed, uint64(i)))
+		group.Go(func() error { return lane.run(ctx, random, start, d) })
 	}
-	return pause(ctx, d-time.Since(start))
+	group.Go(func() error { return w.events(ctx, events, start) })
+	group.Go(func() error { return pause(ctx, d) })
+	return group.Wait()
 }
 
-// carryOut does one step.
-func (w *window) carryOut(ctx context.Context, s step, late bool) error {
-	switch s.do {
-	case changeTenant:
-		if late {
-			w.seen.late++
+// run does the lane's things until d after start. One whose time has passed, as the one before took so long, is late; those
+// that have not begun by the end are not done.
+func (l lane) run(ctx context.Context, random *rand.Rand, start time.Time, d time.Duration) error {
+	if l.rate <= 0 {
+		return nil
+	}
+	space := seconds(1 / l.rate)
+	for at := space / 2; at < d; at += space {
+		left := at - time.Since(start)
+		if err := pause(ctx, left); err != nil {
+			return err
+		}
+		if time.Since(start) >= d {
+			return nil
+		}
+		if err := l.do(ctx, random, left < 0); err != nil {
+			return err
 		}
-		return w.change(ctx)
-	case restartNode:
-		return w.restart(w.random.IntN(w.nodes.members))
-	case replaceServer:
-		server := w.random.IntN(w.servers.members)
-		w.seen.replaced++
-		return w.servers.of(server).Replace(server, 1)
 	}
 	return nil
 }
 
-// restart kills a node and starts it again as a new incarnation.
-func (w *window) restart(node int) error {
-	process := w.nodes.of(node)
-	w.seen.restarts++
-	if err := process.Kill(node, 1); err != nil {
-		return err
-	}
-	return process.Start(node, 1)
+// restart kills a random node and starts it again as a new incarnation.
+func (w *window) restart(_ context.Context, random *rand.Rand, _ bool) error {
+	w.seen.add(func(o *outcome) { o.restarts++ })
+	return w.restartNodes(random.IntN(w.nodes.members), 1)
 }
 
-// change puts a tenant's next generation and waits until every node of its scope serves by it.
-func (w *window) change(ctx context.Context) error {
-	put := time.Now()
-	spec, generation, err := w.tenants.change(ctx)
-	if err != nil {
-		return fmt.Errorf("change: %w", err)
-	}
-	w.seen.changes++
-	each := make([]hollow.InForce, len(w.nodes.processes))
-	err = w.nodes.all(func(i int, h Hollow) (err error) {
-		each[i], err = h.InForce(spec.Name, spec.Service, generation, changeWait)
-		return err
+// restartNodes kills nodes of consecutive numbers and starts them again.
+func (w *window) restartNodes(first, count int) error {
+	return w.nodes.span(first, count, func(h Hollow, first, count int) error {
+		if err := h.Kill(first, count); err != nil {
+			return err
+		}
+		return h.Start(first, count)
 	})
-	if err != nil {
-		return fmt.Errorf("tenant %s, generation %d: %w", spec.Name, generation, err)
-	}
-	for _, f := range each {
-		w.seen.take(f, put)
-	}
-	return nil
 }
 
-// take brings in what the nodes of one process came to after a put.
-func (o *outcome) take(f hollow.InForce, put time.Time) {
-	o.missed += f.Nodes - f.Have
-	for _, ns := range f.Times {
-		o.took.RecordValue(max(1, time.Unix(0, ns).Sub(put).Microseconds()))
-	}
-	if f.Have == 0 {
-		return
-	}
-	if took := f.Last.Sub(put); took > o.longest {
-		o.longest, o.worst = took, f.Worst
-	}
+// replace has a random server come back under a new address.
+func (w *window) replace(_ context.Context, random *rand.Rand, _ bool) error {
+	w.seen.add(func(o *outcome) { o.replaced++ })
+	server := random.IntN(w.servers.members)
+	return w.servers.of(server).Replace(server, 1)
 }
 
 // pause waits for d, or until ctx ends, with its cause.
 func pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-		return nil
+		return context.Cause(ctx)
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/scale/tenants.go
+++ b/internal/scale/tenants.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/scale/hollow"
@@ -16,10 +17,11 @@
 
 // population is the tenants of a run and the generation that each is at.
 type population struct {
-	load        Load
-	plane       ControlPlane
+	load  Load
+	plane ControlPlane
+
+	mu          sync.Mutex
 	generations []uint64 // by tenant
-	random      *rand.Rand
 }
 
 // tenantName names tenant i.
@@ -58,7 +60,9 @@
 				if err := p.plane.Propose(ctx, 0, p.load.spec(tenant, 1)); err != nil {
 					fail(err)
 				}
+				p.mu.Lock()
 				p.generations[tenant] = 1
+				p.mu.Unlock()
 			}
 		})
 	}
@@ -76,20 +80,32 @@
 // triesForOne is how many tenants are tried for one change: one that is not done with its last generation is passed over.
 const triesForOne = 20
 
-// change proposes the next generation of a random tenant.
-func (p *population) change(ctx context.Context) (spec fleet.Spec, generation uint64, err error) {
+// change proposes the next generation of a random tenant, and gives when it did.
+func (p *population) change(ctx context.Context, random *rand.Rand) (spec fleet.Spec, generation uint64, put time.Time, err error) {
 	for range triesForOne {
-		tenant := p.random.IntN(p.load.Tenants)
-		at := p.generations[tenant]
-		spec = p.load.spec(tenant, at+1)
-		err = p.plane.Propose(ctx, at, spec)
-		if err == nil {
-			p.generations[tenant]++
-			return spec, at + 1, nil
-		}
+		put = time.Now()
+		spec, generation, err = p.next(ctx, random.IntN(p.load.Tenants))
 		if !errors.Is(err, errConflict) {
-			return spec, 0, err
+			return spec, generation, put, err
+		}
+		if paused := pause(ctx, changeRest); paused != nil {
+			return spec, 0, put, paused
 		}
 	}
-	return spec, 0, err
+	return spec, generation, put, err
+}
+
+// next proposes a tenant's next generation.
+func (p *population) next(ctx context.Context, tenant int) (spec fleet.Spec, generation uint64, err error) {
+	p.mu.Lock()
+	at := p.generations[tenant]
+	p.mu.Unlock()
+	spec = p.load.spec(tenant, at+1)
+	if err := p.plane.Propose(ctx, at, spec); err != nil {
+		return spec, 0, err
+	}
+	p.mu.Lock()
+	p.generations[tenant] = at + 1
+	p.mu.Unlock()
+	return spec, at + 1, nil
 }
--- a/internal/scale/values.go
+++ b/internal/scale/values.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"slices"
 	"time"
 
 	"starlingvalve/internal/scale/hollow"
@@ -15,7 +16,7 @@
 }
 
 // valuesOf turns two samples and what happened between them into the figures of each role.
-func valuesOf(l Load, before, after sample, seen outcome) Values {
+func valuesOf(l Load, before, after sample, seen *outcome) Values {
 	v := Values{}
 	window := after.at.Sub(before.at).Seconds()
 	v.addLeader(before, after, window)
@@ -26,12 +27,18 @@
 	return v
 }
 
-// addLeader adds the leader's figures, where one replica led at both ends.
+// sameLeader says whether one process led at both ends; otherwise neither the leader's nor the followers' figures are of one role.
+func sameLeader(before, after Replicas) bool {
+	lead := after.Leader
+	return before.Leader == lead && before.Each[lead].PID == after.Each[lead].PID
+}
+
+// addLeader adds the leader's figures.
 func (v Values) addLeader(before, after sample, window float64) {
-	lead := after.replicas.Leader
-	if before.replicas.Leader != lead {
+	if !sameLeader(before.replicas, after.replicas) {
 		return
 	}
+	lead := after.replicas.Leader
 	b, a := before.replicas.Each[lead], after.replicas.Each[lead]
 	v[LeaderCPU] = (a.CPU - b.CPU).Seconds() / window
 	v[LeaderRSS] = float64(a.RSSBytes)
@@ -59,7 +66,7 @@
 // addFollowers adds the mean of the replicas that did not lead.
 func (v Values) addFollowers(before, after Replicas, window float64) {
 	followers := float64(len(after.Each) - 1)
-	if followers < 1 || before.Leader != after.Leader {
+	if followers < 1 || !sameLeader(before, after) {
 		return
 	}
 	var cpu, rss, raft float64
@@ -122,21 +129,33 @@
 	}
 }
 
-// addChanges adds the times of changes.
-func (v Values) addChanges(l Load, before, after hollow.Usage, window float64, seen outcome) {
-	if seen.changes == 0 {
-		return
+// addChanges adds the times of changes and events.
+func (v Values) addChanges(l Load, before, after hollow.Usage, window float64, seen *outcome) {
+	if seen.changes > 0 {
+		v[ChangesDone] = float64(seen.changes) / window
+		read := trafficBetween(before, after, hollow.CallIntent).BytesIn
+		v[ChangeBytes] = float64(read) / float64(l.Nodes) / float64(seen.changes)
+		v.addSpread(seen.each, ChangeP50, ChangeP99, ChangeMax, ChangeMissed)
 	}
-	v[ChangesDone] = float64(seen.changes) / window
-	v[ChangeMissed] = float64(seen.missed)
-	read := trafficBetween(before, after, hollow.CallIntent).BytesIn
-	v[ChangeBytes] = float64(read) / float64(l.Nodes) / float64(seen.changes)
-	if seen.took.TotalCount() == 0 {
-		return
+	if seen.burst.took.TotalCount() > 0 || seen.burst.missed > 0 {
+		v.addSpread(seen.burst, BurstP50, BurstP99, BurstMax, BurstMissed)
+	}
+	if len(seen.releases) > 0 {
+		v[ReleaseTime] = slices.Max(seen.releases)
+	}
+	if len(seen.recoveries) > 0 {
+		v[RecoveryTime] = slices.Max(seen.recoveries)
+	}
+}
+
+// addSpread adds how long changes took.
+func (v Values) addSpread(s *spread, p50, p99, longest, missed Metric) {
+	v[missed] = float64(s.missed)
+	for metric, q := range map[Metric]float64{p50: 50, p99: 99} {
+		if value, ok := s.quantile(q); ok {
+			v[metric], v[longest] = value, s.longest.Seconds()
+		}
 	}
-	v[ChangeP50] = float64(seen.took.ValueAtQuantile(50)) / 1e6
-	v[ChangeP99] = float64(seen.took.ValueAtQuantile(99)) / 1e6
-	v[ChangeMax] = seen.longest.Seconds()
 }
 
 // trafficBetween is what went over the sockets for a call between two samples.
