--- /dev/null
+++ b/internal/scale/values.go
@@ -0,0 +1,168 @@
+package scale
+
+import (
+	"slices"
+	"time"
+
+	"starlingvalve/internal/scale/hollow"
+)
+
+// sample is what every role has used up to one moment.
+type sample struct {
+	at       time.Time
+	replicas Replicas
+	nodes    hollow.Usage
+	servers  hollow.Usage
+}
+
+// valuesOf turns two samples and what happened between them into the figures of each role.
+func valuesOf(l Load, before, after sample, seen *outcome) Values {
+	v := Values{}
+	window := after.at.Sub(before.at).Seconds()
+	v.addLeader(before, after, window)
+	v.addFollowers(before.replicas, after.replicas, window)
+	v.addNodes(l, before.nodes, after.nodes, window)
+	v.addRegistrants(l, before.servers, after.servers, window)
+	v.addChanges(l, before.nodes, after.nodes, window, seen)
+	return v
+}
+
+// sameLeader says whether one process led at both ends; otherwise neither the leader's nor the followers' figures are of one role.
+func sameLeader(before, after Replicas) bool {
+	lead := after.Leader
+	return before.Leader == lead && before.Each[lead].PID == after.Each[lead].PID
+}
+
+// addLeader adds the leader's figures.
+func (v Values) addLeader(before, after sample, window float64) {
+	if !sameLeader(before.replicas, after.replicas) {
+		return
+	}
+	lead := after.replicas.Leader
+	b, a := before.replicas.Each[lead], after.replicas.Each[lead]
+	v[LeaderCPU] = (a.CPU - b.CPU).Seconds() / window
+	v[LeaderRSS] = float64(a.RSSBytes)
+	v[LeaderRaftBytes] = difference(b.RaftBytes, a.RaftBytes) / window
+	v[LeaderWritten] = difference(b.WrittenBytes, a.WrittenBytes) / window
+	v[LeaderLogBytes] = float64(a.LogBytes)
+	if a.SnapshotBytes > 0 {
+		v[LeaderSnapBytes] = float64(a.SnapshotBytes)
+	}
+	v[LeaderCommands] = (a.Metrics.Commands - b.Metrics.Commands) / window
+	v[LeaderReports] = (a.Metrics.Reports - b.Metrics.Reports) / window
+	steps := a.Metrics.Step.Since(b.Metrics.Step)
+	if mean, ok := steps.Mean(); ok {
+		v[LeaderStepMean] = mean
+	}
+	if p99, ok := steps.Quantile(0.99); ok {
+		v[LeaderStepP99] = p99
+	}
+	reports := trafficBetween(before.nodes, after.nodes, hollow.CallReport)
+	registered := trafficBetween(before.servers, after.servers, hollow.CallRegister)
+	v[LeaderHTTPIn] = float64(reports.BytesOut+registered.BytesOut) / window
+	v[LeaderHTTPOut] = float64(reports.BytesIn+registered.BytesIn) / window
+}
+
+// addFollowers adds the mean of the replicas that did not lead.
+func (v Values) addFollowers(before, after Replicas, window float64) {
+	followers := float64(len(after.Each) - 1)
+	if followers < 1 || !sameLeader(before, after) {
+		return
+	}
+	var cpu, rss, raft float64
+	for i, a := range after.Each {
+		if i == after.Leader {
+			continue
+		}
+		cpu += (a.CPU - before.Each[i].CPU).Seconds()
+		rss += float64(a.RSSBytes)
+		raft += difference(before.Each[i].RaftBytes, a.RaftBytes)
+	}
+	v[FollowerCPU] = cpu / window / followers
+	v[FollowerRSS] = rss / followers
+	v[FollowerRaftBytes] = raft / window / followers
+}
+
+// addNodes adds the mean of the hollow nodes.
+func (v Values) addNodes(l Load, before, after hollow.Usage, window float64) {
+	nodes := float64(l.Nodes)
+	v[NodeCPU] = (after.CPU - before.CPU).Seconds() / window / nodes
+	v[NodeHeap] = float64(after.HeapBytes) / nodes
+	v[NodeRSS] = float64(after.RSSBytes) / nodes
+	v[NodeItems] = float64(after.Items) / nodes
+	v[NodeCopyBytes] = difference(before.CopyBytes, after.CopyBytes) / window / nodes
+	v[NodeFailures] = difference(before.Failures, after.Failures) / window / nodes
+	var all hollow.Traffic
+	for _, call := range []struct {
+		call            hollow.Call
+		perSecond, each Metric
+	}{{hollow.CallIntent, NodeIntentBytes, NodeIntentCall}, {hollow.CallList, NodeListBytes, NodeListCall},
+		{hollow.CallReport, NodeReportBytes, NodeReportCall}} {
+		t := trafficBetween(before, after, call.call)
+		v[call.perSecond] = float64(t.BytesIn+t.BytesOut) / window / nodes
+		v.addMean(call.each, t)
+		all.Calls, all.BytesIn, all.BytesOut = all.Calls+t.Calls, all.BytesIn+t.BytesIn, all.BytesOut+t.BytesOut
+	}
+	v[NodeBytesIn] = float64(all.BytesIn) / window / nodes
+	v[NodeBytesOut] = float64(all.BytesOut) / window / nodes
+	v[NodeBytes] = v[NodeBytesIn] + v[NodeBytesOut]
+	v[NodeCalls] = float64(all.Calls) / window / nodes
+	if reports := trafficBetween(before, after, hollow.CallReport).Calls; reports > 0 {
+		v[NodeReportBody] = difference(before.ReportBytes, after.ReportBytes) / float64(reports)
+	}
+}
+
+// addRegistrants adds the mean of the hollow app servers.
+func (v Values) addRegistrants(l Load, before, after hollow.Usage, window float64) {
+	servers := float64(l.Servers)
+	t := trafficBetween(before, after, hollow.CallRegister)
+	v[RegistrantCPU] = (after.CPU - before.CPU).Seconds() / window / servers
+	v[RegistrantBytes] = float64(t.BytesIn+t.BytesOut) / window / servers
+	v[RegistrantCalls] = float64(t.Calls) / window / servers
+	v.addMean(RegistrantCall, t)
+}
+
+// addMean adds the bytes of one call, where there were any.
+func (v Values) addMean(metric Metric, t hollow.Traffic) {
+	if t.Calls > 0 {
+		v[metric] = float64(t.BytesIn+t.BytesOut) / float64(t.Calls)
+	}
+}
+
+// addChanges adds the times of changes and events.
+func (v Values) addChanges(l Load, before, after hollow.Usage, window float64, seen *outcome) {
+	if seen.changes > 0 {
+		v[ChangesDone] = float64(seen.changes) / window
+		read := trafficBetween(before, after, hollow.CallIntent).BytesIn
+		v[ChangeBytes] = float64(read) / float64(l.Nodes) / float64(seen.changes)
+		v.addSpread(seen.each, ChangeP50, ChangeP99, ChangeMax, ChangeMissed)
+	}
+	if seen.burst.took.TotalCount() > 0 || seen.burst.missed > 0 {
+		v.addSpread(seen.burst, BurstP50, BurstP99, BurstMax, BurstMissed)
+	}
+	if len(seen.releases) > 0 {
+		v[ReleaseTime] = slices.Max(seen.releases)
+	}
+	if len(seen.recoveries) > 0 {
+		v[RecoveryTime] = slices.Max(seen.recoveries)
+	}
+}
+
+// addSpread adds how long changes took.
+func (v Values) addSpread(s *spread, p50, p99, longest, missed Metric) {
+	v[missed] = float64(s.missed)
+	for metric, q := range map[Metric]float64{p50: 50, p99: 99} {
+		if value, ok := s.quantile(q); ok {
+			v[metric], v[longest] = value, s.longest.Seconds()
+		}
+	}
+}
+
+// trafficBetween is what went over the sockets for a call between two samples.
+func trafficBetween(before, after hollow.Usage, call hollow.Call) hollow.Traffic {
+	b, a := before.Calls[call], after.Calls[call]
+	return hollow.Traffic{Calls: a.Calls - b.Calls, BytesIn: a.BytesIn - b.BytesIn, BytesOut: a.BytesOut - b.BytesOut}
+}
+
+// difference of two readings of a counter.
+func difference(before, after uint64) float64 { return float64(after) - float64(before) }
