--- /dev/null
+++ b/internal/scale/hollow/parts_test.go
@@ -0,0 +1,151 @@
+package hollow
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingvalve/decide"
+	"starlingvalve/internal/fleet"
+)
+
+// What goes over a connection is counted by the call that it carries, also where one connection carries calls of several kinds;
+// bodies of reports are counted whole; an answer that tells of a failure is one.
+func TestSocketsCountByCall(t *testing.T) {
+	t.Parallel()
+	const bodySize, answerSize = 20_000, 9_000
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/registry/v1/renew" {
+			http.Error(w, "not the leader", http.StatusServiceUnavailable)
+			return
+		}
+		w.Write(make([]byte, answerSize))
+	}))
+	defer server.Close()
+	s := newSockets()
+	connections := s.connections()
+	client := newClient(connections, 1)
+	post := func(path string, size int) {
+		response, err := client.Post(server.URL+path, "application/json", bytes.NewReader(make([]byte, size)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+	get := func(path string) {
+		response, err := client.Get(server.URL + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+	for range 3 {
+		get("/fleet/v1/intent?since=1")
+		post("/fleet/v1/report", bodySize)
+	}
+	get("/registry/instances")
+	post("/registry/v1/renew", 1)
+	counted := s.traffic()
+	for call, want := range map[Call]struct{ calls, in, out uint64 }{
+		CallIntent: {3, 3 * answerSize, 3 * 40}, CallReport: {3, 3 * answerSize, 3 * bodySize}, CallList: {1, answerSize, 40}, CallRegister: {1, 40, 40},
+	} {
+		c := counted[call]
+		if c.Calls != want.calls || c.BytesIn < want.in || c.BytesIn > want.in+want.calls*600 || c.BytesOut < want.out || c.BytesOut > want.out+want.calls*600 {
+			t.Errorf("%s: %+v, want %+v and the headers", call, c, want)
+		}
+	}
+	if got := s.reportBytes.Load(); got != 3*bodySize {
+		t.Errorf("bodies of reports: %d", got)
+	}
+	if got := s.failures.Load(); got != 1 {
+		t.Errorf("failures: %d", got)
+	}
+	connections.close()
+	if _, err := client.Get(server.URL + "/registry/instances"); err == nil {
+		t.Error("a call after the end")
+	}
+	if got := s.failures.Load(); got != 1 {
+		t.Errorf("failures after the end: %d", got)
+	}
+}
+
+// A node's scope is drawn by the seed and the node's number, and is one that a report may carry.
+func TestScope(t *testing.T) {
+	t.Parallel()
+	cfg := &Config{Services: 550, PerNode: 12, Seed: 3}
+	first := scope(cfg, 7)
+	if err := fleet.ValidScope(first); err != nil || len(first) != 12 || !slices.Equal(first, scope(cfg, 7)) || slices.Equal(first, scope(cfg, 8)) {
+		t.Errorf("scope: %v, %v", first, err)
+	}
+	if got := scope(&Config{Services: 550}, 7); got != nil {
+		t.Errorf("without a scope: %v", got)
+	}
+}
+
+// The servers of every service are spread over all zones.
+func TestServerPlaces(t *testing.T) {
+	t.Parallel()
+	cfg := &Config{Services: 4, Zones: []string{"a", "b", "c", "d"}}
+	seen := map[string]bool{}
+	for number := range 16 {
+		service, zone := cfg.serverPlace(number)
+		seen[service+zone] = true
+	}
+	if len(seen) != 16 {
+		t.Errorf("places: %v", seen)
+	}
+}
+
+// The traffic model's requests arrive at their rate, and go by the tenants with load; each ends.
+func TestModelledTraffic(t *testing.T) {
+	t.Parallel()
+	const rate, seconds, tenants = 50, 20, 3
+	m := newModule(&Config{Nodes: 1, Zones: []string{"z"}, RequestsPerS: rate, Seed: 1}, 0, 1)
+	var servers []decide.Server
+	for i := range 5 {
+		servers = append(servers, decide.Server{ID: decide.ServerID(i + 1), Name: ServerName(i), Zone: "z", Size: 1})
+	}
+	m.tell(decide.ListUpdate{Kind: decide.ListFull, Version: 1, Entries: servers})
+	for i := range tenants {
+		name := fmt.Sprint("t", i)
+		m.tell(decide.TenantTold{Name: name, UID: 1, Revision: 1, Committed: &decide.TenantRules{Generation: 1, Rate: 1e6, Burst: 1e6}})
+		m.active = append(m.active, name)
+	}
+	m.tell(decide.FleetSynced{Revision: 1})
+	m.began = m.began.Add(-seconds * time.Second)
+	window := m.Window(m.advance())
+	arrived, attempts := 0, 0
+	for _, tenant := range window.Tenants {
+		arrived += tenant.Arrived
+		if tenant.Arrived < rate*seconds/tenants/2 || tenant.Admitted != tenant.Arrived {
+			t.Errorf("tenant: %+v", tenant)
+		}
+	}
+	for _, zone := range window.Zones {
+		attempts += zone.Attempts
+		if zone.Lost != 0 || zone.OK != zone.Attempts {
+			t.Errorf("zone: %+v", zone)
+		}
+	}
+	if want := rate * seconds; arrived < want/2 || arrived > want*2 || attempts < arrived-len(m.open) || len(m.open) > rate {
+		t.Errorf("%d arrived, want some %d; %d attempts, %d open", arrived, want, attempts, len(m.open))
+	}
+}
+
+// An error is one line of bounded length.
+func TestOneLine(t *testing.T) {
+	t.Parallel()
+	got := oneLine("a\nb\x00" + strings.Repeat("c", 2*errorLimit))
+	if len(got) != errorLimit || !strings.HasPrefix(got, "a b c") {
+		t.Errorf("%q", got)
+	}
+}
