Take the bytes of durable copies from the agents where they count them

Need: /proc counts whole pages of a disk, and nothing of a file system in memory; agents with scopes count the bytes themselves.

Change: a hollow process sums fleet_agent_copy_bytes_total over its nodes' runs, and falls back to /proc where no agent has it.

--- a/internal/scale/hollow/node.go
+++ b/internal/scale/hollow/node.go
@@ -46,6 +46,7 @@
 	member      fleet.Member
 	began       time.Time
 	connections *connections
+	metrics     *prometheus.Registry
 	agent       http.Handler // of the intent and the reports
 	list        http.Handler
 	stop        context.CancelFunc
@@ -80,8 +81,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	now := time.Now()
 	n := &node{cfg: cfg, fleet: state, number: number, services: scope(cfg, number), began: now, stop: stop,
-		member:      fleet.Member{Node: NodeName(number), Zone: cfg.nodeZone(number), Incarnation: uint64(now.UnixNano())},
-		connections: state.sockets.connections(), ready: map[decide.ServerID]bool{}, serving: map[string]served{}}
+		member:  fleet.Member{Node: NodeName(number), Zone: cfg.nodeZone(number), Incarnation: uint64(now.UnixNano())},
+		metrics: prometheus.NewRegistry(), connections: state.sockets.connections(), ready: map[decide.ServerID]bool{}, serving: map[string]served{}}
 	n.log = log.With("node", n.member.Node, "incarnation", n.member.Incarnation)
 	n.module = newModule(cfg, number, n.member.Incarnation)
 	n.mirror = nodelink.NewMirror(n.member)
@@ -100,7 +101,7 @@
 // startAgent starts the two halves of the node's agent, as the command listd agent does.
 func (n *node) startAgent(ctx context.Context, log *slog.Logger) error {
 	half, err := fleetagent.Start(ctx, fleetagent.Config{Node: n.member.Node, Zone: n.member.Zone, Replicas: n.cfg.Replicas,
-		Dir: filepath.Join(n.cfg.Dir, n.member.Node), Dial: n.connections.dial, Log: log}, prometheus.NewRegistry())
+		Dir: filepath.Join(n.cfg.Dir, n.member.Node), Dial: n.connections.dial, Log: log}, n.metrics)
 	if err != nil {
 		return err
 	}
@@ -114,11 +115,26 @@
 	return nil
 }
 
+// copyBytes is what the run's agent says it has written to its durable copy; 0 of a build whose agent doesn't count it.
+func (n *node) copyBytes() uint64 {
+	families, err := n.metrics.Gather()
+	if err != nil {
+		return 0
+	}
+	for _, family := range families {
+		if family.GetName() == "fleet_agent_copy_bytes_total" && len(family.GetMetric()) > 0 {
+			return uint64(family.GetMetric()[0].GetCounter().GetValue())
+		}
+	}
+	return 0
+}
+
 // kill ends the run at once, and its agent's connections.
 func (n *node) kill() {
 	n.stop()
 	n.connections.close()
 	n.loops.Wait()
+	n.fleet.copyBytes.Add(n.copyBytes())
 	n.reporting.Wait()
 }
 
--- a/internal/scale/hollow/state.go
+++ b/internal/scale/hollow/state.go
@@ -10,8 +10,9 @@
 
 // fleetState is what the nodes of a process have seen of the fleet together, and the process's counts.
 type fleetState struct {
-	sockets *sockets
-	newest  atomic.Uint64 // revision of the intent
+	sockets   *sockets
+	newest    atomic.Uint64 // revision of the intent
+	copyBytes atomic.Uint64 // written to the durable copies of runs that have ended
 
 	mu       sync.Mutex
 	services map[string]string // by tenant, where it has one
--- a/internal/scale/hollow/usage.go
+++ b/internal/scale/hollow/usage.go
@@ -15,7 +15,7 @@
 func (g *group) usage() Usage {
 	u := Usage{Calls: g.state.sockets.traffic(), Failures: g.state.sockets.failures.Load(), ReportBytes: g.state.sockets.reportBytes.Load(),
 		Registered: g.servers.registered(), Goroutines: runtime.NumGoroutine(), CPU: processorTime(), RSSBytes: residentBytes(),
-		CopyBytes: writtenBytes()}
+		CopyBytes: g.state.copyBytes.Load()}
 	if entries, err := os.ReadDir("/proc/self/fd"); err == nil {
 		u.Descriptors = len(entries)
 	}
@@ -28,6 +28,10 @@
 		u.Behind = max(u.Behind, newest-min(newest, n.revision))
 		u.Items += n.items
 		n.mu.Unlock()
+		u.CopyBytes += n.copyBytes()
+	}
+	if u.CopyBytes == 0 {
+		u.CopyBytes = writtenBytes()
 	}
 	runtime.GC()
 	var memory runtime.MemStats
@@ -56,8 +60,8 @@
 	return pages * uint64(os.Getpagesize())
 }
 
-// writtenBytes is what the process has caused to be written to disks, from /proc. The durable copies are the only files that it
-// writes. It counts whole pages; of a file system in memory it is 0.
+// writtenBytes is what the process has caused to be written to disks, from /proc, for agents that don't count it. The durable
+// copies are the only files that it writes. It counts whole pages; of a file system in memory it is 0.
 func writtenBytes() uint64 {
 	raw, _ := os.ReadFile("/proc/self/io")
 	for line := range strings.Lines(string(raw)) {
