Make calibrate's changes at fixed times, so that both kinds have the same schedule

Need: changes waited for one another, so slower nodes got fewer: in a trial of 3 repeats (30 nodes, 30 s a window) 15, 15 and 16 with real nodes, 18 each with hollow ones, and the bytes of the intent differed by 27 %.

Change: a change at each second, a server replaced at each other one, whatever is still open; the memory of agents is read too; revisions are looked at every 3 s.

--- a/internal/scale/calibrate/calibrate.go
+++ b/internal/scale/calibrate/calibrate.go
@@ -38,11 +38,13 @@
 	Calls        map[hollow.Call]Traffic `json:"calls"`
 	ReportBytes  float64                 `json:"report_bytes"`   // of the bodies of reports, a node and second
 	CPU          float64                 `json:"cpu"`            // of one core a node: of a real node's agent, or of the hollow process
+	RSSBytes     float64                 `json:"rss_bytes"`      // a node, at the window's end: as CPU
 	LeaderCPU    float64                 `json:"leader_cpu"`     // of one core: of the replicas together
 	Behind       float64                 `json:"behind"`         // revisions that the last node lacks, the mean of the looks
 	InForceP50MS float64                 `json:"in_force_ms"`    // from a tenant's PUT until the leader knows that all nodes serve it
 	InForceMaxMS float64                 `json:"in_force_max"`   // the longest
 	Changes      int                     `json:"changes"`        // of tenants
+	Skipped      int                     `json:"skipped"`        // changes whose tenant's last one was not over
 	Replaced     int                     `json:"replaced"`       // servers
 	Seconds      float64                 `json:"window_seconds"` // as it was
 }
@@ -64,8 +66,8 @@
 const (
 	readyWait   = 2 * time.Minute
 	settle      = 5 * time.Second // before a window
-	lookEvery   = time.Second
-	changeEvery = time.Second
+	turnEvery   = time.Second     // a change of a tenant, at every second one a replacement of a server
+	lookTurns   = 3               // between looks at the nodes' revisions
 	statusEvery = 10 * time.Millisecond
 	callWait    = 10 * time.Second
 	leaseTTLMS  = 6000
@@ -88,6 +90,7 @@
 	calls       map[hollow.Call]hollow.Traffic
 	reportBytes uint64
 	cpu         time.Duration
+	rss         uint64 // bytes
 }
 
 // Measure runs the plan with nodes of a kind, real or hollow, their data under dir, which it makes. It ends every process that it
@@ -215,38 +218,22 @@
 	}
 	r.log.Info("tenants in force", "tenants", r.plan.Tenants)
 	figures.Kind = kind
-	if figures.Steady, err = r.window(func(*Rates) error { return r.pause(lookEvery) }); err != nil {
+	if figures.Steady, err = r.window(func(int) error { return nil }); err != nil {
 		return figures, err
 	}
 	r.log.Info("steady window over")
-	var took []time.Duration
-	step := 0
-	figures.Changing, err = r.window(func(rates *Rates) error {
-		began := time.Now()
-		duration, err := r.roll(step % r.plan.Tenants)
-		if err != nil {
-			return err
-		}
-		took = append(took, duration)
-		if step%2 == 0 && step/2 < r.plan.Servers {
-			if err := r.servers.Replace(step/2, 1); err != nil {
-				return err
-			}
-			rates.Replaced++
-		}
-		step++
-		return r.pause(max(0, changeEvery-time.Since(began)))
-	})
-	figures.Changing.Changes = len(took)
-	figures.Changing.InForceP50MS = ms(listdlab.Quantile(took, 0.5))
-	figures.Changing.InForceMaxMS = ms(listdlab.Quantile(took, 1))
-	return figures, err
+	changes := &changes{run: r}
+	if figures.Changing, err = r.window(changes.make); err != nil {
+		return figures, err
+	}
+	r.log.Info("changing window over")
+	return figures, changes.finish(&figures.Changing)
 }
 
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// window has the nodes settle and counts for the plan's time, in which it takes step after step.
-func (r *run) window(step func(*Rates) error) (rates Rates, err error) {
+// window has the nodes settle and counts for the plan's time. At each of its turns, which come at fixed times, it takes a step.
+func (r *run) window(step func(turn int) error) (rates Rates, err error) {
 	if err := r.pause(settle); err != nil {
 		return rates, err
 	}
@@ -257,10 +244,16 @@
 	}
 	leadersBefore := r.replicasCPU()
 	looks := 0
-	for time.Since(began) < r.plan.For {
-		if err := step(&rates); err != nil {
+	for turn := 0; time.Duration(turn)*turnEvery < r.plan.For; turn++ {
+		if err := r.pause(time.Until(began.Add(time.Duration(turn) * turnEvery))); err != nil {
+			return rates, err
+		}
+		if err := step(turn); err != nil {
 			return rates, err
 		}
+		if turn%lookTurns != 0 {
+			continue
+		}
 		behind, err := r.nodes.behind()
 		if err != nil {
 			return rates, err
@@ -268,6 +261,9 @@
 		rates.Behind += float64(behind)
 		looks++
 	}
+	if err := r.pause(time.Until(began.Add(r.plan.For))); err != nil {
+		return rates, err
+	}
 	rates.Behind /= float64(max(1, looks))
 	after, err := r.nodes.counted()
 	rates.Seconds = time.Since(began).Seconds()
@@ -279,6 +275,7 @@
 			BytesOut: float64(total.BytesOut-was.BytesOut) / each}
 	}
 	rates.ReportBytes = float64(after.reportBytes-before.reportBytes) / each
+	rates.RSSBytes = float64(after.rss) / float64(r.plan.Nodes)
 	rates.CPU = (after.cpu - before.cpu).Seconds() / each
 	rates.LeaderCPU = (r.replicasCPU() - leadersBefore).Seconds() / rates.Seconds
 	return rates, err
--- a/internal/scale/calibrate/kinds.go
+++ b/internal/scale/calibrate/kinds.go
@@ -60,7 +60,7 @@
 
 func (h *hollowNodes) counted() (counts, error) {
 	usage, err := h.process.Usage()
-	return counts{usage.Calls, usage.ReportBytes, usage.CPU}, err
+	return counts{usage.Calls, usage.ReportBytes, usage.CPU, usage.RSSBytes}, err
 }
 
 func (h *hollowNodes) behind() (uint64, error) {
@@ -247,6 +247,7 @@
 	c := counts{calls: n.meter.Traffic(), reportBytes: n.meter.ReportBytes()}
 	for _, p := range n.pairs {
 		c.cpu += listdlab.CPUTime(p.agent.Process.Pid)
+		c.rss += uint64(listdlab.RSS(p.agent.Process.Pid)) << 10
 	}
 	return c, nil
 }
