--- a/internal/fleet/drift/play/world.go
+++ b/internal/fleet/drift/play/world.go
@@ -68,7 +68,7 @@
 		w.nodes = append(w.nodes, n)
 		w.start(n)
 	}
-	w.j.Office(w.now+w.skew, w.st)
+	w.j.Lead(w.now+w.skew, w.st)
 	return w
 }
 
@@ -224,7 +224,7 @@
 	}
 }
 
-// failover puts another leader in office, with another clock and nothing but what is replicated.
+// failover elects another leader, with another clock and nothing but what is replicated.
 func (w *world) failover() {
 	w.commands = nil
 	w.old = slices.DeleteFunc(w.old, func(r fleet.Report) bool { // a new leader takes the first it hears of a run
@@ -232,7 +232,7 @@
 	})
 	w.skew = time.Duration(w.rng.IntN(4000)-2000) * ms
 	w.j = drift.NewJudge(w.rules.Bounds)
-	w.j.Office(w.now+w.skew, w.st)
+	w.j.Lead(w.now+w.skew, w.st)
 }
 
 func (w *world) node(name string) *simNode {
--- a/internal/fleet/nodelink/mirror_test.go
+++ b/internal/fleet/nodelink/mirror_test.go
@@ -36,7 +36,7 @@
 	share := func(held time.Duration) decide.ShareTold {
 		return decide.ShareTold{Epoch: 2, Slots: 4, Rates: map[string]float64{"a": 5}, Age: 30 * time.Millisecond, Valid: held}
 	}
-	told := decide.TenantTold{Name: "a", UID: 3, Revision: 4, Age: 30 * time.Millisecond,
+	told := decide.TenantTold{Name: "a", UID: 3, Revision: 4, Intent: 5, Age: 30 * time.Millisecond,
 		Committed: &decide.TenantRules{Generation: 1, Digest: "00ff", Rate: 1000, Burst: 100}}
 	m := NewMirror(me)
 	for i, step := range []struct {
@@ -55,7 +55,7 @@
 		{in: fleet.Intent{Revision: 6, Items: []fleet.Item{{Key: "zone/y@z", Rev: 6, Gone: true}}}, events: []decide.Event{zone("y", 5, 6, 0.5), share(0)}},
 		{in: fleet.Intent{Revision: 7, Full: true, HeldMS: 9000, Items: []fleet.Item{
 			item("share/n0", 7, fleet.Shares{Epoch: 2, Incarnation: 8, Slots: 4, Rates: map[string]float64{"a": 5}})}},
-			events: []decide.Event{served("y", 7), decide.TenantTold{Name: "a", UID: 3, Revision: 7, Gone: true, Age: 30 * time.Millisecond}, share(0)}},
+			events: []decide.Event{served("y", 7), decide.TenantTold{Name: "a", UID: 3, Revision: 7, Intent: 7, Gone: true, Age: 30 * time.Millisecond}, share(0)}},
 		{in: fleet.Intent{Revision: 8}, events: []decide.Event{share(0)}}, // nothing is said twice
 	} {
 		step.in.AgeMS = 10
--- a/internal/fleet/session/session_test.go
+++ b/internal/fleet/session/session_test.go
@@ -26,10 +26,9 @@
 }
 
 type flight struct {
-	t0    fleet.Time // by the agent's clock, before the sending
-	term  int        // that verified it; -1: not yet
-	left  int        // 0 on its way to a leader, 1 verified, 2 answered and on its way back
-	joins bool
+	t0   fleet.Time // by the agent's clock, before the sending
+	term int        // that verified it; -1: not yet
+	left int        // 0 on its way to a leader, 1 verified, 2 answered and on its way back
 }
 
 // Whatever the clocks' rates within 1 %, the stalls between any two steps, lost, late and reordered messages, and
@@ -48,11 +47,11 @@
 		}
 		leaders := []leader{}
 		var proposed []fleet.Member // lapses of the present leader, in the log and not yet applied
-		office := func() {
+		newLeader := func() {
 			c := drawClock(t, "leader")
-			leaders = append(leaders, leader{c, Office(c.at(real), ttl)})
+			leaders = append(leaders, leader{c, NewLeases(c.at(real), ttl)})
 		}
-		office()
+		newLeader()
 		var air []*flight
 		tick := func() {
 			l := leaders[len(leaders)-1]
@@ -120,7 +119,7 @@
 			"failover": func(t *rapid.T) {
 				settle(rapid.Bool().Draw(t, "its proposals were committed"))
 				failovers++
-				office()
+				newLeader()
 			},
 			"": func(t *rapid.T) {
 				if left := holder.Left(agent.at(real)); left > 0 && !state.Present(m) {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -31,7 +31,7 @@
 	hosts          map[decide.ServerID]*host
 	out            map[decide.ServerID]bool // taken out by the operators, listed or not
 	open, limit    int                      // connections, also those being made
-	beside         *beside                  // the other process of an upgrade
+	restart        *hotRestart              // the other process of an upgrade
 	connectTimeout time.Duration
 	idleLimit      time.Duration
 	dial           func(context.Context, net.Dialer, string) (*conn, error)
@@ -159,7 +159,7 @@
 // opened counts connections.
 func (b *backends) opened(n int) {
 	b.open += n
-	b.beside.count(0, n)
+	b.restart.count(0, n)
 }
 
 func (b *backends) find(id decide.ServerID) *host {
@@ -203,7 +203,7 @@
 	}
 }
 
-// usable tells whether an idle connection may take a request: young enough, not closed by the other side, and
+// usable reports whether an idle connection may take a request: young enough, not closed by the other side, and
 // with nothing on it that belongs to no request. A write to one that the backend has closed would succeed, and
 // then leave open whether the request ran.
 func (b *backends) usable(c *conn) bool {
@@ -218,7 +218,7 @@
 	return err == nil && still
 }
 
-// nothingCame tells whether nothing has come on a connection, not even its end. It may take a byte of what has.
+// nothingCame reports whether nothing has come on a connection, not even its end. It may take a byte of what has.
 func nothingCame(fd int) bool {
 	var one [1]byte
 	_, err := syscall.Read(fd, one[:])
@@ -259,7 +259,7 @@
 		}
 		b.drop(c)
 	}
-	if b.open+b.beside.backends() >= b.limit && !b.evict() {
+	if b.open+b.restart.backends() >= b.limit && !b.evict() {
 		b.mu.Unlock()
 		return nil, errTooMany
 	}
--- a/internal/scale/calibrate/calibrate.go
+++ b/internal/scale/calibrate/calibrate.go
@@ -16,7 +16,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/lab/listdlab"
-	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/lab/simulated"
 	"starlingvalve/internal/scale/hollow"
 )
 
@@ -295,7 +295,7 @@
 	rate := 10 * r.plan.RequestsPerS * float64(r.plan.Nodes) * (1 + float64(r.next[tenant]%2))
 	put := tenantPut{Generation: r.next[tenant], Spec: fleet.Spec{Name: name, Quota: fleet.Quota{Rate: rate, Burst: rate}}}
 	began := time.Now()
-	code, text, unknown, err := played.Call(r.cluster.HTTP, http.MethodPut, "/fleet/v1/tenants/"+name, put)
+	code, text, unknown, err := simulated.Call(r.cluster.HTTP, http.MethodPut, "/fleet/v1/tenants/"+name, put)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/scale/calibrate/kinds.go
+++ b/internal/scale/calibrate/kinds.go
@@ -22,7 +22,7 @@
 
 	"starlingvalve/internal/lab"
 	"starlingvalve/internal/lab/listdlab"
-	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/lab/simulated"
 	"starlingvalve/internal/scale/hollow"
 )
 
@@ -31,7 +31,7 @@
 	var status struct {
 		Phase string `json:"phase"`
 	}
-	_, text, _, err := played.Call(r.cluster.HTTP, http.MethodGet, "/fleet/v1/tenants/"+name+"/status", nil)
+	_, text, _, err := simulated.Call(r.cluster.HTTP, http.MethodGet, "/fleet/v1/tenants/"+name+"/status", nil)
 	if err != nil {
 		return false, err
 	}
--- a/internal/scale/cores_test.go
+++ b/internal/scale/cores_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	in := &intended{state: control.New(), load: Load{Tenants: n, Services: 16}}
-	in.judge = control.Office(set, 0, in.state)
+	in.judge = control.NewJudge(set, 0, in.state)
 	for i := range n {
 		in.put(t, i, 0)
 	}
--- a/internal/scale/hollow/hollow_test.go
+++ b/internal/scale/hollow/hollow_test.go
@@ -20,7 +20,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/lab/listdlab"
-	"starlingvalve/internal/lab/played"
+	"starlingvalve/internal/lab/simulated"
 	"starlingvalve/internal/scale/hollow"
 )
 
@@ -117,7 +117,7 @@
 	r.t.Helper()
 	body := map[string]any{"generation": generation, "spec": fleet.Spec{Name: name, Service: service, Quota: fleet.Quota{Rate: 100, Burst: 100}}}
 	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
-		code, text, unknown, err := played.Call(r.cluster.HTTP, http.MethodPut, "/fleet/v1/tenants/"+name, body)
+		code, text, unknown, err := simulated.Call(r.cluster.HTTP, http.MethodPut, "/fleet/v1/tenants/"+name, body)
 		if err == nil && (code == http.StatusOK || unknown) {
 			return
 		}
