--- /dev/null
+++ b/internal/scale/schedule.go
@@ -0,0 +1,102 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// window is a schedule under way. Changes, restarts, replacements and events each go in a lane of their own, in which one
+// follows the other.
+type window struct {
+	tenants *population
+	plane   ControlPlane
+	nodes   *group
+	servers *group
+	seed    uint64
+	readyS  float64 // the longest that nodes may take to be up again after an event
+	seen    *outcome
+}
+
+// lane is things that happen at a steady rate, the first after half of a space.
+type lane struct {
+	rate float64 // a second; 0: it is empty
+	do   func(ctx context.Context, random *rand.Rand, late bool) error
+}
+
+// run carries out a load's rates and a plan's events over a window of length d. It lasts d at least, and until the last thing
+// that began in it is over. The first error ends it.
+func (w *window) run(ctx context.Context, l Load, events []Event, d time.Duration) error {
+	lanes := []lane{{l.ChangesPerS, w.change}, {l.RestartsPerS, w.restart}, {l.ReplacementsPerS, w.replace}}
+	group, ctx := errgroup.WithContext(ctx)
+	start := time.Now()
+	for i, lane := range lanes {
+		random := rand.New(rand.NewPCG(w.seed, uint64(i)))
+		group.Go(func() error { return lane.run(ctx, random, start, d) })
+	}
+	group.Go(func() error { return w.events(ctx, events, start) })
+	group.Go(func() error { return pause(ctx, d) })
+	return group.Wait()
+}
+
+// run does the lane's things until d after start. One whose time has passed, as the one before took so long, is late; those
+// that have not begun by the end are not done.
+func (l lane) run(ctx context.Context, random *rand.Rand, start time.Time, d time.Duration) error {
+	if l.rate <= 0 {
+		return nil
+	}
+	space := seconds(1 / l.rate)
+	for at := space / 2; at < d; at += space {
+		left := at - time.Since(start)
+		if err := pause(ctx, left); err != nil {
+			return err
+		}
+		if time.Since(start) >= d {
+			return nil
+		}
+		if err := l.do(ctx, random, left < 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart kills a random node and starts it again as a new incarnation.
+func (w *window) restart(_ context.Context, random *rand.Rand, _ bool) error {
+	w.seen.add(func(o *outcome) { o.restarts++ })
+	return w.restartNodes(random.IntN(w.nodes.members), 1)
+}
+
+// restartNodes kills nodes of consecutive numbers and starts them again.
+func (w *window) restartNodes(first, count int) error {
+	return w.nodes.span(first, count, func(h Hollow, first, count int) error {
+		if err := h.Kill(first, count); err != nil {
+			return err
+		}
+		return h.Start(first, count)
+	})
+}
+
+// replace has a random server come back under a new address.
+func (w *window) replace(_ context.Context, random *rand.Rand, _ bool) error {
+	w.seen.add(func(o *outcome) { o.replaced++ })
+	server := random.IntN(w.servers.members)
+	return w.servers.of(server).Replace(server, 1)
+}
+
+// pause waits for d, or until ctx ends, with its cause.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return context.Cause(ctx)
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
