--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -14,8 +14,9 @@
 	replicaServerBytes = 2 << 10  // a server at a replica
 	replicaNodeBytes   = 128 << 10
 	processBytes       = 24 << 20 // a hollow process without nodes
-	nodeBytes          = 256 << 10
-	nodeTenantBytes    = 4 << 10 // a tenant at a node: the agent's copy, the module and the report
+	nodeBytes          = 512 << 10
+	nodeTenantBytes    = 12 << 10 // a tenant at a node: the agent's copy, the module and the report
+	leaderTenantBytes  = 3 << 10  // a node's report on a tenant at the leader
 	nodeServerBytes    = 1 << 10 // a server at a node: the agent's list and the module's
 	registrantBytes    = 24 << 10
 	runnerBytes        = 64 << 20
@@ -31,7 +32,7 @@
 	held := heldTenants(l)
 	node := uint64(nodeBytes + nodeTenantBytes*held + nodeServerBytes*l.Servers)
 	replica := uint64(replicaBytes + replicaTenantBytes*l.Tenants + replicaServerBytes*l.Servers + replicaNodeBytes*l.Nodes)
-	memory := uint64(runnerBytes) + uint64(p.Replicas)*replica + uint64(nodeProcesses+serverProcesses)*processBytes +
+	memory := uint64(runnerBytes) + uint64(p.Replicas)*replica + uint64(leaderTenantBytes*held*l.Nodes) + uint64(nodeProcesses+serverProcesses)*processBytes +
 		uint64(l.Nodes)*node + uint64(l.Servers)*registrantBytes
 	atLeader := nodeConnections*l.Nodes + l.Servers/registrantsASocket
 	inProcess := max(nodeConnections*min(l.Nodes, p.Hollow.NodesPerProcess), min(l.Servers, p.Hollow.ServersPerProcess)/registrantsASocket)
