--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -17,7 +17,7 @@
 	nodeBytes          = 512 << 10
 	nodeTenantBytes    = 12 << 10 // a tenant at a node: the agent's copy, the module and the report
 	leaderTenantBytes  = 3 << 10  // a node's report on a tenant at the leader
-	nodeServerBytes    = 1 << 10 // a server at a node: the agent's list and the module's
+	nodeServerBytes    = 1 << 10  // a server at a node: the agent's list and the module's
 	registrantBytes    = 24 << 10
 	runnerBytes        = 64 << 20
 	nodeConnections    = 4  // to replicas: the intent, the list, reports, one in change
