Give hollow agents their node's scope, and replace servers through an election

The process tests' replicas have addresses of their own, as two tests side by side met on one cluster and failed.

--- a/internal/scale/hollow/config.go
+++ b/internal/scale/hollow/config.go
@@ -96,8 +96,6 @@
 }
 
 // scope gives the services that a node serves, sorted; none where it has no scope: PerNode of Services, drawn by the seed.
-//
-// MARK(scope): the agent has no scope of its own yet. Once agent.Config has one, startAgent is to set it by this.
 func scope(cfg *Config, number int) []string {
 	if cfg.PerNode == 0 {
 		return nil
--- a/internal/scale/hollow/hollow_test.go
+++ b/internal/scale/hollow/hollow_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +44,11 @@
 	os.Exit(m.Run())
 }
 
+// runs counts the runs of this test process, which are side by side: each has addresses runNets further on.
+var runs atomic.Int32
+
+const runNets = 61
+
 // run is three replicas with a hollow process beside them.
 type run struct {
 	t       *testing.T
@@ -50,7 +56,8 @@
 	process *hollow.Process
 }
 
-func startRun(t *testing.T) *run {
+// startRun starts the replicas and, with config, which gets the run's own members, the hollow process.
+func startRun(t *testing.T, config hollow.Config) *run {
 	t.Helper()
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir+"/", "starlingvalve/cmd/listd")
@@ -61,7 +68,7 @@
 	if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", nodes), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	cluster, err := listdlab.Start(filepath.Join(dir, "listd"), dir, 3, os.Getpid(), "--fleet", settings)
+	cluster, err := listdlab.Start(filepath.Join(dir, "listd"), dir, 3, os.Getpid()+int(runs.Add(1))*runNets, "--fleet", settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -73,9 +80,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	process, err := hollow.Start(t.Context(), binary, hollow.Config{Replicas: cluster.HTTP, FirstNode: 100, Nodes: nodes,
-		FirstServer: 1000, Servers: servers, Services: 4, Zones: []string{"za", "zb", "zc"}, ActiveTenants: 2, RequestsPerS: 20, LeaseTTLMS: 6000,
-		Dir: filepath.Join(dir, "agents"), Seed: 1}, slog.New(slog.NewTextHandler(t.Output(), nil)))
+	config.Replicas, config.Zones, config.LeaseTTLMS, config.Seed = cluster.HTTP, []string{"za", "zb", "zc"}, 6000, 1
+	config.Dir = filepath.Join(dir, "agents")
+	process, err := hollow.Start(t.Context(), binary, config, slog.New(slog.NewTextHandler(t.Output(), nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +167,7 @@
 // start again, and servers that are replaced, do what they say; the process ends when its runner says so.
 func TestHollowProcess(t *testing.T) {
 	t.Parallel()
-	r := startRun(t)
+	r := startRun(t, hollow.Config{FirstNode: 100, Nodes: nodes, FirstServer: 1000, Servers: servers, Services: 4, ActiveTenants: 2, RequestsPerS: 20})
 	r.await("ready", func(u hollow.Usage) bool { return u.Ready == nodes && u.Registered == servers })
 	start := time.Now()
 	for i := range 5 {
@@ -216,6 +223,31 @@
 	}
 }
 
+// Nodes with a scope hold the tenants of their services and no others, and are asked for these alone.
+func TestScopedNodes(t *testing.T) {
+	t.Parallel()
+	r := startRun(t, hollow.Config{Nodes: nodes, Servers: servers, Services: 4, PerNode: 2, ActiveTenants: 2, RequestsPerS: 20})
+	r.await("ready", func(u hollow.Usage) bool { return u.Ready == nodes && u.Registered == servers })
+	shares := r.usage().Items // each node's own
+	want := 0
+	for i := range 4 {
+		name, service := fmt.Sprint("tenant-", i), hollow.ServiceName(i)
+		r.put(name, service, 0)
+		seen, err := r.process.InForce(name, service, 1, limit)
+		if err != nil || seen.Have != seen.Nodes || seen.Nodes == nodes {
+			t.Errorf("%s of %s: %+v, %v", name, service, seen, err)
+		}
+		want += seen.Nodes
+	}
+	if want != 2*nodes {
+		t.Errorf("%d pairs of a node and a tenant in its scope, want %d", want, 2*nodes)
+	}
+	r.await("each node with the tenants of its scope", func(u hollow.Usage) bool { return u.Items == shares+want && u.Ready == nodes })
+	if err := r.process.Close(); err != nil {
+		t.Errorf("the end: %v", err)
+	}
+}
+
 // checkUsage expects something of every counter.
 func (r *run) checkUsage() {
 	r.t.Helper()
--- a/internal/scale/hollow/node.go
+++ b/internal/scale/hollow/node.go
@@ -100,7 +100,7 @@
 
 // startAgent starts the two halves of the node's agent, as the command listd agent does.
 func (n *node) startAgent(ctx context.Context, log *slog.Logger) error {
-	half, err := fleetagent.Start(ctx, fleetagent.Config{Node: n.member.Node, Zone: n.member.Zone, Replicas: n.cfg.Replicas,
+	half, err := fleetagent.Start(ctx, fleetagent.Config{Node: n.member.Node, Zone: n.member.Zone, Services: n.services, Replicas: n.cfg.Replicas,
 		Dir: filepath.Join(n.cfg.Dir, n.member.Node), Dial: n.connections.dial, Log: log}, n.metrics)
 	if err != nil {
 		return err
--- a/internal/scale/hollow/registrants.go
+++ b/internal/scale/hollow/registrants.go
@@ -199,6 +199,17 @@
 	return "", nil
 }
 
+// persist makes a call until it is carried out, also while there is no leader, or ctx ends.
+func (r *registrants) persist(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if err == nil || errors.Is(err, errUnknown) || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, registerPause)
+	}
+}
+
 // replace has servers deregister and come back under new addresses.
 func (r *registrants) replace(ctx context.Context, first, count int) error {
 	connections := r.state.sockets.connections()
@@ -210,7 +221,7 @@
 		s := r.servers[first-r.cfg.FirstServer+i]
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		err := r.post(ctx, client, "deregister", renewal{ID: ServerName(s.number)})
+		err := r.persist(ctx, func() error { return r.post(ctx, client, "deregister", renewal{ID: ServerName(s.number)}) })
 		if err != nil && !errors.Is(err, errUnknown) {
 			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
 		}
@@ -218,7 +229,7 @@
 		s.replacement++
 		s.startedMS = time.Now().UnixMilli()
 		s.renewed.Store(0)
-		if err := r.hold(ctx, client, s); err != nil {
+		if err := r.persist(ctx, func() error { return r.hold(ctx, client, s) }); err != nil {
 			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
 		}
 		return nil
