--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -11,13 +11,13 @@
 const (
 	replicaBytes       = 64 << 20 // a replica without a fleet
 	replicaTenantBytes = 8 << 10  // a tenant at a replica: state, items, log and its answers on their way
-	replicaServerBytes = 2 << 10  // a server at a replica
+	replicaServerBytes = 6 << 10  // a server at a replica
 	replicaNodeBytes   = 128 << 10
 	processBytes       = 24 << 20 // a hollow process without nodes
 	nodeBytes          = 512 << 10
 	nodeTenantBytes    = 12 << 10 // a tenant at a node: the agent's copy, the module and the report
 	leaderTenantBytes  = 3 << 10  // a node's report on a tenant at the leader
-	nodeServerBytes    = 1 << 10  // a server at a node: the agent's list and the module's
+	nodeServerBytes    = 3 << 10  // a server at a node: the agent's list and the module's
 	registrantBytes    = 24 << 10
 	runnerBytes        = 64 << 20
 	nodeConnections    = 4  // to replicas: the intent, the list, reports, one in change
--- a/internal/scale/metric.go
+++ b/internal/scale/metric.go
@@ -52,6 +52,7 @@
 // The figures of a registrant, the mean over them.
 const (
 	RegistrantCPU   Metric = "registrant.cpu_cores"
+	RegistrantRSS   Metric = "registrant.rss_bytes"
 	RegistrantBytes Metric = "registrant.bytes_per_s"
 	RegistrantCalls Metric = "registrant.calls_per_s"
 	RegistrantCall  Metric = "registrant.call_bytes" // of one call, both ways, the mean
--- a/internal/scale/values.go
+++ b/internal/scale/values.go
@@ -117,6 +117,7 @@
 	servers := float64(l.Servers)
 	t := trafficBetween(before, after, hollow.CallRegister)
 	v[RegistrantCPU] = (after.CPU - before.CPU).Seconds() / window / servers
+	v[RegistrantRSS] = float64(after.RSSBytes) / servers
 	v[RegistrantBytes] = float64(t.BytesIn+t.BytesOut) / window / servers
 	v[RegistrantCalls] = float64(t.Calls) / window / servers
 	v.addMean(RegistrantCall, t)
