--- a/cmd/listd/rollout_test.go
+++ b/cmd/listd/rollout_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"starlingvalve/internal/fleet"
 )
 
@@ -85,6 +87,18 @@
 		}
 	})
 
+	t.Run("another service", func(t *testing.T) {
+		before := f.tenant("brand")
+		spec := fleet.Spec{Name: "brand", Service: "billing", Quota: fleet.Quota{Rate: 5, Burst: 1}}
+		code, text, _ := f.try(http.MethodPut, "/fleet/v1/tenants/brand", map[string]any{"generation": before.Committed.Number, "spec": spec})
+		if code != http.StatusBadRequest || !strings.Contains(text, "service") || strings.Count(strings.TrimSpace(text), "\n") > 0 {
+			t.Errorf("%d %s", code, text)
+		}
+		if d := cmp.Diff(before, f.tenant("brand")); d != "" {
+			t.Errorf("the tenant has changed: %s", d)
+		}
+	})
+
 	t.Run("delete and re-create", func(t *testing.T) {
 		old := f.tenant("brand").UID
 		if code, text := f.api(http.MethodDelete, "/fleet/v1/tenants/brand?generation=4", nil); code != http.StatusConflict {
@@ -186,6 +200,8 @@
 		{"DELETE", "/fleet/v1/tenants/a?generation=1", ``, 404, "not found"},
 		{"GET", "/fleet/v1/tenants/a/status", ``, 404, "not found"},
 		{"GET", "/fleet/v1/intent?since=x", ``, 400, "since"},
+		{"GET", "/fleet/v1/intent?since=0&service=", ``, 400, "services"},
+		{"GET", "/fleet/v1/intent?since=0&service=a&service=a", ``, 400, "named twice"},
 		{"POST", "/fleet/v1/report", `{` + member + `,"seq":"1"}`, 400, "seq"},
 		{"POST", "/fleet/v1/report", `{"node":"","zone":"za","incarnation":1}`, 400, "node"},
 		{"POST", "/fleet/v1/report", `{` + member + `,"zones":[{"zone":"za","attempts":1,"lost":2}]}`, 400, "lost"},
