Reserve a network of loopback addresses for each cluster of replicas

Cause: clusters took their addresses from the process id modulo 8, the clock's second or by chance, so that test processes side by side could meet: agents of one were sent reports of the other's nodes ('older incarnation' of a run that the test never started; seen once in four runs of TestReportsByDifference and once in TestDrift, with another test process of the older code running).

Change: listdlab.Start reserves a network by a listener that it holds to Close; simulated nodes, the calibration and the test of old data use its number. The search for a free network in internal/scale goes.

--- a/cmd/listd/cluster_test.go
+++ b/cmd/listd/cluster_test.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +19,6 @@
 type cluster struct {
 	*listdlab.Cluster
 	t   *testing.T
-	net int // of its addresses
 	mu  sync.Mutex
 	ops []linear.Op // the history of writes and consistent reads, for the linearizability check
 }
@@ -51,13 +49,9 @@
 	os.Exit(code)
 }
 
-// nets gives each cluster of this test process addresses of its own.
-var nets atomic.Int64
-
 func startCluster(t *testing.T, n int, extra ...string) *cluster {
 	t.Helper()
-	net := (os.Getpid()%8*30 + int(nets.Add(1))) % 250
-	lc, err := listdlab.Start(bin, t.TempDir(), n, net, extra...)
+	lc, err := listdlab.Start(bin, t.TempDir(), n, extra...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +61,7 @@
 			noRace(t, d+".log")
 		}
 	})
-	return &cluster{Cluster: lc, t: t, net: net}
+	return &cluster{Cluster: lc, t: t}
 }
 
 // noRace fails the test where a process's log names a data race.
--- a/cmd/listd/fleet_test.go
+++ b/cmd/listd/fleet_test.go
@@ -38,7 +38,7 @@
 // startNode starts node i; what it saw that no agent may do fails the test at its end.
 func (f *fleetUp) startNode(i int) *simulated.Node {
 	f.t.Helper()
-	n, err := simulated.Start(f.Cluster, f.t.TempDir(), f.net, i)
+	n, err := simulated.Start(f.Cluster, f.t.TempDir(), i)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/cmd/listd/olddata_test.go
+++ b/cmd/listd/olddata_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"starlingvalve/internal/lab/listdlab"
 	"starlingvalve/internal/registry"
 )
 
@@ -62,7 +63,12 @@
 	if err := os.WriteFile(file, []byte("slots = 3"), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	ip := fmt.Sprintf("127.6.%d.1", os.Getpid()%250+1)
+	network, err := listdlab.ReserveNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer network.Close()
+	ip := fmt.Sprintf("127.6.%d.1", network.Number)
 	cmd := exec.Command(bin, "serve", "--id", "a", "--peer", fmt.Sprintf("a=%s:7000=%s:8000", ip, ip), "--dir", dir, "--fleet", file)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/listd.go
+++ b/internal/lab/listd.go
@@ -51,7 +51,7 @@
 
 // startListd starts the replicas, each raft link a relay of the run's network, and registers the servers.
 func (f *fleet) startListd(entries []standin.Entry, extra ...string) (*listdList, error) {
-	c, err := listdlab.Start(f.s.Fleet.ListdBin, filepath.Join(f.opt.Dir, "listd"), f.s.Fleet.Replicas, f.place.block, extra...)
+	c, err := listdlab.Start(f.s.Fleet.ListdBin, filepath.Join(f.opt.Dir, "listd"), f.s.Fleet.Replicas, extra...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/listdlab/experiment.go
+++ b/internal/lab/listdlab/experiment.go
@@ -15,7 +15,7 @@
 
 // Experiment starts a cluster and measures it by plan, logging each step.
 func Experiment(bin, dir string, p Plan, log *slog.Logger) (*Figures, error) {
-	c, err := Start(bin, dir, p.Replicas, int(time.Now().Unix()))
+	c, err := Start(bin, dir, p.Replicas)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/listdlab/listdlab.go
+++ b/internal/lab/listdlab/listdlab.go
@@ -29,6 +29,9 @@
 	HTTP  []string
 	Raft  []string
 	Links map[[2]int]*faults.Link // raft traffic from replica i to replica j
+
+	Network *Network // reserved for the cluster; replica i is at 127.3.N.(i+1)
+
 	peers []string
 	extra []string // more arguments of listd serve
 	mu    sync.Mutex
@@ -42,11 +45,15 @@
 	exited chan struct{}
 }
 
-// Start runs n replicas of bin with their data under dir, on addresses 127.3.NET.i, each with extra arguments.
-func Start(bin, dir string, n int, net int, extra ...string) (*Cluster, error) {
-	c := &Cluster{Bin: bin, Links: map[[2]int]*faults.Link{}, procs: make([]*life, n), extra: extra}
+// Start runs n replicas of bin with their data under dir, on a network of its own, each with extra arguments.
+func Start(bin, dir string, n int, extra ...string) (*Cluster, error) {
+	network, err := ReserveNetwork()
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Bin: bin, Network: network, Links: map[[2]int]*faults.Link{}, procs: make([]*life, n), extra: extra}
 	for i := range n {
-		ip := fmt.Sprintf("127.3.%d.%d", net%250+1, i+1)
+		ip := fmt.Sprintf("127.3.%d.%d", network.Number, i+1)
 		c.HTTP = append(c.HTTP, ip+":8000")
 		c.Raft = append(c.Raft, ip+":7000")
 		c.peers = append(c.peers, fmt.Sprintf("r%d=%s:7000=%s:8000", i, ip, ip))
@@ -165,6 +172,7 @@
 	for _, l := range c.Links {
 		l.Close()
 	}
+	c.Network.Close()
 }
 
 // Cut sets a fault on every raft link to and from replica i.
--- a/internal/lab/simulated/experiment.go
+++ b/internal/lab/simulated/experiment.go
@@ -57,8 +57,7 @@
 	if err := os.WriteFile(file, fmt.Appendf(nil, "slots = %d\n[cold]\ntime_ms = 1000\n", p.Nodes), 0o644); err != nil {
 		return nil, err
 	}
-	net := int(time.Now().Unix()) % 250
-	c, err := listdlab.Start(bin, dir, 3, net, "--fleet", file)
+	c, err := listdlab.Start(bin, dir, 3, "--fleet", file)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +73,7 @@
 		if err := os.MkdirAll(d, 0o755); err != nil {
 			return nil, err
 		}
-		n, err := Start(c, d, net, i)
+		n, err := Start(c, d, i)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/scale/calibrate/calibrate.go
+++ b/internal/scale/calibrate/calibrate.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -106,8 +105,7 @@
 	if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", plan.Nodes), 0o644); err != nil {
 		return Figures{}, err
 	}
-	network := rand.IntN(200)
-	cluster, err := listdlab.Start(bin.Listd, dir, replicas, network, "--fleet", settings)
+	cluster, err := listdlab.Start(bin.Listd, dir, replicas, "--fleet", settings)
 	if err != nil {
 		return Figures{}, err
 	}
@@ -126,7 +124,7 @@
 		return Figures{}, err
 	}
 	if kind == Real {
-		r.nodes, err = startReal(ctx, r, bin, dir, network)
+		r.nodes, err = startReal(ctx, r, bin, dir, cluster.Network.Number)
 	} else {
 		r.nodes, err = startHollow(ctx, r, bin, dir)
 	}
--- a/internal/scale/hollow/hollow_test.go
+++ b/internal/scale/hollow/hollow_test.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,11 +43,6 @@
 	os.Exit(m.Run())
 }
 
-// runs counts the runs of this test process, which are side by side: each has addresses runNets further on.
-var runs atomic.Int32
-
-const runNets = 61
-
 // run is three replicas with a hollow process beside them.
 type run struct {
 	t       *testing.T
@@ -68,7 +62,7 @@
 	if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", nodes), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	cluster, err := listdlab.Start(filepath.Join(dir, "listd"), dir, 3, os.Getpid()+int(runs.Add(1))*runNets, "--fleet", settings)
+	cluster, err := listdlab.Start(filepath.Join(dir, "listd"), dir, 3, "--fleet", settings)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scale/replicas.go
+++ b/internal/scale/replicas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -54,11 +53,7 @@
 		if err := os.WriteFile(settings, fmt.Appendf(nil, "slots = %d\n", slots), 0o644); err != nil {
 			return nil, err
 		}
-		network, err := freeNetwork(replicas)
-		if err != nil {
-			return nil, err
-		}
-		cluster, err := listdlab.Start(binary, dir, replicas, network, "--fleet", settings)
+		cluster, err := listdlab.Start(binary, dir, replicas, "--fleet", settings)
 		if err != nil {
 			return nil, err
 		}
@@ -70,35 +65,6 @@
 	}
 }
 
-// listdNetworks is how many networks listdlab's addresses are spread over.
-const listdNetworks = 250
-
-// freeNetwork finds a network on which nobody listens at the replicas' addresses.
-func freeNetwork(replicas int) (int, error) {
-	first := os.Getpid()
-	for i := range listdNetworks {
-		network := first + i
-		if networkFree(network, replicas) {
-			return network, nil
-		}
-	}
-	return 0, fmt.Errorf("no network of 127.3.0.0/16 is free for %d replicas", replicas)
-}
-
-// networkFree says whether all addresses of replicas on a network can be listened on.
-func networkFree(network, replicas int) bool {
-	for i := range replicas {
-		for _, port := range []int{7000, 8000} {
-			ln, err := net.Listen("tcp", fmt.Sprintf("127.3.%d.%d:%d", network%listdNetworks+1, i+1, port))
-			if err != nil {
-				return false
-			}
-			ln.Close()
-		}
-	}
-	return true
-}
-
 // listdPlane is a control plane of listd processes.
 type listdPlane struct {
 	cluster  *listdlab.Cluster
