--- /dev/null
+++ b/decide/bench_test.go
@@ -0,0 +1,80 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The sizes are steps towards the plan of docs/CAPACITY.md, 26,000 app servers and 170,000 tenants. Those of tenants end
+// where a module takes seconds to load them all.
+var (
+	benchServers = []int{1000, 5000, 13_000, 26_000}
+	benchTenants = []int{500, 1000, 2000, 4000}
+)
+
+// BenchmarkCapacityListOneChange is the module's update for one changed server, after a request rate of 77 a second.
+func BenchmarkCapacityListOneChange(b *testing.B) {
+	for _, n := range benchServers {
+		m := New(sparseSettings(2200), 1)
+		m.Handle(time.Hour, sparseList(n))
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			now := Time(time.Hour)
+			for b.Loop() {
+				now += time.Millisecond
+				m.Handle(now, ListUpdate{Kind: ListChanges, Entries: []Server{{ID: ServerID(n / 2), StartedAt: now}}})
+			}
+		})
+	}
+}
+
+// benchFleetModule holds n committed tenants of the fleet.
+func benchFleetModule(n int) *Module {
+	settings := sparseSettings(2200)
+	settings.Fleet = true
+	m := New(settings, 1)
+	m.Handle(time.Hour, sparseList(8))
+	for i := range n {
+		m.Handle(time.Hour, TenantTold{Name: fmt.Sprintf("tenant-%06d", i), UID: uint64(i + 1), Revision: uint64(i + 1),
+			Committed: &TenantRules{Generation: 1, Digest: "0123456789abcdef", Rate: 10, Burst: 20}})
+	}
+	m.Handle(time.Hour, FleetSynced{Revision: uint64(n)})
+	return m
+}
+
+// BenchmarkCapacityWindow is what a module with n tenants gives for each report.
+func BenchmarkCapacityWindow(b *testing.B) {
+	for _, n := range benchTenants {
+		m := benchFleetModule(n)
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			now := Time(time.Hour)
+			for b.Loop() {
+				now += time.Second
+				m.Window(now)
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityHolds is what a module with n tenants lists for each report.
+func BenchmarkCapacityHolds(b *testing.B) {
+	for _, n := range benchTenants {
+		m := benchFleetModule(n)
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				m.Holds()
+			}
+		})
+	}
+}
+
+// BenchmarkCapacityTenantsLoad is a new module that loads n tenants, one by one, as a node's start or a whole answer has it.
+func BenchmarkCapacityTenantsLoad(b *testing.B) {
+	for _, n := range benchTenants {
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				benchFleetModule(n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/bench_test.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+)
+
+// The sizes are steps towards the plan of docs/CAPACITY.md, 170,000 tenants. The last is all that one answer may hold:
+// fleet.DecodeIntent refuses more than 16,384 items.
+var benchSizes = []int{1000, 4000, 8000, 16_000}
+
+// benchIntent is a whole answer with n small tenants.
+func benchIntent(b *testing.B, n int) fleet.Intent {
+	intent := fleet.Intent{Revision: uint64(n), Full: true}
+	for i := range n {
+		spec := fleet.Spec{Name: fmt.Sprintf("tenant-%06d", i), Quota: fleet.Quota{Rate: 10, Burst: 20},
+			Routes: []fleet.Route{{Kind: fmt.Sprintf("svc-%03d", i%550), Weight: 1}}, Fallback: "refuse"}
+		body, err := json.Marshal(fleet.Tenant{UID: uint64(i + 1),
+			Committed: &fleet.Generation{Number: 1, Spec: spec, Digest: "0123456789abcdef"}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		intent.Items = append(intent.Items, fleet.Item{Key: "tenant/" + spec.Name, Rev: uint64(i + 1), Body: body})
+	}
+	return intent
+}
+
+func benchEach(b *testing.B, run func(b *testing.B, intent fleet.Intent, held *Copy)) {
+	for _, n := range benchSizes {
+		intent := benchIntent(b, n)
+		held := &Copy{}
+		if _, err := held.Take(intent); err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) { run(b, intent, held) })
+	}
+}
+
+// BenchmarkCapacityReadOneChange is the answer to a node that lacks the newest change.
+func BenchmarkCapacityReadOneChange(b *testing.B) {
+	benchEach(b, func(b *testing.B, _ fleet.Intent, held *Copy) {
+		for b.Loop() {
+			held.Read(held.Revision-1, nil)
+		}
+	})
+}
+
+// BenchmarkCapacityTakeOneChange brings one changed tenant in.
+func BenchmarkCapacityTakeOneChange(b *testing.B) {
+	benchEach(b, func(b *testing.B, intent fleet.Intent, _ *Copy) {
+		own := &Copy{} // the changes are of this run alone
+		if _, err := own.Take(intent); err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			changed := intent.Items[0]
+			changed.Rev = own.Revision + 1
+			if _, err := own.Take(fleet.Intent{Revision: changed.Rev, Items: []fleet.Item{changed}}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityTakeWhole brings a whole answer into an empty copy.
+func BenchmarkCapacityTakeWhole(b *testing.B) {
+	benchEach(b, func(b *testing.B, intent fleet.Intent, _ *Copy) {
+		for b.Loop() {
+			empty := &Copy{}
+			if _, err := empty.Take(intent); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityEncode is the copy as it lies on disk, whose size it reports. It is made at each change.
+func BenchmarkCapacityEncode(b *testing.B) {
+	benchEach(b, func(b *testing.B, _ fleet.Intent, held *Copy) {
+		size := 0
+		for b.Loop() {
+			raw, err := held.Encode("n1")
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(raw)
+		}
+		b.ReportMetric(float64(size), "copy-B")
+	})
+}
+
+// BenchmarkCapacityDecode reads a copy back, as each save does with the one before.
+func BenchmarkCapacityDecode(b *testing.B) {
+	benchEach(b, func(b *testing.B, _ fleet.Intent, held *Copy) {
+		raw, err := held.Encode("n1")
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			if _, err := Decode(raw, "n1"); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityHeap reports the live heap of a copy that was decoded from a replica's answer. Its time is that of making it.
+func BenchmarkCapacityHeap(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			raw, err := json.Marshal(benchIntent(b, n))
+			if err != nil {
+				b.Fatal(err)
+			}
+			live := 0.0
+			for b.Loop() {
+				before := liveHeap()
+				decoded, err := fleet.DecodeIntent(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				held := &Copy{}
+				if _, err := held.Take(decoded); err != nil {
+					b.Fatal(err)
+				}
+				live = liveHeap() - before
+				runtime.KeepAlive(held)
+			}
+			b.ReportMetric(live, "heap-B")
+			runtime.KeepAlive(raw)
+		})
+	}
+}
+
+// liveHeap is what the heap holds after a collection. Two make sure that what the first found dead is swept.
+func liveHeap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/internal/fleet/control/bench_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/session"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// The sizes are steps towards the plan of docs/CAPACITY.md, 170,000 tenants.
+var benchSizes = []int{1000, 5000, 10_000, 20_000}
+
+// benchSpec is a small tenant: one route, a quota.
+func benchSpec(i int) fleet.Spec {
+	return fleet.Spec{Name: fmt.Sprintf("tenant-%06d", i), Quota: fleet.Quota{Rate: 10, Burst: 20},
+		Routes: []fleet.Route{{Kind: fmt.Sprintf("svc-%03d", i%550), Weight: 1}}, Fallback: "refuse"}
+}
+
+// benchState holds n tenants, each committed and applied.
+func benchState(b *testing.B, n int) *State {
+	state, rev := New(), uint64(0)
+	next := func() uint64 { rev++; return rev }
+	apply := func(c tenants.Command) {
+		if _, err := state.Apply(Command{Tenants: &c}, next); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range n {
+		spec := benchSpec(i)
+		apply(tenants.Command{Op: tenants.Put, Name: spec.Name, Spec: &spec})
+		entry := state.Tenants.Tenants[spec.Name]
+		apply(tenants.Command{Op: tenants.Commit, Name: spec.Name, Generation: 1, UID: entry.UID, IfRev: entry.Rev})
+		apply(tenants.Command{Op: tenants.Applied, Name: spec.Name, Generation: 1, UID: entry.UID, IfRev: entry.Rev})
+	}
+	return state
+}
+
+func benchEach(b *testing.B, run func(b *testing.B, state *State)) {
+	for _, n := range benchSizes {
+		state := benchState(b, n)
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) { run(b, state) })
+	}
+}
+
+// benchReport acknowledges every tenant of state.
+func benchReport(state *State) fleet.Report {
+	report := fleet.Report{Member: fleet.Member{Node: "n1", Zone: "za", Incarnation: 1}, Seq: 1, Revision: state.Rev, Ready: true}
+	for name, entry := range state.Tenants.Tenants {
+		report.Tenants = append(report.Tenants, fleet.TenantAck{Name: name, UID: entry.UID, Committed: entry.Committed.Number,
+			Digest: entry.Committed.Digest, Rate: 1})
+	}
+	return report
+}
+
+// BenchmarkCapacityReadOneChange is the answer to a watch that lacks the newest change of the intent.
+func BenchmarkCapacityReadOneChange(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		for b.Loop() {
+			state.Read(state.Rev-1, "n1")
+		}
+	})
+}
+
+// BenchmarkCapacityReadWhole is a read of the whole intent.
+func BenchmarkCapacityReadWhole(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		for b.Loop() {
+			state.Read(0, "n1")
+		}
+	})
+}
+
+// BenchmarkCapacityGuard is the digest that a join names.
+func BenchmarkCapacityGuard(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		for b.Loop() {
+			state.Guard("n1")
+		}
+	})
+}
+
+// BenchmarkCapacityMayJoin is the check of a run that reports every tenant and is caught up.
+func BenchmarkCapacityMayJoin(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		report := benchReport(state)
+		for b.Loop() {
+			if !state.MayJoin(report) {
+				b.Fatal("not caught up")
+			}
+		}
+	})
+}
+
+// BenchmarkCapacitySnapshot is the fleet's snapshot, whose size it reports.
+func BenchmarkCapacitySnapshot(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		size := 0
+		for b.Loop() {
+			raw, err := state.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(raw)
+		}
+		b.ReportMetric(float64(size), "snapshot-B")
+	})
+}
+
+// benchJudge is a leader's judge of up to 2,200 nodes.
+func benchJudge(b *testing.B, state *State) *Judge {
+	set, err := ParseSettings("slots = 2200")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return Office(set, 0, state)
+}
+
+// BenchmarkCapacityJudgeStep is a step of the leader while no session is present and no tenant changes. The first step of a leader,
+// which looks at every item anew, is BenchmarkCapacityJudgeFirstStep.
+func BenchmarkCapacityJudgeStep(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		judge := benchJudge(b, state)
+		now := fleet.Time(0)
+		for range 3 {
+			now += 100 * time.Millisecond
+			judge.Step(now, state, nil)
+		}
+		for b.Loop() {
+			now += 100 * time.Millisecond
+			judge.Step(now, state, nil)
+		}
+	})
+}
+
+// BenchmarkCapacityJudgeFirstStep is the first step of a leader.
+func BenchmarkCapacityJudgeFirstStep(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		for b.Loop() {
+			benchJudge(b, state).Step(100*time.Millisecond, state, nil)
+		}
+	})
+}
+
+// BenchmarkCapacityJudgeReport is the leader's work on one report that acknowledges every tenant.
+func BenchmarkCapacityJudgeReport(b *testing.B) {
+	benchEach(b, func(b *testing.B, state *State) {
+		report := benchReport(state)
+		if _, err := state.Session.Apply(session.Command{Op: session.Join, Member: report.Member}); err != nil {
+			b.Fatal(err)
+		}
+		judge := benchJudge(b, state)
+		now := fleet.Time(0)
+		for b.Loop() {
+			now += time.Millisecond
+			report.Seq++
+			if _, err := judge.Report(now, now, state, report); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityHeap reports the live heap that a state with all its items takes. Its time is that of building it.
+func BenchmarkCapacityHeap(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			live := 0.0
+			for b.Loop() {
+				before := liveHeap()
+				state := benchState(b, n)
+				live = liveHeap() - before
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(live, "heap-B")
+		})
+	}
+}
+
+// liveHeap is what the heap holds after a collection. Two make sure that what the first found dead is swept.
+func liveHeap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/internal/fleet/tenants/bench_test.go
@@ -0,0 +1,77 @@
+package tenants
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"starlingvalve/internal/fleet"
+)
+
+// benchNodes is how many nodes divide the quotas of a growing number of tenants.
+const benchNodes = 100
+
+// benchDivision is a fleet of n committed tenants whose quotas are not yet divided, with a report of each node.
+func benchDivision(b *testing.B, n int) (*State, *Judge, []fleet.Member) {
+	state, rev := &State{}, uint64(0)
+	next := func() uint64 { rev++; return rev }
+	for i := range n {
+		name := fmt.Sprintf("tenant-%06d", i)
+		put := Command{Op: Put, Name: name, Spec: &fleet.Spec{Name: name, Quota: fleet.Quota{Rate: 100}}}
+		if _, err := state.Apply(put, 1, next); err != nil {
+			b.Fatal(err)
+		}
+		entry := state.Tenants[name]
+		for _, op := range []string{Commit, Applied} {
+			command := Command{Op: op, Name: name, Generation: 1, UID: entry.UID, IfRev: entry.Rev, Epoch: 1}
+			if _, err := state.Apply(command, 1, next); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	judge := NewJudge(Config{Slots: benchNodes, TTL: 6 * time.Second})
+	var present []fleet.Member
+	for i := range benchNodes {
+		member := fleet.Member{Node: fmt.Sprintf("n%04d", i), Incarnation: 1}
+		present = append(present, member)
+		report := fleet.Report{Member: member, Seq: 1, Revision: rev}
+		for name, entry := range state.Tenants {
+			report.Tenants = append(report.Tenants, fleet.TenantAck{Name: name, UID: entry.UID, Committed: 1,
+				Digest: entry.Committed.Digest, Offered: float64((i + len(name)) % 7)})
+		}
+		judge.Observe(0, fleet.NodeView{Member: member, Report: report})
+	}
+	return state, judge, present
+}
+
+// BenchmarkCapacityDivision is the first division of every quota among 100 nodes: decided by the judge and applied to the
+// state. It reports the size of the leases in a snapshot.
+func BenchmarkCapacityDivision(b *testing.B) {
+	for _, n := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("pairs=%d", benchNodes*n), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				state, judge, present := benchDivision(b, n)
+				rev := uint64(1_000_000)
+				b.StartTimer()
+				commands := judge.Step(time.Second, state, 1, present)
+				if len(commands) != 1 || commands[0].Op != Divide {
+					b.Fatalf("%d commands", len(commands))
+				}
+				if _, err := state.Apply(commands[0], 1, func() uint64 { rev++; return rev }); err != nil {
+					b.Fatal(err)
+				}
+				b.StopTimer()
+				raw, err := json.Marshal(state.Runs)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(size), "leases-B")
+		})
+	}
+}
