--- /dev/null
+++ b/cmd/fleetlab/capacity_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"starlingvalve/internal/lab/datapath"
+)
+
+// execute runs a command line in this process.
+func execute(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetArgs(args)
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+const (
+	planFile   = "../../docs/capacity/plan.toml"
+	slopesFile = "../../docs/capacity/slopes.json"
+	pageFile   = "../../docs/CAPACITY.md"
+)
+
+// The page is renewed to itself, printed tables are those of the page, and a bad file changes nothing.
+func TestCapacityCommand(t *testing.T) {
+	page, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := filepath.Join(t.TempDir(), "CAPACITY.md")
+	if err := os.WriteFile(copied, page, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := execute("capacity", "--plan", planFile, "--slopes", slopesFile, "--write", copied); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	if again, _ := os.ReadFile(copied); !bytes.Equal(again, page) {
+		t.Error("the committed page is not what fleetlab capacity writes")
+	}
+	out, err := execute("capacity", "--plan", planFile, "--slopes", slopesFile)
+	if err != nil || !strings.Contains(out, "## missing") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	for name, args := range map[string][]string{
+		"no plan":       {"capacity", "--plan", copied, "--slopes", slopesFile, "--write", copied},
+		"no slopes":     {"capacity", "--plan", planFile, "--slopes", planFile, "--write", copied},
+		"no file":       {"capacity", "--plan", copied + ".none", "--slopes", slopesFile, "--write", copied},
+		"other commit":  {"capacity", "--plan", planFile, "--slopes", slopesFile, "--commit", "none", "--write", copied},
+		"no benchmarks": {"capacity", "measure", copied, "--slopes", slopesFile, "--commit", "none"},
+		"no commit":     {"capacity", "measure", copied, "--slopes", slopesFile},
+	} {
+		if out, err := execute(args...); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v\n%s", name, err, out)
+		}
+	}
+	if again, _ := os.ReadFile(copied); !bytes.Equal(again, page) {
+		t.Error("a bad file changed the page")
+	}
+}
+
+// A short measurement of the data path serves through the node and ends with it; plans that can't be are refused in one line.
+func TestDatapathCommand(t *testing.T) {
+	lab, node := build(t)
+	out := t.TempDir()
+	raw, err := exec.Command(lab, "datapath", "--node-binary", node, "--out", out, "--servers", "20", "--requests", "40", "--changes", "5",
+		"--warm", "500ms", "--for", "2s").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, raw)
+	}
+	var result datapath.Result
+	if err := json.Unmarshal(raw, &result); err != nil {
+		t.Fatalf("%v\n%s", err, raw)
+	}
+	if result.Direct.Count == 0 || result.Node.Count == 0 || result.Changes == 0 || result.CPU == 0 {
+		t.Errorf("%+v", result)
+	}
+	for _, args := range [][]string{{"--servers", "0"}, {"--requests", "-1"}, {"--requests", "1e6"}, {"--changes", "NaN"}, {"--for", "0s"}, {"--latency", "1h"}} {
+		raw, err := exec.Command(lab, append([]string{"datapath", "--node-binary", node, "--out", out}, args...)...).CombinedOutput()
+		if err == nil || strings.Count(strings.TrimSpace(string(raw)), "\n") != 0 {
+			t.Errorf("%v: %v\n%s", args, err, raw)
+		}
+	}
+}
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -5,6 +5,8 @@
 //	fleetlab run NAME|FILE.toml   one run; its directory holds node logs, records.json, report.json and plots
 //	fleetlab report RUN_DIR       the report again from a run's records
 //	fleetlab simulate             the fleet's pure cores with many nodes on seeded faults, in one process
+//	fleetlab capacity             the tables of docs/CAPACITY.md from measured slopes
+//	fleetlab datapath             what a real node adds to a request, against the direct call
 package main
 
 import (
@@ -37,7 +39,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), capacityCmd(), datapathCmd())
 	return cmd
 }
 
--- a/decide/bench_test.go
+++ b/decide/bench_test.go
@@ -28,6 +28,22 @@
 	}
 }
 
+// BenchmarkCapacityTick is the module's round of checks, which its timer asks for each 25 ms, while no request is open. Every
+// twentieth takes in what was learned.
+func BenchmarkCapacityTick(b *testing.B) {
+	for _, n := range benchServers {
+		m := New(sparseSettings(2200), 1)
+		m.Handle(time.Hour, sparseList(n))
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			now := Time(time.Hour)
+			for b.Loop() {
+				now += tickEvery
+				m.Handle(now, TimerFired{})
+			}
+		})
+	}
+}
+
 // benchFleetModule holds n committed tenants of the fleet.
 func benchFleetModule(n int) *Module {
 	settings := sparseSettings(2200)
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+)
+
+const (
+	planPath   = "../../docs/capacity/plan.toml"
+	slopesPath = "../../docs/capacity/slopes.json"
+	pagePath   = "../../docs/CAPACITY.md"
+)
+
+func readFile(t *testing.T, path string) []byte {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+func committed(t *testing.T) (Plan, Slopes) {
+	t.Helper()
+	plan, err := ParsePlan(string(readFile(t, planPath)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	slopes, err := ParseSlopes(readFile(t, slopesPath), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan, slopes
+}
+
+// The page's tables are what the committed plan and slopes give, so that page and figures can't part.
+func TestPageIsOfPlanAndSlopes(t *testing.T) {
+	plan, slopes := committed(t)
+	if err := Check(string(readFile(t, pagePath)), plan, slopes); err != nil {
+		t.Error(err)
+	}
+}
+
+// The check of the page fails on one digit that is altered in any table, on an altered slope and on an altered plan.
+func TestAlteredFigureIsFound(t *testing.T) {
+	plan, slopes := committed(t)
+	page := string(readFile(t, pagePath))
+	for _, table := range tables(plan, slopes) {
+		begin, _ := marker(table.name)
+		at := strings.Index(page, begin) + len(begin)
+		digit := strings.IndexAny(page[at:], "123456789")
+		if digit < 0 {
+			t.Fatalf("%s: no digit", table.name)
+		}
+		at += digit
+		other := "1"
+		if page[at] == '1' {
+			other = "2"
+		}
+		if err := Check(page[:at]+other+page[at+1:], plan, slopes); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: an altered digit: %v", table.name, err)
+		}
+	}
+	altered := slopes.Merge(nil, slopes.Commit)
+	for i := range altered.Slopes {
+		if altered.Slopes[i].ID == ReportBytes {
+			altered.Slopes[i].Value *= 2
+		}
+	}
+	if err := Check(page, plan, altered); err == nil {
+		t.Error("a doubled slope is not found")
+	}
+	plan.Size.Nodes *= 2
+	if err := Check(page, plan, slopes); err == nil {
+		t.Error("a doubled plan is not found")
+	}
+}
+
+// A page without a marker, with one twice, in the wrong order or with one of no table is refused by name.
+func TestMarkersAreChecked(t *testing.T) {
+	plan, slopes := committed(t)
+	page := string(readFile(t, pagePath))
+	begin, end := marker("missing")
+	for name, bad := range map[string]string{
+		"none":        strings.Replace(page, begin, "", 1),
+		"twice":       page + begin + end,
+		"wrong order": strings.NewReplacer(begin, end, end, begin).Replace(page),
+		"no table":    page + "<!-- capacity:other -->",
+	} {
+		if _, err := Render(bad, plan, slopes); !errors.Is(err, ErrInvalid) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestBadPlan(t *testing.T) {
+	text := string(readFile(t, planPath))
+	for _, row := range []struct{ old, new, want string }{
+		{"nodes = 2200", "nodes = 0", "size.nodes"},
+		{"servers = 26000", "servers = -1", "size.servers"},
+		{"tenants = 170000", "tenants = 1e12", "size.tenants"},
+		{"tenants = 170000", "tenants = nan", "size.tenants"},
+		{"tenants = 170000", "tenant = 170000", "size.tenant: unknown key"},
+		{"lock_ms = 10", "", "allowed.lock_ms"},
+		{"nodes = 2200", "nodes = ", "plan:"},
+		{`name = "cores"`, `name = "kernels"`, `"cores" is missing`},
+		{`name = "cores"`, `name = "memory_gb"`, `"memory_gb" is named twice`},
+		{"high = 32", "high = 7", `"cores"`},
+		{"low = 4", "low = -4", `"cores"`},
+		{"high = 32", "high = inf", `"cores"`},
+		{`reason = "of each of the 9 machines"`, `reason = ""`, "reason"},
+		{"[[open]]", "[[open]]\nname = \"more\"\nvalue = 1\nlow = 1\nhigh = 1\nreason = \"x\"\n[[open]]", `"more" is unknown`},
+	} {
+		_, err := ParsePlan(strings.Replace(text, row.old, row.new, 1))
+		if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), row.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", row.new, err, row.want)
+		}
+	}
+}
+
+func TestBadSlopes(t *testing.T) {
+	_, good := committed(t)
+	for name, row := range map[string]struct {
+		spoil func(s *Slopes)
+		want  string
+	}{
+		"format":       {func(s *Slopes) { s.Format = 2 }, "format: 2"},
+		"no commit":    {func(s *Slopes) { s.Commit = "" }, "commit"},
+		"other commit": {func(s *Slopes) { s.Commit = "fffffff" }, `commit: "fffffff"`},
+		"unknown":      {func(s *Slopes) { s.Slopes[0].ID = "no.such" }, "no.such: is unknown"},
+		"missing":      {func(s *Slopes) { s.Slopes = s.Slopes[1:] }, "is missing"},
+		"twice":        {func(s *Slopes) { s.Slopes[1] = s.Slopes[0] }, "is there twice"},
+		"negative":     {func(s *Slopes) { s.Slopes[0].Value = -1 }, "value: -1"},
+		"range":        {func(s *Slopes) { s.Slopes[0].Low = s.Slopes[0].Value * 2 }, "is not between"},
+		"unit":         {func(s *Slopes) { s.Slopes[0].Unit = Bytes }, "unit"},
+		"per":          {func(s *Slopes) { s.Slopes[0].Per = "cloud" }, "per"},
+		"role":         {func(s *Slopes) { s.Slopes[0].Role = RoleReader }, "role"},
+		"repeats":      {func(s *Slopes) { s.Slopes[0].Repeats = -1 }, "repeats"},
+		"no repeats":   {func(s *Slopes) { s.Slopes[0].Repeats = 0 }, "repeats"},
+		"no command":   {func(s *Slopes) { s.Slopes[0].Command = "" }, "command"},
+	} {
+		bad := good.Merge(nil, good.Commit)
+		row.spoil(&bad)
+		raw, err := json.Marshal(bad)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseSlopes(raw, good.Commit); !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), row.want) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", name, err, row.want)
+		}
+	}
+	for _, text := range []string{"", "[]", `{"format":1,"commit":"a","more":1}`} {
+		if _, err := ParseSlopes([]byte(text), ""); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// Encode gives what ParseSlopes reads back.
+func TestSlopesRoundTrip(t *testing.T) {
+	_, slopes := committed(t)
+	raw, err := slopes.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(raw) != string(readFile(t, slopesPath)) {
+		t.Error("the committed slopes are not as Encode writes them")
+	}
+}
+
+// The part of the plan that a check holds to is where its cost is what is allowed, and no check that holds has one.
+func TestPartIsWhereTheAllowedIsReached(t *testing.T) {
+	plan, slopes := committed(t)
+	broken := 0
+	for _, row := range Rows(plan, slopes) {
+		if row.Holds() {
+			if row.Part != 1 {
+				t.Errorf("%s holds, to %g", row.quantity, row.Part)
+			}
+			continue
+		}
+		broken++
+		scaled := plan.Scaled(row.Part)
+		if cost := row.cost(scaled, slopes); math.Abs(cost/row.Allowed-1) > 1e-6 {
+			t.Errorf("%s: at part %g it costs %g of %g", row.quantity, row.Part, cost, row.Allowed)
+		}
+	}
+	missing := MissingFirst(Rows(plan, slopes))
+	counted := 0
+	for i, m := range missing {
+		counted += 1 + m.Others
+		if i > 0 && m.First.Part < missing[i-1].First.Part {
+			t.Errorf("%s stands after %s", m.Mechanism, missing[i-1].Mechanism)
+		}
+		if m.Mechanism == None {
+			t.Errorf("%s does not hold, and no mechanism is named", m.First.quantity)
+		}
+	}
+	if counted != broken {
+		t.Errorf("%d costs do not hold, %d stand in the list", broken, counted)
+	}
+}
+
+// A cost that wants a slope which no run has given is not run: it neither holds nor breaks.
+func TestNotRun(t *testing.T) {
+	plan, slopes := committed(t)
+	emptied := slopes.Merge([]Slope{{ID: ReportBytes}}, slopes.Commit)
+	for _, row := range Rows(plan, emptied) {
+		if wants := slices.Contains(row.slopes, ReportBytes); row.NotRun != wants || wants && (row.Holds() || verdict(row, plan) != notRun) {
+			t.Errorf("%s: not run %v, wants %v", row.quantity, row.NotRun, wants)
+		}
+	}
+}
+
+// The decoders refuse one row more than the page says.
+func TestRowsLimitIsTheDecoders(t *testing.T) {
+	for _, n := range []int{rowsLimit, rowsLimit + 1} {
+		intent := fleet.Intent{Revision: 1, Full: true}
+		for i := range n {
+			intent.Items = append(intent.Items, fleet.Item{Key: "other/" + plain(float64(i)), Rev: 1, Body: json.RawMessage(`{}`)})
+		}
+		raw, err := json.Marshal(intent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fleet.DecodeIntent(raw); (err == nil) != (n <= rowsLimit) {
+			t.Errorf("%d items: %v", n, err)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for _, row := range []struct {
+		value float64
+		unit  string
+		want  string
+	}{{0, "B", "0 B"}, {1.234, "s", "1.2 s"}, {123.4, "ms", "123 ms"}, {20_740_000, "B/s", "21 MB/s"}, {0.0123, "s", "12 ms"},
+		{26_000, "servers", "26,000 servers"}, {7000, "B/s", "7,000 B/s"}, {28_000, "ms", "28 s"}, {4321, "ns", "4.3 µs"}, {9999, "B", "10,000 B"}} {
+		if got := number(row.value, row.unit); got != row.want {
+			t.Errorf("%g %s: %q, want %q", row.value, row.unit, got, row.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/catalog.go
@@ -0,0 +1,191 @@
+package capacity
+
+import "slices"
+
+// Role is a part of the system that the page reckons for.
+type Role string
+
+// The roles.
+const (
+	RoleNode       Role = "node"
+	RoleAgent      Role = "agent"
+	RoleLeader     Role = "leader"
+	RoleFollower   Role = "follower"
+	RoleReader     Role = "non-voting reader"
+	RoleRegistrant Role = "registrant"
+	RoleOperator   Role = "operators' API"
+)
+
+// Unit is what a slope is measured in.
+type Unit string
+
+// The units.
+const (
+	Nanoseconds Unit = "ns"
+	Bytes       Unit = "B"
+	BytesPerS   Unit = "B/s"
+	CorePercent Unit = "% of a core"
+	PerSecond   Unit = "1/s"
+	Seconds     Unit = "s"
+)
+
+// The slopes. Those of benchmarks are named by the catalog's rows; the others come from pages or sweeps of whole processes.
+const (
+	ListReadChange   ID = "list.read.change"
+	ListReadWhole    ID = "list.read.whole"
+	ListEncode       ID = "list.encode"
+	ListBytes        ID = "list.bytes"
+	ListSweep        ID = "list.sweep"
+	ListNextExpiry   ID = "list.next_expiry"
+	ListSnapshot     ID = "list.snapshot"
+	ListSnapshotSize ID = "list.snapshot.bytes"
+
+	ReportBytes  ID = "report.bytes"
+	ReportEncode ID = "report.encode"
+	ReportDecode ID = "report.decode"
+
+	IntentReadChange  ID = "intent.read.change"
+	IntentReadWhole   ID = "intent.read.whole"
+	Guard             ID = "fleet.guard"
+	MayJoin           ID = "fleet.may_join"
+	FleetSnapshot     ID = "fleet.snapshot"
+	FleetSnapshotSize ID = "fleet.snapshot.bytes"
+	Step              ID = "judge.step"
+	FirstStep         ID = "judge.first_step"
+	JudgeReport       ID = "judge.report"
+	FleetHeap         ID = "fleet.heap"
+	Division          ID = "division"
+	DivisionBytes     ID = "division.bytes"
+
+	CopyReadChange ID = "copy.read.change"
+	CopyTakeChange ID = "copy.take.change"
+	CopyTakeWhole  ID = "copy.take.whole"
+	CopyEncode     ID = "copy.encode"
+	CopyBytes      ID = "copy.bytes"
+	CopyDecode     ID = "copy.decode"
+	CopyHeap       ID = "copy.heap"
+
+	ModuleList   ID = "module.list.change"
+	ModuleTick   ID = "module.tick"
+	ModuleWindow ID = "module.window"
+	ModuleHolds  ID = "module.holds"
+	ModuleLoad   ID = "module.tenants.load"
+
+	AgentBytes    ID = "agent.bytes"
+	AgentCPU      ID = "agent.cpu"
+	LeaderBytes   ID = "leader.bytes"
+	LeaderCPU     ID = "leader.cpu"
+	WatcherMemory ID = "follower.watcher.memory"
+	Commits       ID = "leader.commits"
+	Failover      ID = "leader.failover"
+	Rollout       ID = "leader.rollout"
+
+	AgentRSSTenant   ID = "agent.rss.tenant"
+	AgentCPUTenant   ID = "agent.cpu.tenant"
+	AgentBytesTenant ID = "agent.bytes.tenant"
+	LeaderRSSTenant  ID = "leader.rss.tenant"
+	LeaderCPUNode    ID = "leader.cpu.node"
+	LeaderBytesNode  ID = "leader.bytes.node"
+	RegistrantBytes  ID = "registrant.bytes"
+)
+
+// benchmark is where a slope's figure stands in the output of go test -bench.
+type benchmark struct {
+	pkg, name, metric string // below the module; after "Capacity"; as benchfmt has it
+}
+
+// definition is what is known of a slope before it is measured. One without a benchmark is taken from a page or a sweep.
+type definition struct {
+	id        ID
+	role      Role
+	quantity  string
+	per       string // the size's name in the benchmark
+	unit      Unit
+	benchmark benchmark
+}
+
+func timed(id ID, role Role, quantity, per, pkg, name string) definition {
+	return definition{id, role, quantity, per, Nanoseconds, benchmark{pkg, name, "sec/op"}}
+}
+
+func sized(id ID, role Role, quantity, per, pkg, name, metric string) definition {
+	return definition{id, role, quantity, per, Bytes, benchmark{pkg, name, metric}}
+}
+
+func taken(id ID, role Role, quantity, per string, unit Unit) definition {
+	return definition{id: id, role: role, quantity: quantity, per: per, unit: unit}
+}
+
+const (
+	perServer = "servers"
+	perTenant = "tenants"
+	perPair   = "pairs"
+	perNode   = "node"
+)
+
+var catalog = []definition{
+	timed(ListReadChange, RoleLeader, "a watch's read of one change of the list", perServer, "internal/registry", "ReadOneChange"),
+	timed(ListReadWhole, RoleLeader, "a read of the whole list", perServer, "internal/registry", "ReadWhole"),
+	timed(ListEncode, RoleLeader, "the whole list as JSON", perServer, "internal/registry", "EncodeWhole"),
+	sized(ListBytes, RoleLeader, "body of the whole list", perServer, "internal/registry", "EncodeWhole", "body-B"),
+	timed(ListSweep, RoleLeader, "an expiry sweep that finds nothing", perServer, "internal/registry", "Sweep"),
+	timed(ListNextExpiry, RoleLeader, "the look for the next lease to lapse", perServer, "internal/registry", "NextExpiry"),
+	timed(ListSnapshot, RoleLeader, "snapshot of the list", perServer, "internal/registry", "Snapshot"),
+	sized(ListSnapshotSize, RoleLeader, "snapshot of the list", perServer, "internal/registry", "Snapshot", "snapshot-B"),
+
+	sized(ReportBytes, RoleAgent, "body of a report", perTenant, "internal/fleet", "ReportEncode", "body-B"),
+	timed(ReportEncode, RoleNode, "a report as JSON", perTenant, "internal/fleet", "ReportEncode"),
+	timed(ReportDecode, RoleLeader, "reading a report", perTenant, "internal/fleet", "ReportDecode"),
+
+	timed(IntentReadChange, RoleLeader, "a watch's read of one change of the intent", perTenant, "internal/fleet/control", "ReadOneChange"),
+	timed(IntentReadWhole, RoleLeader, "a read of the whole intent", perTenant, "internal/fleet/control", "ReadWhole"),
+	timed(Guard, RoleLeader, "Guard of a join", perTenant, "internal/fleet/control", "Guard"),
+	timed(MayJoin, RoleLeader, "MayJoin of a report", perTenant, "internal/fleet/control", "MayJoin"),
+	timed(FleetSnapshot, RoleLeader, "snapshot of the fleet", perTenant, "internal/fleet/control", "Snapshot"),
+	sized(FleetSnapshotSize, RoleLeader, "snapshot of the fleet", perTenant, "internal/fleet/control", "Snapshot", "snapshot-B"),
+	timed(Step, RoleLeader, "the leader's step, no session", perTenant, "internal/fleet/control", "JudgeStep"),
+	timed(FirstStep, RoleLeader, "the first step of a leader", perTenant, "internal/fleet/control", "JudgeFirstStep"),
+	timed(JudgeReport, RoleLeader, "judging a report", perTenant, "internal/fleet/control", "JudgeReport"),
+	sized(FleetHeap, RoleFollower, "heap of the fleet's state", perTenant, "internal/fleet/control", "Heap", "heap-B"),
+	timed(Division, RoleLeader, "a division of quotas", perPair, "internal/fleet/tenants", "Division"),
+	sized(DivisionBytes, RoleLeader, "leases in a snapshot", perPair, "internal/fleet/tenants", "Division", "leases-B"),
+
+	timed(CopyReadChange, RoleAgent, "the node's read of one change", perTenant, "internal/fleet/agent", "ReadOneChange"),
+	timed(CopyTakeChange, RoleAgent, "taking one change into the copy", perTenant, "internal/fleet/agent", "TakeOneChange"),
+	timed(CopyTakeWhole, RoleAgent, "taking a whole answer", perTenant, "internal/fleet/agent", "TakeWhole"),
+	timed(CopyEncode, RoleAgent, "the copy as it is written", perTenant, "internal/fleet/agent", "Encode"),
+	sized(CopyBytes, RoleAgent, "the copy on disk", perTenant, "internal/fleet/agent", "Encode", "copy-B"),
+	timed(CopyDecode, RoleAgent, "reading the copy back", perTenant, "internal/fleet/agent", "Decode"),
+	sized(CopyHeap, RoleAgent, "heap of the copy", perTenant, "internal/fleet/agent", "Heap", "heap-B"),
+
+	timed(ModuleList, RoleNode, "the module's update for one change of the list", perServer, "decide", "ListOneChange"),
+	timed(ModuleTick, RoleNode, "the module's round of checks, no request open", perServer, "decide", "Tick"),
+	timed(ModuleWindow, RoleNode, "Window, for each report", perTenant, "decide", "Window"),
+	timed(ModuleHolds, RoleNode, "Holds, for each report", perTenant, "decide", "Holds"),
+	timed(ModuleLoad, RoleNode, "a module's load of all tenants", perTenant, "decide", "TenantsLoad"),
+
+	taken(AgentBytes, RoleAgent, "all calls to the replicas, calm, one tenant", perNode, BytesPerS),
+	taken(AgentCPU, RoleAgent, "processor time, calm, one tenant", perNode, CorePercent),
+	taken(LeaderBytes, RoleLeader, "agents and raft, calm, one tenant", perNode, BytesPerS),
+	taken(LeaderCPU, RoleLeader, "processor time, calm, one tenant", perNode, CorePercent),
+	taken(WatcherMemory, RoleFollower, "resident memory of a watch", "watcher", Bytes),
+	taken(Commits, RoleLeader, "commands committed, three replicas", "cluster", PerSecond),
+	taken(Failover, RoleLeader, "a leader's kill to the next write", "kill", Seconds),
+	taken(Rollout, RoleLeader, "PUT to in force on 50 nodes, one tenant", "rollout", Seconds),
+
+	taken(AgentRSSTenant, RoleAgent, "resident memory of an agent's process", perTenant, Bytes),
+	taken(AgentCPUTenant, RoleAgent, "processor time of an agent's process", perTenant, CorePercent),
+	taken(AgentBytesTenant, RoleAgent, "all calls of an agent", perTenant, BytesPerS),
+	taken(LeaderRSSTenant, RoleLeader, "resident memory of the leader's process", perTenant, Bytes),
+	taken(LeaderCPUNode, RoleLeader, "processor time of the leader's process", perNode, CorePercent),
+	taken(LeaderBytesNode, RoleLeader, "all bytes of the leader", perNode, BytesPerS),
+	taken(RegistrantBytes, RoleRegistrant, "all calls of a registrant", "registrant", BytesPerS),
+}
+
+func define(id ID) (definition, bool) {
+	i := slices.IndexFunc(catalog, func(d definition) bool { return d.id == id })
+	if i < 0 {
+		return definition{}, false
+	}
+	return catalog[i], true
+}
--- /dev/null
+++ b/internal/capacity/failures.go
@@ -0,0 +1,106 @@
+package capacity
+
+import "fmt"
+
+const (
+	listKeeps = 1000.0 // revisions of the list that a watch may be behind (--keep-revisions)
+)
+
+// failure is one row of the page's table of failures.
+type failure struct {
+	event, often, lost, lasts string
+	nodes, servers            float64 // that fall
+	cut                       bool    // they go on and come back with what they hold
+}
+
+func failures(p Plan) []failure {
+	zoneNodes, zoneServers := p.Size.Nodes/p.Size.Zones, p.Size.Servers/p.Size.Zones
+	regionNodes, regionServers := p.Size.Nodes/p.Size.Regions, p.Size.Servers/p.Size.Regions
+	rack := p.Failures.RackMachines
+	return []failure{
+		{event: "a machine with a node", often: fmt.Sprintf("up to %s a day", plain(p.Failures.MachinesPerDay)), nodes: 1,
+			lost: "the requests open on it", lasts: "6 s until its session lapses; rollouts wait so long"},
+		{event: "a machine with an app server", often: fmt.Sprintf("up to %s a day", plain(p.Failures.MachinesPerDay)), servers: 1,
+			lost: "the attempts at it; nodes go elsewhere by themselves", lasts: "6 s until its lease lapses"},
+		{event: "a restart or replacement", often: fmt.Sprintf("%s a day", plain(p.Failures.RestartsPerDay)), nodes: 1, servers: 1,
+			lost: "nothing where it drains", lasts: "no rollout waits, but its leave and join change the epoch"},
+		{event: fmt.Sprintf("a rack of %s or a switch", plain(rack)), often: "1 a week", nodes: rack, servers: rack,
+			lost: "the requests open there", lasts: "6 s, all in one sweep"},
+		{event: "a zone", often: "1 or 2 a year", nodes: zoneNodes, servers: zoneServers,
+			lost: "the requests open there; its attempts until the directive", lasts: "the directive after 0.3 to 0.7 s (docs/fleet.md, 50 nodes)"},
+		{event: "a region cut off for an hour", often: "now and then", nodes: regionNodes, servers: regionServers, cut: true,
+			lost:  fmt.Sprintf("inside: %s changes missed, quotas at their floor, 0.2 of each", plain(p.Size.ChangesPerDay*p.Failures.RegionCutS/day)),
+			lasts: "the hour; its nodes serve what they hold"},
+	}
+}
+
+// commands is what raft's log takes: a lapse or leave and a join for each node, one sweep and a registration for each server.
+func (f failure) commands() float64 {
+	out := 2 * f.nodes
+	if f.servers > 0 {
+		out += 1 + f.servers
+	}
+	return out
+}
+
+// listBytes is what every node's watch of the list is sent for it, all together.
+func (f failure) listBytes(p Plan, s Slopes) float64 {
+	entries := listChanges * f.servers * s.Get(ListBytes).Value
+	if f.servers > listKeeps { // behind by more than is kept: whole, to those that come back
+		return p.Size.Nodes*entries + f.nodes*s.Get(ListBytes).At(p.Size.Servers)
+	}
+	if f.servers == 0 {
+		return 0
+	}
+	return p.Size.Nodes * (entries + listChanges*answerHeaderBytes)
+}
+
+// joinLockS is how long the joins hold the leader's lock.
+func (f failure) joinLockS(p Plan, s Slopes) float64 { return f.nodes * joinNanos(p, s) / nanosPerS }
+
+// start is one row of the page's table of starts.
+type start struct {
+	event   string
+	bytes   func(p Plan, s Slopes) float64 // of all nodes together
+	seconds func(p Plan, s Slopes) float64
+	limit   string // what sets the time
+	holds   string // what holds off the rush
+}
+
+func wholeBytes(p Plan, s Slopes) float64 {
+	return s.Get(CopyBytes).At(p.Size.Tenants) + s.Get(ListBytes).At(p.Size.Servers)
+}
+
+func scopedBytes(p Plan, s Slopes) float64 {
+	return s.Get(CopyBytes).At(scopeTenants(p)) + s.Get(ListBytes).At(p.Size.Servers)
+}
+
+// readS is the time of one node's whole reads under a replica's lock.
+func readS(p Plan, s Slopes) float64 {
+	return (s.Get(IntentReadWhole).At(p.Size.Tenants) + s.Get(ListReadWhole).At(p.Size.Servers)) / nanosPerS
+}
+
+var starts = []start{
+	{event: "one node from nothing", limit: "7 KB/s",
+		bytes:   wholeBytes,
+		seconds: func(p Plan, s Slopes) float64 { return wholeBytes(p, s) / p.Allowed.NodeBytesPerS },
+		holds:   "its agent serves nothing before it has all; never, over 16,384 tenants"},
+	{event: "one node from nothing, in scope (missing)", limit: "7 KB/s",
+		bytes:   scopedBytes,
+		seconds: func(p Plan, s Slopes) float64 { return scopedBytes(p, s) / p.Allowed.NodeBytesPerS },
+		holds:   "stage 1; the list stays whole"},
+	{event: "all nodes from nothing, reads", limit: "three replicas' locks",
+		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * wholeBytes(p, s) },
+		seconds: func(p Plan, s Slopes) float64 { return p.Size.Nodes / replicasToday * readS(p, s) },
+		holds:   "agents go on after 50 ms doubling to 2 s, with jitter; nothing at the replicas"},
+	{event: "all nodes from nothing, the network", limit: "three replicas at 1 Gbit/s",
+		bytes: func(p Plan, s Slopes) float64 { return p.Size.Nodes * wholeBytes(p, s) },
+		seconds: func(p Plan, s Slopes) float64 {
+			return p.Size.Nodes * wholeBytes(p, s) / (replicasToday * linkBytesPerS)
+		},
+		holds: "as above"},
+	{event: "all replicas were down, joins of all nodes", limit: "the leader's lock",
+		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * s.Get(ReportBytes).At(p.Size.Tenants) },
+		seconds: func(p Plan, s Slopes) float64 { return p.Size.Nodes * joinNanos(p, s) / nanosPerS },
+		holds:   "durable copies: no whole read is needed; reports over 1 s old are let go; nothing at the leader"},
+}
--- /dev/null
+++ b/internal/capacity/leaderchecks.go
@@ -0,0 +1,142 @@
+package capacity
+
+import "starlingvalve/internal/fleet"
+
+const (
+	replicasToday      = 3.0    // voters that answer watches
+	leaseTTLS          = 6.0    // of an app server's lease and of a node's session
+	renewalsPerTTL     = 3.0    // a lease is renewed at a third of its length
+	memoryPart         = 0.5    // of a machine, for one replica
+	viewBytes          = 200.0  // of the judge's memory of one tenant in one node's report
+	linkBytesPerS      = 125e6  // of a machine: 1 Gbit/s
+	listWithinS        = 6.0    // PROTOCOL: a change of the list counts as known 6 s later
+	firstSecond        = 1.0    // s in which a new leader judges nothing
+	trailingLogs       = 4096.0 // entries of raft's log that are kept behind a snapshot
+	replicaRestartS    = 10.0   // of one replica
+	renewalBytes       = 500.0  // a renewal's call and answer, headers among them
+	registrantAllowedB = 7000.0 // a registrant has no bound of its own: a node's
+	entryHeapBytes     = 400.0  // of an entry of the list in memory
+	watchesPerAgent    = 2.0    // of the list and of the intent
+)
+
+func pairs(p Plan) float64 { return p.Size.Nodes * p.Size.Tenants }
+
+func halfMemory(p Plan, _ Slopes) float64 { return memoryPart * p.Input(MemoryGB) }
+
+func lockMS(p Plan, _ Slopes) float64 { return p.Allowed.LockMS }
+
+func renewalsPerS(p Plan) float64 { return p.Size.Servers * renewalsPerTTL / leaseTTLS }
+
+func snapshotNanos(p Plan, s Slopes) float64 {
+	return s.Get(FleetSnapshot).At(p.Size.Tenants) + s.Get(ListSnapshot).At(p.Size.Servers)
+}
+
+func joinNanos(p Plan, s Slopes) float64 {
+	return 2*s.Get(Guard).At(p.Size.Tenants) + s.Get(MayJoin).At(p.Size.Tenants)
+}
+
+// intentFanOutS is the time in which one of today's replicas answers its share of the watches of one change.
+func intentFanOutS(p Plan, s Slopes) float64 {
+	return p.Size.Nodes / replicasToday * s.Get(IntentReadChange).At(p.Size.Tenants) / nanosPerS
+}
+
+func listFanOutS(p Plan, s Slopes) float64 {
+	return p.Size.Nodes / replicasToday * s.Get(ListReadChange).At(p.Size.Servers) / nanosPerS
+}
+
+var leaderChecks = []check{
+	{role: RoleLeader, quantity: "agents and raft, calm, one tenant", formula: "nodes × slope", slopes: []ID{LeaderBytes}, unit: "MB/s",
+		mechanism: None, reckoned: "1 Gbit/s a machine",
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(LeaderBytes).At(p.Size.Nodes) / bytesPerMB },
+		allowed: func(Plan, Slopes) float64 { return linkBytesPerS / bytesPerMB }},
+	{role: RoleLeader, quantity: "processor time, calm, one tenant", formula: "nodes × slope", slopes: []ID{LeaderCPU}, unit: "cores", mechanism: None,
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(LeaderCPU).At(p.Size.Nodes) / percent },
+		allowed: func(p Plan, _ Slopes) float64 { return p.Input(Cores) }},
+	{role: RoleLeader, quantity: "the step, each 100 ms, under the lock, without sessions", formula: "tenants × slope", slopes: []ID{Step},
+		unit: "ms", mechanism: WorkByChange,
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(Step).At(p.Size.Tenants) / nanosPerMS },
+		allowed: func(p Plan, _ Slopes) float64 { return p.Allowed.StepMS }},
+	{role: RoleLeader, quantity: "a new leader's first step, under the lock", formula: "tenants × slope", slopes: []ID{FirstStep}, unit: "s",
+		mechanism: WorkByChange, why: "a new leader's first second, in which it judges nothing",
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(FirstStep).At(p.Size.Tenants) / nanosPerS },
+		allowed: func(Plan, Slopes) float64 { return firstSecond }},
+	{role: RoleLeader, quantity: "a join, under the lock", formula: "tenants × (2 × guard + may join)", slopes: []ID{Guard, MayJoin}, unit: "ms",
+		mechanism: ScopedRollouts, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return joinNanos(p, s) / nanosPerMS }},
+	{role: RoleLeader, quantity: "a snapshot, under the lock", formula: "tenants × slope + servers × slope",
+		slopes: []ID{FleetSnapshot, ListSnapshot}, unit: "ms", mechanism: WorkByChange, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return snapshotNanos(p, s) / nanosPerMS }},
+	{role: RoleLeader, quantity: "a division of quotas, decided and applied", formula: "nodes × tenants × slope", slopes: []ID{Division},
+		unit: "ms", mechanism: LeasesByLoad,
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(Division).At(pairs(p)) / nanosPerMS },
+		allowed: func(p Plan, _ Slopes) float64 { return p.Allowed.StepMS }},
+	{role: RoleLeader, quantity: "leases in a snapshot", formula: "nodes × tenants × slope", slopes: []ID{DivisionBytes}, unit: "GB",
+		mechanism: LeasesByLoad, why: "half of a machine's memory", allowed: halfMemory,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(DivisionBytes).At(pairs(p)) / bytesPerGB }},
+	{role: RoleLeader, quantity: "the reports of all nodes, processor time", formula: "nodes × 1 a second × tenants × (decode + judge)",
+		slopes: []ID{ReportDecode, JudgeReport}, unit: "cores", mechanism: ReportsByChange,
+		cost: func(p Plan, s Slopes) float64 {
+			one := s.Get(ReportDecode).At(p.Size.Tenants) + s.Get(JudgeReport).At(p.Size.Tenants)
+			return p.Size.Nodes * reportsPerS * one / nanosPerS
+		},
+		allowed: func(p Plan, _ Slopes) float64 { return p.Input(Cores) }},
+	{role: RoleLeader, quantity: "the judge's memory of the reports", formula: "nodes × tenants × 200 B", unit: "GB",
+		mechanism: ReportsByChange, reckoned: "200 bytes a tenant of a report: the acknowledgement and its place in a map", allowed: halfMemory,
+		why:  "half of a machine's memory",
+		cost: func(p Plan, _ Slopes) float64 { return viewBytes * pairs(p) / bytesPerGB }},
+	{role: RoleLeader, quantity: "renewals, each a command of raft's log", formula: "servers × 3 ÷ 6 s", slopes: []ID{Commits}, unit: "1/s",
+		mechanism: RenewalsAside, why: "commits measured",
+		cost:    func(p Plan, _ Slopes) float64 { return renewalsPerS(p) },
+		allowed: func(_ Plan, s Slopes) float64 { return s.Get(Commits).Value }},
+	{role: RoleLeader, quantity: "the look for lapsed leases, each 100 ms, under the lock", formula: "servers × slope",
+		slopes: []ID{ListNextExpiry}, unit: "ms", mechanism: None, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(ListNextExpiry).At(p.Size.Servers) / nanosPerMS }},
+	{role: RoleLeader, quantity: "a sweep of lapsed leases, under the lock", formula: "servers × slope", slopes: []ID{ListSweep}, unit: "ms",
+		mechanism: None, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(ListSweep).At(p.Size.Servers) / nanosPerMS }},
+}
+
+var followerChecks = []check{
+	{role: RoleFollower, quantity: "watches of one change of a tenant, staged and committed, under the lock",
+		formula: "2 × nodes ÷ 3 replicas × tenants × slope", slopes: []ID{IntentReadChange}, unit: "s", mechanism: ScopedState,
+		cost:    func(p Plan, s Slopes) float64 { return itemsPerChange * intentFanOutS(p, s) },
+		allowed: func(p Plan, _ Slopes) float64 { return p.Allowed.InForceS }},
+	{role: RoleFollower, quantity: "watches of one change of the list, under the lock", formula: "nodes ÷ 3 replicas × servers × slope",
+		slopes: []ID{ListReadChange}, unit: "s", mechanism: ListByService, why: "PROTOCOL's bound",
+		cost: listFanOutS, allowed: func(Plan, Slopes) float64 { return listWithinS }},
+	{role: RoleFollower, quantity: "one whole read of the intent, under the lock", formula: "tenants × slope", slopes: []ID{IntentReadWhole},
+		unit: "ms", mechanism: ScopedState, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(IntentReadWhole).At(p.Size.Tenants) / nanosPerMS }},
+	{role: RoleFollower, quantity: "one whole read of the list, under the lock", formula: "servers × slope", slopes: []ID{ListReadWhole},
+		unit: "ms", mechanism: ListByService, allowed: lockMS,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(ListReadWhole).At(p.Size.Servers) / nanosPerMS }},
+	{role: RoleFollower, quantity: "state in memory, without leases", formula: "tenants × heap + servers × 400 B", slopes: []ID{FleetHeap}, unit: "GB",
+		mechanism: None, why: "half of a machine's memory", reckoned: "400 bytes an entry of the list", allowed: halfMemory,
+		cost: func(p Plan, s Slopes) float64 {
+			return (s.Get(FleetHeap).At(p.Size.Tenants) + entryHeapBytes*p.Size.Servers) / bytesPerGB
+		}},
+	{role: RoleFollower, quantity: "memory of the watches", formula: "2 × nodes ÷ 3 replicas × slope", slopes: []ID{WatcherMemory}, unit: "GB",
+		mechanism: None, why: "half of a machine's memory", allowed: halfMemory,
+		cost: func(p Plan, s Slopes) float64 {
+			return watchesPerAgent / replicasToday * s.Get(WatcherMemory).At(p.Size.Nodes) / bytesPerGB
+		}},
+	{role: RoleFollower, quantity: "log that a replica lacks after a restart of 10 s", formula: "renewals a second × 10 s", unit: "entries",
+		mechanism: RenewalsAside, why: "entries kept; beyond them a whole snapshot is sent", reckoned: "10 s for a restart",
+		cost:    func(p Plan, _ Slopes) float64 { return renewalsPerS(p) * replicaRestartS },
+		allowed: func(Plan, Slopes) float64 { return trailingLogs }},
+}
+
+var otherChecks = []check{
+	{role: RoleRegistrant, quantity: "renewals of one server", formula: "3 ÷ 6 s × 500 B", unit: "B/s", mechanism: None,
+		reckoned: "500 bytes a call and answer", why: "no bound is given: a node's",
+		cost:    func(Plan, Slopes) float64 { return renewalsPerTTL / leaseTTLS * renewalBytes },
+		allowed: func(Plan, Slopes) float64 { return registrantAllowedB }},
+	{role: RoleOperator, quantity: "one read of all tenants", formula: "tenants × slope of a snapshot", slopes: []ID{FleetSnapshotSize}, unit: "B",
+		mechanism: ScopedState, reckoned: "a tenant's answer taken as long as its part of a snapshot", why: "the limit of an intent",
+		cost:    func(p Plan, s Slopes) float64 { return s.Get(FleetSnapshotSize).At(p.Size.Tenants) },
+		allowed: func(Plan, Slopes) float64 { return fleet.IntentLimit }},
+	{role: RoleOperator, quantity: "changes of tenants, at the peak, as commands of raft's log", formula: "3 × changes a second × peak over mean",
+		slopes: []ID{Commits}, unit: "1/s", mechanism: None, why: "commits measured",
+		cost:    func(p Plan, _ Slopes) float64 { return 3 * changesPerS(p) * p.Input(PeakOverMean) },
+		allowed: func(_ Plan, s Slopes) float64 { return s.Get(Commits).Value }},
+}
--- /dev/null
+++ b/internal/capacity/open.go
@@ -0,0 +1,62 @@
+package capacity
+
+import "fmt"
+
+const routeBytes = 50.0 // of a route in an item, beside the one of the benchmarks' tenants
+
+// effect is what an open input decides, as a figure at one value of it.
+type effect struct {
+	name   OpenName
+	on     string // what the figure is
+	figure func(p Plan, s Slopes) string
+}
+
+func scopeReportBytes(p Plan, s Slopes) string {
+	return number(reportsPerS*s.Get(ReportBytes).At(scopeTenants(p)), "B/s")
+}
+
+var effects = []effect{
+	{TenantsPerService, "reports with every tenant of a node's scope, 1 a second", scopeReportBytes},
+	{ServicesPerNode, "reports with every tenant of a node's scope, 1 a second", scopeReportBytes},
+	{ActiveTenants, "reports with the active tenants alone, 1 a second", func(p Plan, s Slopes) string {
+		return number(reportsPerS*s.Get(ReportBytes).At(p.Input(ActiveTenants)), "B/s")
+	}},
+	{PeakOverMean, "the agent's copy at the peak, whole intent", func(p Plan, s Slopes) string {
+		work := copyS(p, s, everywhere(p)) - diskS
+		return number(percent*itemsPerChange*changesPerS(p)*p.Input(PeakOverMean)*work, "% of a core")
+	}},
+	{RoutesPerTenant, "tenants at which the whole intent is over 16 MiB", func(p Plan, s Slopes) string {
+		const benchmarkRoutes = 1
+		each := s.Get(CopyBytes).Value + (p.Input(RoutesPerTenant)-benchmarkRoutes)*routeBytes
+		return number(16*(1<<20)/each, "tenants")
+	}},
+	{RoundTripMS, "a change in scope to in force, at the mean", func(p Plan, s Slopes) string {
+		return number(inForceS(p, s, inScope(p), false), "s")
+	}},
+	{NodePart, "changes a day that miss the bound", func(p Plan, s Slopes) string {
+		return number(missedChanges(p, s), "changes")
+	}},
+	{Cores, "the leader's calm processor time, share of its machine", func(p Plan, s Slopes) string {
+		return number(s.Get(LeaderCPU).At(p.Size.Nodes)/p.Input(Cores), "%")
+	}},
+	{MemoryGB, "tenants with a lease at every node that fit in half of it", func(p Plan, s Slopes) string {
+		each := p.Size.Nodes * s.Get(DivisionBytes).Value
+		return number(memoryPart*p.Input(MemoryGB)*bytesPerGB/each, "tenants")
+	}},
+}
+
+// openTable gives what each open input decides at its value and at the ends of its range.
+func openTable(p Plan, s Slopes) table {
+	out := table{name: "open", head: []string{"input", "value (range)", "reason", "decides", "at low", "at the value", "at high"}}
+	for _, e := range effects {
+		for _, open := range p.Open {
+			if open.Name != e.name {
+				continue
+			}
+			at := func(value float64) string { return e.figure(p.With(e.name, value), s) }
+			out.add(string(open.Name), fmt.Sprintf("%s (%s to %s)", plain(open.Value), plain(open.Low), plain(open.High)), open.Reason, e.on,
+				at(open.Low), at(open.Value), at(open.High))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/capacity/render.go
@@ -0,0 +1,219 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// table is one table of the page, under the name that its markers have.
+type table struct {
+	name string
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// markdown is the table as the page has it.
+func (t table) markdown() string {
+	var b strings.Builder
+	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+	line(t.head)
+	line(slices.Repeat([]string{"---"}, len(t.head)))
+	for _, row := range t.rows {
+		line(row)
+	}
+	return b.String()
+}
+
+const digits = 2 // significant ones of a figure
+
+// plain writes a number as the plan has it.
+func plain(v float64) string {
+	text := strconv.FormatFloat(v, 'f', -1, 64)
+	whole, rest, _ := strings.Cut(text, ".")
+	if rest != "" {
+		return text
+	}
+	return thousands(whole)
+}
+
+func thousands(whole string) string {
+	for i := len(whole) - 3; i > 0; i -= 3 {
+		whole = whole[:i] + "," + whole[i:]
+	}
+	return whole
+}
+
+// figure writes a number with two significant digits, or three where it is over 100.
+func figure(v float64) string {
+	if v == 0 {
+		return "0"
+	}
+	precision := digits
+	if math.Abs(v) >= 100 {
+		precision = digits + 1
+	}
+	scale := math.Pow(10, float64(precision-1)-math.Floor(math.Log10(math.Abs(v))))
+	return plain(math.Round(v*scale) / scale)
+}
+
+// prefix is a larger form of a unit, from a value on.
+type prefix struct {
+	unit, larger string
+	from, scale  float64
+}
+
+var prefixes = []prefix{
+	{"ns", "ms", 1e6, 1e6}, {"ns", "µs", 1e3, 1e3},
+	{"B", "GB", 1e9, 1e9}, {"B", "MB", 1e6, 1e6}, {"B", "KB", 1e4, 1e3},
+	{"B/s", "MB/s", 1e6, 1e6}, {"B/s", "KB/s", 1e4, 1e3},
+	{"ms", "s", 1e4, 1e3}, {"s", "h", 7200, 3600},
+}
+
+// number writes a figure with its unit, in a larger one where that is easier to read.
+func number(v float64, unit string) string {
+	for _, p := range prefixes {
+		if p.unit == unit && math.Abs(v) >= p.from {
+			return figure(v/p.scale) + " " + p.larger
+		}
+	}
+	if unit == "s" && v > 0 && v < 0.1 {
+		return figure(v*msPerS) + " ms"
+	}
+	return strings.TrimSpace(figure(v) + " " + unit)
+}
+
+const notRun = "not run"
+
+func slopesTable(s Slopes) table {
+	out := table{name: "slopes", head: []string{"slope", "what", "value (range)", "per", "exponent", "repeats", "measured by"}}
+	for _, slope := range s.Slopes {
+		if !slope.Measured() {
+			out.add("`"+string(slope.ID)+"`", slope.Quantity, notRun, slope.Per, "", "", "")
+			continue
+		}
+		value := fmt.Sprintf("%s (%s to %s)", number(slope.Value, string(slope.Unit)), number(slope.Low, string(slope.Unit)),
+			number(slope.High, string(slope.Unit)))
+		by, fitted := "`"+slope.Command+"`", ""
+		if slope.Source != "" {
+			by += ", " + slope.Source
+		}
+		if slope.Exponent != 0 {
+			fitted = strconv.FormatFloat(slope.Exponent, 'f', 2, 64)
+		}
+		out.add("`"+string(slope.ID)+"`", slope.Quantity, value, slope.Per, fitted, strconv.Itoa(slope.Repeats), by)
+	}
+	return out
+}
+
+func verdict(r Row, p Plan) string {
+	if r.NotRun {
+		return notRun
+	}
+	if r.Holds() {
+		return "holds"
+	}
+	return fmt.Sprintf("**does not hold**: to %s of the plan (%s nodes, %s servers, %s tenants)", share(r.Part), figure(r.Part*p.Size.Nodes),
+		figure(r.Part*p.Size.Servers), figure(r.Part*p.Size.Tenants))
+}
+
+// share writes a part as a percentage.
+func share(part float64) string { return figure(percent*part) + " %" }
+
+func roleTable(role Role, rows []Row, p Plan) table {
+	out := table{name: "role " + string(role),
+		head: []string{"cost", "formula", "slopes", "at the planned size", "allowed", "share used", "verdict", "carried by"}}
+	for _, row := range rows {
+		if row.role != role {
+			continue
+		}
+		ids := make([]string, len(row.slopes))
+		for i, id := range row.slopes {
+			ids[i] = "`" + string(id) + "`"
+		}
+		result, allowed, used := number(row.Result, row.unit), number(row.Allowed, row.unit), share(row.Result/row.Allowed)
+		if row.NotRun {
+			result, used = notRun, ""
+		}
+		if row.reckoned != "" {
+			result += ", reckoned: " + row.reckoned
+		}
+		if row.why != "" {
+			allowed += ": " + row.why
+		}
+		out.add(row.quantity, row.formula, strings.Join(ids, ", "), result, allowed, used, verdict(row, p),
+			string(row.mechanism))
+	}
+	return out
+}
+
+func missingTable(rows []Row, p Plan) table {
+	out := table{name: "missing", head: []string{"", "mechanism", "breaks first", "at", "further costs that want it"}}
+	for i, m := range MissingFirst(rows) {
+		out.add(strconv.Itoa(i+1), string(m.Mechanism), fmt.Sprintf("%s: %s, allowed %s", m.First.quantity, number(m.First.Result, m.First.unit),
+			number(m.First.Allowed, m.First.unit)), fmt.Sprintf("%s of the plan: %s nodes, %s servers, %s tenants", share(m.First.Part),
+			figure(m.First.Part*p.Size.Nodes), figure(m.First.Part*p.Size.Servers), figure(m.First.Part*p.Size.Tenants)), strconv.Itoa(m.Others))
+	}
+	return out
+}
+
+func inForceTable(p Plan, s Slopes) table {
+	all, scoped := everywhere(p), inScope(p)
+	out := table{name: "in force", head: []string{"step", "every tenant on every node", "in a burst", fmt.Sprintf("in scope: %s tenants, %s nodes",
+		figure(scoped.tenants), figure(scoped.nodes)), "in a burst"}}
+	for _, st := range stages {
+		out.add(st.name, number(st.at(p, s, all, false), "s"), number(st.at(p, s, all, true), "s"), number(st.at(p, s, scoped, false), "s"),
+			number(st.at(p, s, scoped, true), "s"))
+	}
+	bound := func(r reach, burst bool) string {
+		sum := inForceS(p, s, r, burst)
+		if sum > p.Allowed.InForceS {
+			return "**" + number(sum, "s") + ": does not hold**"
+		}
+		return "**" + number(sum, "s") + ": holds**"
+	}
+	out.add(fmt.Sprintf("sum, %s s allowed", plain(p.Allowed.InForceS)), bound(all, false), bound(all, true), bound(scoped, false), bound(scoped, true))
+	return out
+}
+
+func missedTable(p Plan, s Slopes) table {
+	out := table{name: "missed", head: []string{"cause", "a day", "window of puts", "part that misses", "changes a day"}}
+	for _, m := range Misses(p, s) {
+		out.add(m.Cause, figure(m.PerDay), number(m.WindowS, "s"), share(m.Part), figure(m.Changes))
+	}
+	sum := missedChanges(p, s)
+	out.add("**all**", "", "", "", fmt.Sprintf("**%s of %s, %s**", figure(sum), plain(p.Size.ChangesPerDay), share(sum/p.Size.ChangesPerDay)))
+	return out
+}
+
+func failuresTable(p Plan, s Slopes) table {
+	out := table{name: "failures", head: []string{"event", "how often", "nodes, servers", "what is lost", "for how long", "commands of raft's log",
+		"list, to all nodes", "joins, the leader's lock"}}
+	for _, f := range failures(p) {
+		out.add(f.event, f.often, figure(f.nodes)+", "+figure(f.servers), f.lost, f.lasts, figure(f.commands()), number(f.listBytes(p, s), "B"),
+			number(f.joinLockS(p, s), "s"))
+	}
+	return out
+}
+
+func startsTable(p Plan, s Slopes) table {
+	out := table{name: "starts", head: []string{"event", "bytes", "seconds", "set by", "what holds off the rush"}}
+	for _, st := range starts {
+		out.add(st.event, number(st.bytes(p, s), "B"), number(st.seconds(p, s), "s"), st.limit, st.holds)
+	}
+	return out
+}
+
+// tables are all tables of the page.
+func tables(p Plan, s Slopes) []table {
+	rows := Rows(p, s)
+	out := []table{missingTable(rows, p)}
+	for _, role := range []Role{RoleNode, RoleAgent, RoleLeader, RoleFollower, RoleRegistrant, RoleOperator} {
+		out = append(out, roleTable(role, rows, p))
+	}
+	return append(out, inForceTable(p, s), missedTable(p, s), startsTable(p, s), failuresTable(p, s), openTable(p, s), slopesTable(s))
+}
--- /dev/null
+++ b/internal/capacity/slopes.go
@@ -0,0 +1,150 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"slices"
+)
+
+// Format is the format of a slopes file that this build reads and writes.
+const Format = 1
+
+// Slopes are the measured costs that the page reckons with.
+type Slopes struct {
+	Format int     `json:"format"`
+	Commit string  `json:"commit"` // of the code that was measured
+	Slopes []Slope `json:"slopes"`
+}
+
+// ID names one slope.
+type ID string
+
+// Slope is one cost: Value units of Quantity for each Per. Its range is over Repeats. A slope that no run has given yet has
+// no repeats and the value 0.
+type Slope struct {
+	ID       ID      `json:"id"`
+	Role     Role    `json:"role"`
+	Quantity string  `json:"quantity"`
+	Per      string  `json:"per"`
+	Value    float64 `json:"value"`
+	Unit     Unit    `json:"unit"`
+	Low      float64 `json:"low"`
+	High     float64 `json:"high"`
+	Repeats  int     `json:"repeats"`
+	Command  string  `json:"command"`  // that measured it
+	Exponent float64 `json:"exponent"` // of a power law through the sizes; 0: not fitted
+	// Largest is the largest size measured; 0: not a sweep. A cost whose exponent is superlinear is carried on from there by its
+	// power law, any other by Value alone.
+	Largest float64 `json:"largest,omitempty"`
+	// Source is the page that gives a slope which no benchmark does; its commit is the page's.
+	Source string `json:"source,omitempty"`
+}
+
+// superlinear is the exponent above which a cost is carried on by its power law.
+const superlinear = 1.1
+
+// Measured says whether a run has given the slope.
+func (s Slope) Measured() bool { return s.Repeats > 0 }
+
+// At is the cost at a size.
+func (s Slope) At(size float64) float64 {
+	if s.Exponent > superlinear && s.Largest > 0 && size > s.Largest {
+		return s.Value * s.Largest * math.Pow(size/s.Largest, s.Exponent)
+	}
+	return s.Value * size
+}
+
+// ParseSlopes reads a slopes file. commit, where it is not empty, is the only one that is taken. The error of a bad one is one
+// line that names the slope and the key.
+func ParseSlopes(raw []byte, commit string) (Slopes, error) {
+	out, err := ParsePartial(raw)
+	if err != nil {
+		return Slopes{}, err
+	}
+	if commit != "" && out.Commit != commit {
+		return Slopes{}, invalid("slopes: commit: %q, want %q", out.Commit, commit)
+	}
+	for _, definition := range catalog {
+		if out.Get(definition.id).ID == "" {
+			return Slopes{}, invalid("slopes: %s: is missing", definition.id)
+		}
+	}
+	return out, nil
+}
+
+// ParsePartial reads a slopes file that may lack slopes which this build knows, as one of an older build does. Encode writes
+// them as not run.
+func ParsePartial(raw []byte) (Slopes, error) {
+	var out Slopes
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&out); err != nil {
+		return Slopes{}, invalid("slopes: %w", err)
+	}
+	switch {
+	case out.Format != Format:
+		return Slopes{}, invalid("slopes: format: %d, this build reads %d", out.Format, Format)
+	case out.Commit == "":
+		return Slopes{}, invalid("slopes: commit: is missing")
+	}
+	seen := map[ID]bool{}
+	for _, slope := range out.Slopes {
+		if seen[slope.ID] {
+			return Slopes{}, invalid("slopes: %s: is there twice", slope.ID)
+		}
+		seen[slope.ID] = true
+		if err := slope.check(); err != nil {
+			return Slopes{}, err
+		}
+	}
+	return out, nil
+}
+
+func (s Slope) check() error {
+	definition, ok := define(s.ID)
+	if !ok {
+		return invalid("slopes: %s: is unknown", s.ID)
+	}
+	switch {
+	case s.Unit != definition.unit:
+		return invalid("slopes: %s: unit: %q, must be %q", s.ID, s.Unit, definition.unit)
+	case s.Per != definition.per:
+		return invalid("slopes: %s: per: %q, must be %q", s.ID, s.Per, definition.per)
+	case s.Role != definition.role:
+		return invalid("slopes: %s: role: %q, must be %q", s.ID, s.Role, definition.role)
+	case s.Repeats < 0:
+		return invalid("slopes: %s: repeats: %d, must not be negative", s.ID, s.Repeats)
+	case !(s.Value >= 0 && s.Value <= math.MaxFloat64):
+		return invalid("slopes: %s: value: %g, must not be negative", s.ID, s.Value)
+	case !(s.Low >= 0 && s.Low <= s.Value && s.Value <= s.High):
+		return invalid("slopes: %s: value: %g is not between low, %g, and high, %g", s.ID, s.Value, s.Low, s.High)
+	case s.Repeats == 0 && s.High != 0:
+		return invalid("slopes: %s: repeats: is 0, and there is a value", s.ID)
+	case s.Repeats > 0 && s.Command == "":
+		return invalid("slopes: %s: command: is missing", s.ID)
+	}
+	return nil
+}
+
+// Get is the slope of an id; the zero Slope where there is none.
+func (s Slopes) Get(id ID) Slope {
+	i := slices.IndexFunc(s.Slopes, func(slope Slope) bool { return slope.ID == id })
+	if i < 0 {
+		return Slope{}
+	}
+	return s.Slopes[i]
+}
+
+// Encode is a slopes file, in the catalog's order.
+func (s Slopes) Encode() ([]byte, error) {
+	out := Slopes{Format: Format, Commit: s.Commit}
+	for _, definition := range catalog {
+		slope := s.Get(definition.id)
+		slope.ID, slope.Role, slope.Quantity = definition.id, definition.role, definition.quantity
+		slope.Per, slope.Unit = definition.per, definition.unit
+		out.Slopes = append(out.Slopes, slope)
+	}
+	raw, err := json.MarshalIndent(out, "", "  ")
+	return append(raw, '\n'), err
+}
