--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -260,7 +260,8 @@
 		unit  string
 		want  string
 	}{{0, "B", "0 B"}, {1.234, "s", "1.2 s"}, {123.4, "ms", "123 ms"}, {20_740_000, "B/s", "21 MB/s"}, {0.0123, "s", "12 ms"},
-		{26_000, "servers", "26,000 servers"}, {7000, "B/s", "7,000 B/s"}, {28_000, "ms", "28 s"}, {4321, "ns", "4.3 µs"}, {9999, "B", "10,000 B"}} {
+		{26_000, "servers", "26,000 servers"}, {7000, "B/s", "7,000 B/s"}, {28_000, "ms", "28 s"}, {4321, "ns", "4.3 µs"}, {9999, "B", "10,000 B"},
+		{-366, "ms", "-366 ms"}, {-5000, "ms", "-5,000 ms"}} {
 		if got := number(row.value, row.unit); got != row.want {
 			t.Errorf("%g %s: %q, want %q", row.value, row.unit, got, row.want)
 		}
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -42,6 +42,9 @@
 }
 
 func thousands(whole string) string {
+	if below, negative := strings.CutPrefix(whole, "-"); negative {
+		return "-" + thousands(below)
+	}
 	for i := len(whole) - 3; i > 0; i -= 3 {
 		whole = whole[:i] + "," + whole[i:]
 	}
