Use ordinary terms in the capacity page and its arithmetic

Need: the withdrawn house terms are not to come back in new text.

Result: go test ./internal/capacity passes.

--- a/internal/capacity/check.go
+++ b/internal/capacity/check.go
@@ -10,17 +10,17 @@
 
 // The mechanisms that are missing, and none.
 const (
-	None            Mechanism = "as it is"
-	ScopedState     Mechanism = "scoped state: indexed store and scoped watches (stage 1)"
-	ReportsByChange Mechanism = "reports by difference (stage 2)"
-	ScopedRollouts  Mechanism = "rollouts counted in scope (stage 3)"
-	LeasesByLoad    Mechanism = "quota leases by load (stage 4)"
-	WorkByChange    Mechanism = "the leader's work by what changed, snapshots outside the lock (stage 5)"
-	RenewalsAside   Mechanism = "renewals beside raft's log"
-	ListByService   Mechanism = "a list by service"
+	None               Mechanism = "as it is"
+	ScopedState        Mechanism = "scoped state: indexed store and scoped watches (stage 1)"
+	ReportsByChange    Mechanism = "reports by difference (stage 2)"
+	ScopedRollouts     Mechanism = "rollouts counted in scope (stage 3)"
+	LeasesByLoad       Mechanism = "quota leases by load (stage 4)"
+	WorkByChange       Mechanism = "the leader's work by what changed, snapshots outside the lock (stage 5)"
+	RenewalsOutsideLog Mechanism = "renewals outside raft's log"
+	ListByService      Mechanism = "a list by service"
 )
 
-// check is one cost against what is allowed. Its formula is in words what cost computes.
+// check is one cost against what is allowed. Its formula says what cost computes.
 type check struct {
 	role      Role
 	quantity  string
--- a/internal/capacity/inforce.go
+++ b/internal/capacity/inforce.go
@@ -142,7 +142,7 @@
 func Misses(p Plan, s Slopes) []Miss {
 	window, nodePart := silentWindowS(p, s), p.Input(NodePart)
 	out := []Miss{
-		{Cause: "a node that fails without a word", PerDay: nodePart * p.Failures.MachinesPerDay, WindowS: window, Part: 1},
+		{Cause: "a node that fails silently", PerDay: nodePart * p.Failures.MachinesPerDay, WindowS: window, Part: 1},
 		{Cause: "a rack or switch", PerDay: p.Failures.RacksPerWeek / daysPerWeek, WindowS: window, Part: 1},
 		{Cause: "a zone", PerDay: p.Failures.ZonesPerYear / daysPerYear, WindowS: window, Part: 1},
 		{Cause: "a batch of a rolling restart, a tenth of the nodes in 30 s", WindowS: batchS, Part: releaseMiss(p),
--- a/internal/capacity/leaderchecks.go
+++ b/internal/capacity/leaderchecks.go
@@ -98,7 +98,7 @@
 		why:  "half of a machine's memory",
 		cost: func(p Plan, _ Slopes) float64 { return viewBytes * pairs(p) / bytesPerGB }},
 	{role: RoleLeader, quantity: "renewals, each a command of raft's log", formula: "servers × 3 ÷ 6 s", slopes: []ID{Commits}, unit: "1/s",
-		mechanism: RenewalsAside, why: "commits measured",
+		mechanism: RenewalsOutsideLog, why: "commits measured",
 		cost:    func(p Plan, _ Slopes) float64 { return renewalsPerS(p) },
 		allowed: func(_ Plan, s Slopes) float64 { return s.Get(Commits).Value }},
 	{role: RoleLeader, quantity: "the look for lapsed leases, each 100 ms, under the lock", formula: "servers × slope",
@@ -134,7 +134,7 @@
 			return watchesPerAgent / replicasToday * s.Get(WatcherMemory).At(p.Size.Nodes) / bytesPerGB
 		}},
 	{role: RoleFollower, quantity: "log that a replica lacks after a restart of 10 s", formula: "servers × 3 ÷ 6 s × 10 s", unit: "entries",
-		mechanism: RenewalsAside, why: "entries kept; beyond them a whole snapshot is sent", reckoned: "10 s for a restart",
+		mechanism: RenewalsOutsideLog, why: "entries kept; beyond them a whole snapshot is sent", reckoned: "10 s for a restart",
 		cost:    func(p Plan, _ Slopes) float64 { return renewalsPerS(p) * replicaRestartS },
 		allowed: func(Plan, Slopes) float64 { return trailingLogs }},
 }
--- a/internal/capacity/nodechecks.go
+++ b/internal/capacity/nodechecks.go
@@ -31,7 +31,7 @@
 	return tenants + s.Get(HoldsList).At(p.Size.Servers)
 }
 
-// tenantNanos and listNanos are a node's work on one report, in the loop and beside it.
+// tenantNanos and listNanos are a node's work on one report, in the loop and outside it.
 func tenantNanos(s Slopes, tenants float64) float64 {
 	return s.Get(ModuleWindow).At(tenants) + s.Get(ModuleHolds).At(tenants) + s.Get(FillTenants).At(tenants) + s.Get(ReportEncode).At(tenants)
 }
--- a/internal/capacity/open.go
+++ b/internal/capacity/open.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-const routeBytes = 50.0 // of a route in an item, beside the one of the benchmarks' tenants
+const routeBytes = 50.0 // of a route in an item, over the one of the benchmarks' tenants
 
 // effect is what an open input decides, as a figure at one value of it.
 type effect struct {
--- a/internal/lab/datapath/datapath.go
+++ b/internal/lab/datapath/datapath.go
@@ -33,7 +33,7 @@
 type Plan struct {
 	Binary       string        `json:"binary"`         // the node program
 	Dir          string        `json:"-"`              // of its log and configuration
-	Nodes        int           `json:"nodes"`          // that the node is told of: its subset and its part of quotas go by it
+	Nodes        int           `json:"nodes"`          // that the node is configured for: its subset and its part of quotas go by it
 	Servers      int           `json:"servers"`        // entries of the list
 	ChangesPerS  float64       `json:"changes_per_s"`  // of the list: an entry drains, and is ready again at the next change
 	RequestsPerS float64       `json:"requests_per_s"` // through the node; as many go directly
