--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -7,6 +7,8 @@
 //	fleetlab calibrate            hollow nodes of the scale tests against real ones
 //	fleetlab simulate             the fleet's pure cores with many nodes on seeded faults, in one process
 //	fleetlab scale NAME|FILE.toml how the control plane bears its size: a sweep over one dimension (docs/scale.md)
+//	fleetlab capacity             the tables of docs/CAPACITY.md from measured slopes
+//	fleetlab datapath             what a real node adds to a request, against the direct call
 package main
 
 import (
@@ -39,7 +41,8 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), scaleCmd(), hollowCmd(), calibrateCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), scaleCmd(), hollowCmd(), calibrateCmd(),
+		capacityCmd(), datapathCmd())
 	return cmd
 }
 
