Add differences between reports, and the whole report made again from them

A node's report costs some 122 bytes a tenant of its scope each second on the way to the leader, whether or not the tenant has traffic. Package reportdiff gives what changed since an acknowledged report: rows that differ, loads alone by row number, keys gone, and the xxhash64 of the whole. Apply refuses what does not give exactly that report. Sender and Bases are the two ends' soft state. It is pure; nothing uses it yet.

Loads are sent as they are: leaving out small moves would change what tenants' quotas are divided by, for little.

A base takes 104 bytes a tenant's row, and its texts.

--- a/internal/fleet/decode.go
+++ b/internal/fleet/decode.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -27,12 +28,19 @@
 	if err := decode(b, ReportLimit, &r); err != nil {
 		return Report{}, err
 	}
-	if err := r.check(); err != nil {
+	if err := r.Check(); err != nil {
 		return Report{}, err
 	}
 	return r, nil
 }
 
+// HasUnknown says whether a report has members that this build does not know: a newer node made it.
+func HasUnknown(report []byte) bool {
+	dec := json.NewDecoder(bytes.NewReader(report))
+	dec.DisallowUnknownFields()
+	return dec.Decode(&Report{}) != nil
+}
+
 // DecodeIntent reads an answer of GET /fleet/v1/intent, or an agent's durable copy. Bodies of zones, tenants and
 // shares are read through; items of other kinds are kept as they are (a newer control plane may have them).
 // The errors are DecodeReport's.
@@ -96,7 +104,8 @@
 	return nil
 }
 
-func (r *Report) check() error {
+// Check reads a report through, rows and all.
+func (r *Report) Check() error {
 	if err := first(name("node", r.Node), name("zone", r.Zone), number("window_ms", r.WindowMS, msMost),
 		text("root", r.Root, 16), text("list_root", r.ListRoot, 16), ValidScope(r.Services)); err != nil {
 		return err
@@ -118,9 +127,7 @@
 		seen["z"+z.Zone] = true
 	}
 	for i, t := range r.Tenants {
-		if err := first(name("name", t.Name), text("digest", t.Digest, 16), text("refused", t.Refused, textLimit),
-			number("open", t.Open, countMost), number("offered", t.Offered, rateMost),
-			number("admitted", t.Admitted, rateMost), number("rate", t.Rate, rateMost)); err != nil {
+		if err := t.Check(); err != nil {
 			return fmt.Errorf("tenants[%d]: %w", i, err)
 		}
 		if seen["t"+t.Name] {
@@ -140,6 +147,13 @@
 	return nil
 }
 
+// Check reads a tenant's row through.
+func (t *TenantAck) Check() error {
+	return first(name("name", t.Name), text("digest", t.Digest, 16), text("refused", t.Refused, textLimit),
+		number("open", t.Open, countMost), number("offered", t.Offered, rateMost),
+		number("admitted", t.Admitted, rateMost), number("rate", t.Rate, rateMost))
+}
+
 func (z *ZoneCount) check() error {
 	if err := first(name("zone", z.Zone), number("attempts", z.Attempts, countMost), number("lost", z.Lost, countMost),
 		number("servers", z.Servers, countMost), number("lost_servers", z.LostServers, countMost),
--- /dev/null
+++ b/internal/fleet/reportdiff/decode.go
@@ -0,0 +1,129 @@
+package reportdiff
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"unicode/utf8"
+
+	"starlingvalve/internal/fleet"
+)
+
+// Limits on what one difference may hold, and on the whole report that it gives.
+const (
+	rowLimit  = 16 << 10
+	nameLimit = 128
+)
+
+// Encode writes a difference as Decode reads it, bodies of facts as they are.
+func Encode(d Difference) ([]byte, error) {
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(d); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(out.Bytes(), []byte("\n")), nil
+}
+
+// Decode reads the body of POST /fleet/v1/report/difference by the rules of fleet.DecodeReport: what is malformed, too much
+// or impossible is fleet.ErrInvalid with the member's name. Whether it fits its base is Apply's to say.
+func Decode(b []byte) (Difference, error) {
+	if len(b) > fleet.ReportLimit {
+		return Difference{}, fmt.Errorf("%w: %d bytes, at most %d", fleet.ErrInvalid, len(b), fleet.ReportLimit)
+	}
+	if !utf8.Valid(b) {
+		return Difference{}, fmt.Errorf("%w: not UTF-8", fleet.ErrInvalid)
+	}
+	var d Difference
+	if err := json.Unmarshal(b, &d); err != nil {
+		return Difference{}, fmt.Errorf("%w: %w", fleet.ErrInvalid, err)
+	}
+	if err := d.check(); err != nil {
+		return Difference{}, err
+	}
+	for i := range d.Held {
+		d.Held[i].Body = compact(d.Held[i].Body)
+	}
+	return d, nil
+}
+
+func (d *Difference) check() error {
+	h := &d.Head
+	if len(h.Services)+len(h.Zones)+len(h.Tenants)+len(h.Held) > 0 {
+		return fmt.Errorf("%w: head: has services or rows", fleet.ErrInvalid)
+	}
+	if d.BaseSeq == 0 || d.BaseSeq >= h.Seq {
+		return fmt.Errorf("%w: base_seq: %d, the report's seq is %d", fleet.ErrInvalid, d.BaseSeq, h.Seq)
+	}
+	if len(d.Digest) != 16 {
+		return fmt.Errorf("%w: digest: %.40q", fleet.ErrInvalid, d.Digest)
+	}
+	part := d.Head // its rows are checked as a report's are
+	part.Zones, part.Tenants, part.Held = d.Zones, d.Tenants, d.Held
+	if err := part.Check(); err != nil {
+		return err
+	}
+	if err := d.checkLoads(); err != nil {
+		return err
+	}
+	for _, gone := range [][]string{d.ZonesGone, d.TenantsGone, d.HeldGone} {
+		if err := checkGone(gone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkLoads checks the loads by the rules of tenants' rows.
+func (d *Difference) checkLoads() error {
+	if len(d.Loads) > rowLimit {
+		return fmt.Errorf("%w: loads: %d, at most %d", fleet.ErrInvalid, len(d.Loads), rowLimit)
+	}
+	for i, load := range d.Loads {
+		if load.Row < 0 || load.Row >= rowLimit {
+			return fmt.Errorf("%w: loads[%d].i: %d", fleet.ErrInvalid, i, load.Row)
+		}
+		row := load.apply(fleet.TenantAck{Name: "load"})
+		if err := row.Check(); err != nil {
+			return fmt.Errorf("loads[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func checkGone(keys []string) error {
+	if len(keys) > rowLimit {
+		return fmt.Errorf("%w: gone: %d keys, at most %d", fleet.ErrInvalid, len(keys), rowLimit)
+	}
+	for _, key := range keys {
+		if key == "" || len(key) > nameLimit {
+			return fmt.Errorf("%w: gone: key %.40q", fleet.ErrInvalid, key)
+		}
+	}
+	return nil
+}
+
+// checkSize refuses a whole report that no body of fleet.ReportLimit bytes can hold: what a leader keeps of a node is
+// bounded by that.
+func checkSize(r *fleet.Report) error {
+	if len(r.Zones) > rowLimit || len(r.Tenants) > rowLimit || len(r.Held) > rowLimit {
+		return fmt.Errorf("%w: too many zones, tenants or facts", fleet.ErrInvalid)
+	}
+	size := 0
+	for i := range r.Zones {
+		size += len(r.Zones[i].Zone)
+	}
+	for i := range r.Tenants {
+		t := &r.Tenants[i]
+		size += len(t.Name) + len(t.Digest) + len(t.Refused)
+	}
+	for i := range r.Held {
+		h := &r.Held[i]
+		size += len(h.Key) + len(h.Digest) + len(h.By) + len(h.Body)
+	}
+	if size > fleet.ReportLimit {
+		return fmt.Errorf("%w: whole report: over %d bytes", fleet.ErrInvalid, fleet.ReportLimit)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/reportdiff/reportdiff_test.go
@@ -0,0 +1,363 @@
+package reportdiff
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"unsafe"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/drift"
+)
+
+// node makes the reports of a node with so many tenants, of which the first active ones have load.
+func node(tenants, active int, seq uint64) fleet.Report {
+	r := fleet.Report{Member: fleet.Member{Node: "ghala-17", Zone: "ghala", Incarnation: 1_764_652_571_000_000_000}, Seq: seq,
+		Revision: 4711, Ready: true, WindowMS: 1000 + int64(seq%7), List: 12, Root: "0123456789abcdef", ListRoot: "fedcba9876543210",
+		Held: []fleet.Held{{Key: fleet.KeySettings, Digest: "00000000000000aa", By: "the configuration file", SinceMS: 1_764_652_571_000}}}
+	for i := range tenants {
+		t := fleet.TenantAck{Name: fmt.Sprintf("tenant-%05d", i), UID: uint64(1000 + i), Committed: 3, Digest: fmt.Sprintf("%016x", i*7919), Rate: 0.2}
+		if i < active {
+			came := float64((seq*31+uint64(i)*17)%23 + 1)
+			t.Open, t.Offered, t.Admitted, t.Rate = int(seq%3), came/1.003, came/1.003, 5+came/7
+		}
+		r.Tenants = append(r.Tenants, t)
+	}
+	return Normalize(r)
+}
+
+func mustDiff(t testing.TB, base, next fleet.Report) Difference {
+	t.Helper()
+	d, err := Diff(base, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// send takes a difference over the wire.
+func send(t testing.TB, d Difference) Difference {
+	t.Helper()
+	raw, err := Encode(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(raw)
+	if err != nil {
+		t.Fatalf("%v: %.400s", err, raw)
+	}
+	return got
+}
+
+func same(a, b fleet.Report) string { return cmp.Diff(a, b, cmpopts.EquateEmpty()) }
+
+// Every member of a report, its rows' too, is in the digest: one that is forgotten here would be lost unseen.
+func TestDigestCoversEveryMember(t *testing.T) {
+	full := func() fleet.Report {
+		return fleet.Report{Services: []string{"a"}, Zones: []fleet.ZoneCount{{}}, Tenants: []fleet.TenantAck{{}}, Held: []fleet.Held{{}}}
+	}
+	want := Digest(full())
+	seen := 0
+	var walk func(path string, get func(*fleet.Report) reflect.Value)
+	walk = func(path string, get func(*fleet.Report) reflect.Value) {
+		r := full()
+		v := get(&r)
+		switch v.Kind() {
+		case reflect.Struct:
+			for i := range v.NumField() {
+				walk(path+"."+v.Type().Field(i).Name, func(r *fleet.Report) reflect.Value { return get(r).Field(i) })
+			}
+			return
+		case reflect.Slice:
+			if v.Type() != reflect.TypeFor[json.RawMessage]() {
+				walk(path+"[0]", func(r *fleet.Report) reflect.Value { return get(r).Index(0) })
+				return
+			}
+			v.SetBytes([]byte("1"))
+		case reflect.String:
+			v.SetString(v.String() + "x")
+		case reflect.Bool:
+			v.SetBool(true)
+		case reflect.Float64:
+			v.SetFloat(0.5)
+		case reflect.Int, reflect.Int64:
+			v.SetInt(1)
+		case reflect.Uint64:
+			v.SetUint(1)
+		default:
+			t.Fatalf("%s: %s", path, v.Kind())
+		}
+		seen++
+		if Digest(r) == want {
+			t.Errorf("%s is not in the digest", path)
+		}
+	}
+	walk("report", func(r *fleet.Report) reflect.Value { return reflect.ValueOf(r).Elem() })
+	if seen < 35 {
+		t.Errorf("%d members looked at", seen)
+	}
+}
+
+// Idle tenants cost nothing, a load costs its numbers, any other change its row.
+func TestOnlyWhatChangedIsSent(t *testing.T) {
+	base, next := node(300, 5, 1), node(300, 5, 2)
+	d := mustDiff(t, base, next)
+	if len(d.Tenants) != 0 || len(d.Loads) != 5 || len(d.TenantsGone) != 0 || len(d.Held) != 0 {
+		t.Errorf("%d rows, %d loads, %d gone, %d facts", len(d.Tenants), len(d.Loads), len(d.TenantsGone), len(d.Held))
+	}
+	next.Tenants = append(next.Tenants[:7:7], next.Tenants[8:]...)
+	next.Tenants[0].Staged = 4
+	next.Held = append(next.Held, fleet.Held{Key: "~3*", Digest: "00000000000000bb", Body: json.RawMessage(`{"a":"<&>"}`)})
+	d = send(t, mustDiff(t, base, next))
+	if len(d.Tenants) != 1 || len(d.Loads) != 4 || len(d.TenantsGone) != 1 || len(d.Held) != 1 {
+		t.Errorf("%d rows, %d loads, %d gone, %d facts", len(d.Tenants), len(d.Loads), len(d.TenantsGone), len(d.Held))
+	}
+	got, err := Apply(base, d)
+	if diff := same(next, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	if diff := same(base, node(300, 5, 1)); diff != "" {
+		t.Error("the base was changed:", diff)
+	}
+}
+
+// A difference that does not fit is refused with its reason and changes nothing: lost before it, repeated, reordered, cut short, of
+// another run, with a wrong digest, with rows that can't be.
+func TestDifferenceThatDoesNotFit(t *testing.T) {
+	first, second, third := node(5, 2, 1), node(6, 3, 2), node(4, 1, 3)
+	fromFirst, fromSecond := mustDiff(t, first, second), mustDiff(t, second, third)
+	with := func(d Difference, change func(*Difference)) Difference { change(&d); return d }
+	for _, row := range []struct {
+		name string
+		base fleet.Report
+		d    Difference
+		want error
+	}{
+		{"the one before was lost", first, fromSecond, ErrBase},
+		{"repeated", second, fromFirst, ErrBase},
+		{"reordered", third, fromFirst, ErrBase},
+		{"another run", with(Difference{Head: first}, func(d *Difference) { d.Head.Incarnation++ }).Head, fromFirst, ErrBase},
+		{"another node", with(Difference{Head: first}, func(d *Difference) { d.Head.Node = "m" }).Head, fromFirst, ErrBase},
+		{"cut short: a load", first, with(fromFirst, func(d *Difference) { d.Loads = d.Loads[:1] }), ErrDigest},
+		{"cut short: a row", first, with(fromFirst, func(d *Difference) { d.Tenants = nil }), ErrDigest},
+		{"rows gone are forgotten", second, with(fromSecond, func(d *Difference) { d.TenantsGone = nil }), ErrDigest},
+		{"wrong digest", first, with(fromFirst, func(d *Difference) { d.Digest = "0123456789abcdef" }), ErrDigest},
+		{"altered head", first, with(fromFirst, func(d *Difference) { d.Head.Revision++ }), ErrDigest},
+		{"a row gone that is not there", first, with(fromFirst, func(d *Difference) { d.TenantsGone = []string{"x"} }), ErrRows},
+		{"rows out of order", first, with(fromFirst, func(d *Difference) {
+			d.Tenants = []fleet.TenantAck{{Name: "z"}, {Name: "y"}}
+		}), ErrRows},
+		{"a load of no row", first, with(fromFirst, func(d *Difference) { d.Loads = []Load{{Row: 5}} }), ErrRows},
+		{"a load twice", first, with(fromFirst, func(d *Difference) { d.Loads = []Load{{Row: 1}, {Row: 1}} }), ErrRows},
+		{"rows below 0", first, with(fromFirst, func(d *Difference) { d.Loads = []Load{{Row: -1}} }), ErrRows},
+		{"more than a report can hold", first, with(fromFirst, func(d *Difference) {
+			d.Tenants = nil
+			for i := range 300 {
+				d.Tenants = append(d.Tenants, fleet.TenantAck{Name: fmt.Sprintf("z%03d", i), Refused: strings.Repeat("x", 1024)})
+			}
+		}), fleet.ErrInvalid},
+	} {
+		before := Digest(row.base)
+		got, err := Apply(row.base, row.d)
+		if !errors.Is(err, row.want) || got.Node != "" || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, %+v", row.name, err, got)
+		}
+		if Digest(row.base) != before {
+			t.Errorf("%s: the base was changed", row.name)
+		}
+	}
+	if _, err := Diff(first, with(Difference{Head: second}, func(d *Difference) { d.Head.Incarnation++ }).Head); err == nil {
+		t.Error("a difference between two runs")
+	}
+}
+
+// Bad bodies are refused in one line that names the member.
+func TestBadDifferences(t *testing.T) {
+	const head = `"head":{"node":"n","zone":"z","incarnation":7,"seq":3},"base_seq":2,"digest":"0123456789abcdef"`
+	if _, err := Decode([]byte("{" + head + "}")); err != nil {
+		t.Fatal(err)
+	}
+	for body, want := range map[string]string{
+		`{` + head:                                             "unexpected end",
+		`{` + head + `}{}`:                                     "after top-level",
+		`{` + head + `,"base_seq":3}`:                          "base_seq: 3",
+		`{` + head + `,"base_seq":0}`:                          "base_seq: 0",
+		`{` + head + `,"digest":"12"}`:                         "digest",
+		`{` + head + `,"head":{"node":""}}`:                    "node",
+		`{` + head + `,"tenants":[{"name":"a"},{"name":"a"}]}`: "a twice",
+		`{` + head + `,"tenants":[{"name":"a","rate":-1}]}`:    "tenants[0]: invalid: rate",
+		`{` + head + `,"loads":[{"i":1,"f":-1}]}`:              "loads[0]: invalid: offered",
+		`{` + head + `,"loads":[{"i":-1}]}`:                    "loads[0].i",
+		`{` + head + `,"loads":[{"i":16384}]}`:                 "loads[0].i",
+		`{` + head + `,"tenants_gone":[""]}`:                   "gone",
+		`{` + head + `,"zones":[{"zone":"z","lost":1}]}`:       "zones[0]: invalid: lost",
+		`{` + head + `,"held":[{"key":""}]}`:                   "held[0]",
+		`{` + head + `,"head":{"tenants":[{"name":"a"}]}}`:     "head: has services or rows",
+		`{` + head + `,"head":{"services":["a"]}}`:             "head: has services or rows",
+		strings.Repeat(" ", fleet.ReportLimit+1):               "bytes, at most",
+		"{\"digest\":\"\xff\"}":                                "UTF-8",
+	} {
+		_, err := Decode([]byte(body))
+		if !errors.Is(err, fleet.ErrInvalid) || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.120s: %v, want %s", body, err, want)
+		}
+	}
+}
+
+// A leader of the build before that were given a difference as a report would not take it for one.
+func TestDifferenceIsNoReport(t *testing.T) {
+	raw, err := Encode(mustDiff(t, node(5, 2, 1), node(5, 2, 2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fleet.DecodeReport(raw); !errors.Is(err, fleet.ErrInvalid) {
+		t.Errorf("taken as a report: %v", err)
+	}
+}
+
+// What a leader wants of a node's facts comes through differences as through whole reports, and goes again from them.
+func TestWantedFactsComeThroughDifferences(t *testing.T) {
+	facts := []fleet.Held{{Key: "settings", Digest: "00000000000000aa", Body: json.RawMessage(`{ "nodes": 3 }`)},
+		{Key: "tenant/a", Digest: "00000000000000ab", Body: json.RawMessage(`{"uid": 1}`)},
+		{Key: "tenant/b", Digest: "00000000000000ac", Body: json.RawMessage(`{"uid":2}`)}, {Key: "server/1", Digest: "00000000000000ad"}}
+	var sender Sender
+	var leader Bases
+	for seq, want := range [][]string{nil, {"~*"}, {"tenant/b", "=*"}, {"settings", "~*"}, nil} {
+		r := node(3, 1, uint64(seq+1))
+		drift.Fill(&r, facts, want)
+		raw, _ := json.Marshal(r)
+		whole, err := fleet.DecodeReport(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent, got, baseSeq := Normalize(whole), Normalize(whole), uint64(0)
+		if d, ok := sender.Difference(sent); ok {
+			d, baseSeq = send(t, d), d.BaseSeq
+			base, err := leader.Find(&d)
+			if err == nil {
+				got, err = Apply(base, d)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		} else if seq > 0 {
+			t.Fatal("sent whole")
+		}
+		if diff := same(Normalize(whole), got); diff != "" || len(want) > 0 && len(got.Held) < 2 {
+			t.Errorf("seq %d: %d facts: %s", seq, len(got.Held), diff)
+		}
+		sender.Acknowledged(sent, leader.Keep(got, baseSeq))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	base := node(4, 2, 1)
+	for _, next := range []fleet.Report{node(4, 2, 2), node(6, 3, 3), node(0, 0, 4)} {
+		d, _ := Diff(base, next)
+		raw, _ := Encode(d)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := Decode(b)
+		if err != nil {
+			if !errors.Is(err, fleet.ErrInvalid) {
+				t.Fatalf("%v is no ErrInvalid", err)
+			}
+			return
+		}
+		r, err := Apply(base, d)
+		if err != nil {
+			return
+		}
+		if Digest(r) != d.Digest || r.Check() != nil || r.Member != base.Member {
+			t.Fatalf("a report that is none: %+v", r)
+		}
+	})
+}
+
+func sizes(f func(tenants, active int)) {
+	for _, tenants := range []int{10, 100, 300, 1000} {
+		for _, active := range []int{0, 5, 50} {
+			if active <= tenants {
+				f(tenants, active)
+			}
+		}
+	}
+}
+
+// A difference's bytes follow the tenants with load, whatever the scope holds.
+func TestBytesOfReports(t *testing.T) {
+	least := map[int]int{}
+	sizes(func(tenants, active int) {
+		base, next := node(tenants, active, 12), node(tenants, active, 13)
+		whole, _ := json.Marshal(next)
+		raw, err := Encode(mustDiff(t, base, next))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%4d tenants, %2d with load: whole %6d, difference %4d bytes", tenants, active, len(whole), len(raw))
+		if least[active] == 0 {
+			least[active] = len(raw)
+		}
+		if len(raw) > least[active]+2*active { // the digits of the rows' numbers
+			t.Errorf("%d tenants, %d with load: %d bytes, %d in the smallest scope", tenants, active, len(raw), least[active])
+		}
+	})
+	t.Logf("a base: %d bytes a tenant's row, and its texts", unsafe.Sizeof(fleet.TenantAck{}))
+}
+
+func BenchmarkDiff(b *testing.B) {
+	sizes(func(tenants, active int) {
+		b.Run(fmt.Sprintf("tenants=%d/active=%d", tenants, active), func(b *testing.B) {
+			base, next := node(tenants, active, 12), node(tenants, active, 13)
+			b.ReportAllocs()
+			for b.Loop() {
+				d, _ := Diff(base, next)
+				Encode(d)
+			}
+		})
+	})
+}
+
+func BenchmarkApply(b *testing.B) {
+	sizes(func(tenants, active int) {
+		b.Run(fmt.Sprintf("tenants=%d/active=%d", tenants, active), func(b *testing.B) {
+			base, next := node(tenants, active, 12), node(tenants, active, 13)
+			raw, _ := Encode(mustDiff(b, base, next))
+			b.ReportAllocs()
+			for b.Loop() {
+				d, err := Decode(raw)
+				if err == nil {
+					_, err = Apply(base, d)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	})
+}
+
+// BenchmarkDecodeWhole is what a leader does with a whole report, for comparison.
+func BenchmarkDecodeWhole(b *testing.B) {
+	sizes(func(tenants, active int) {
+		if active > 0 {
+			return
+		}
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
+			raw, _ := json.Marshal(node(tenants, active, 13))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := fleet.DecodeReport(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	})
+}
