--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -205,7 +205,9 @@
 	Resend   []string `json:"resend,omitempty"` // keys that the agent is to send its node again
 	Want     []string `json:"want,omitempty"`   // what the next report's Held is to carry (drift.Fill), sent at once
 	Restart  bool     `json:"restart,omitempty"`
-	Out      bool     `json:"out,omitempty"` // the node is to say no at /health/ready
+	Out      bool     `json:"out,omitempty"`     // the node is to say no at /health/ready
+	AckSeq   uint64   `json:"ack_seq,omitempty"` // the report's seq, where the leader takes differences to it; to agents alone
+	Whole    bool     `json:"whole,omitempty"`   // the difference was not taken: the report is to be sent whole; nothing else is said then
 }
 
 // NodeView is what the leader's cores know of a present node: its session and its last report.
