Send a node's reports to the leader as differences

An agent sends what changed since the newest report that the leader acknowledged (POST /fleet/v1/report/difference); the leader makes the whole report again and judges by it as before. Node, cores and judge are unchanged. An answer acknowledges with ack_seq; a leader that lacks the base, or finds another digest, answers with the wish for the whole report, which follows at once. The path is its own so that a leader of the build before answers 404 in place of taking the few rows for all there are: the agent then sends whole reports, as to a leader that acknowledges nothing. A report with members that the agent does not know goes whole. The leader keeps the newest acknowledged report of a present run and the one that it followed; they end with the session and with the leadership.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/fleet/reportdiff"
 	"starlingvalve/internal/fleet/session"
 )
 
@@ -57,21 +58,22 @@
 	report  *carried      // the node's newest
 	reports chan struct{} // holds one: a report is to be carried
 	last    fleet.ReportAnswer
-	lastAt  fleet.Time // when the leader last answered
-	lost    bool       // no replica took the last report
-	fenced  bool       // the node's newest incarnation has a successor elsewhere
-	inc     uint64     // the largest incarnation seen, and its largest seq
+	lastAt  fleet.Time        // when the leader last answered
+	lost    bool              // no replica took the last report
+	fenced  bool              // the node's newest incarnation has a successor elsewhere
+	sender  reportdiff.Sender // of the goroutine that carries
+	inc     uint64            // the largest incarnation seen, and its largest seq
 	seq     uint64
 }
 
 // carried is a report on its way to the leader.
 type carried struct {
-	raw  []byte
-	rev  uint64 // that the node holds by it
-	at   fleet.Time
-	inc  uint64
-	done chan struct{} // closed once the leader has answered it, or it has a successor
-	once sync.Once
+	raw   []byte
+	rep   fleet.Report // normalized
+	newer bool         // it has members that this build does not know, which no difference would have
+	at    fleet.Time
+	done  chan struct{} // closed once the leader has answered it, or it has a successor
+	once  sync.Once
 }
 
 func (c *carried) end() { c.once.Do(func() { close(c.done) }) }
@@ -81,6 +83,8 @@
 	revision                                                    prometheus.Gauge
 	own                                                         *prometheus.GaugeVec
 	ownChanges                                                  *prometheus.CounterVec
+	sent, sentBytes                                             *prometheus.CounterVec // reports, by kind
+	wishes                                                      prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) metrics {
@@ -94,11 +98,14 @@
 		badReports: counter("fleet_agent_reports_refused_total", "Reports of the node that were malformed, too large or of an older incarnation."),
 		saveErrors: counter("fleet_agent_save_errors_total", "Times the durable copy could not be written."),
 		written:    counter("fleet_agent_copy_bytes_total", "Bytes written to the durable copy."),
+		wishes:     counter("fleet_agent_differences_refused_total", "Differences that a replica did not take: the whole report followed."),
 		renewals:   counter("fleet_agent_renewals_total", "Reports that the leader answered with a lease."),
 		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "fleet_agent_revision", Help: "Newest revision of the intent that the agent has."})}
 	m.own = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_agent_drift", Help: "1 at the state that the agent itself finds its node in."}, []string{"state"})
 	m.ownChanges = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "fleet_agent_drift_verdicts_total", Help: "Times the agent came to find its node in a state."}, []string{"state"})
-	reg.MustRegister(m.revision, m.own, m.ownChanges)
+	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "fleet_agent_reports_sent_total", Help: "Tries to send a report, by kind: whole, difference."}, []string{"kind"})
+	m.sentBytes = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "fleet_agent_report_bytes_total", Help: "Bytes of the bodies of those tries, by kind."}, []string{"kind"})
+	reg.MustRegister(m.revision, m.own, m.ownChanges, m.sent, m.sentBytes)
 	return m
 }
 
--- a/internal/fleet/agent/carry.go
+++ b/internal/fleet/agent/carry.go
@@ -38,14 +38,14 @@
 			c, saved := a.report, a.saved
 			sendable := a.counted && a.copy.Revision > 0
 			a.mu.Unlock()
-			if c == nil || c.rev == 0 && sendable {
+			if c == nil || c.rep.Revision == 0 && sendable {
 				break // it would join as one that holds nothing, and then take what the copy has: it is sent that first
 			}
 			if a.now()-c.at > carryFresh {
 				a.say(true, c)
 				break
 			}
-			if c.rev > saved { // a restart would come back with less than the report says
+			if c.rep.Revision > saved { // a restart would come back with less than the report says
 				pause(ctx, 5*time.Millisecond)
 				continue
 			}
@@ -54,7 +54,12 @@
 				a.say(false, c)
 				break
 			}
-			a.cfg.Log.Debug("report not answered", "replica", to, "incarnation", c.inc, "err", err)
+			if errors.Is(err, errWhole) {
+				a.m.wishes.Inc()
+				a.cfg.Log.Debug("difference not taken", "replica", to, "incarnation", c.rep.Incarnation, "err", err)
+				continue
+			}
+			a.cfg.Log.Debug("report not answered", "replica", to, "incarnation", c.rep.Incarnation, "err", err)
 			if leader != "" && leader != to && slices.Contains(a.cfg.Replicas, leader) {
 				to = leader
 				pause(ctx, 5*time.Millisecond)
@@ -74,7 +79,7 @@
 	defer a.mu.Unlock()
 	if lost != a.lost {
 		a.lost = lost
-		a.cfg.Log.Warn("reports to the leader", "answered", !lost, "incarnation", c.inc, "held_ms", a.holder.Left(a.now()).Milliseconds())
+		a.cfg.Log.Warn("reports to the leader", "answered", !lost, "incarnation", c.rep.Incarnation, "held_ms", a.holder.Left(a.now()).Milliseconds())
 	}
 }
 
@@ -83,7 +88,10 @@
 	ctx, cancel := context.WithTimeout(ctx, carryTimeout)
 	defer cancel()
 	t0 := a.now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/fleet/v1/report", bytes.NewReader(c.raw))
+	out := a.outgoing(c)
+	a.m.sent.WithLabelValues(out.kind).Inc()
+	a.m.sentBytes.WithLabelValues(out.kind).Add(float64(len(out.body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+out.path, bytes.NewReader(out.body))
 	if err != nil {
 		return "", err
 	}
@@ -97,19 +105,28 @@
 	if err != nil {
 		return "", err
 	}
+	if out.kind == kindDifference && notTaken(resp.StatusCode) {
+		a.sender.Forget()
+		return "", fmt.Errorf("%w: status %d: %.100q", errWhole, resp.StatusCode, raw)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var ans fleet.ReportAnswer
 		if err := json.Unmarshal(raw, &ans); err != nil || len(raw) > answerLimit {
 			return "", fmt.Errorf("answer: %w", errors.Join(err, errors.New("malformed or too long")))
 		}
+		if ans.Whole {
+			a.sender.Forget()
+			return "", wished(out)
+		}
+		a.sender.Acknowledged(c.rep, ans.AckSeq)
 		a.answered(c, ans, t0)
 		return "", nil
 	case http.StatusConflict: // an older incarnation: it never will be taken
 		a.refused(c, string(raw))
 		return "", nil
 	case http.StatusBadRequest:
-		a.cfg.Log.Error("the leader refuses the node's report", "incarnation", c.inc, "err", string(raw[:min(len(raw), 200)]))
+		a.cfg.Log.Error("the leader refuses the node's report", "incarnation", c.rep.Incarnation, "err", string(raw[:min(len(raw), 200)]))
 		c.end()
 		return "", nil
 	}
@@ -121,7 +138,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer c.end()
-	if c.inc != a.inc {
+	if c.rep.Incarnation != a.inc {
 		return // of a run that has a successor
 	}
 	a.lastAt = a.now()
@@ -137,7 +154,7 @@
 		a.holder.Drop()
 	}
 	if now := a.holder.Left(a.now()) > 0; now != held {
-		a.cfg.Log.Info("session", "held", now, "incarnation", c.inc, "revision", ans.Revision)
+		a.cfg.Log.Info("session", "held", now, "incarnation", c.rep.Incarnation, "revision", ans.Revision)
 		a.wake()
 	}
 	if len(ans.Resend) > 0 || ans.Restart {
@@ -145,7 +162,7 @@
 			a.whole, ans.Resend = true, append(ans.Resend, "*")
 		}
 		a.resend(ans.Resend)
-		a.cfg.Log.Info("resending to the node", "keys", ans.Resend, "restart", ans.Restart, "incarnation", c.inc)
+		a.cfg.Log.Info("resending to the node", "keys", ans.Resend, "restart", ans.Restart, "incarnation", c.rep.Incarnation)
 	}
 	want := union(a.last.Want, ans.Want) // what the node has not been sent yet
 	a.last = ans
@@ -157,11 +174,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer c.end()
-	if c.inc != a.inc {
+	if c.rep.Incarnation != a.inc {
 		return
 	}
 	a.fenced = true
 	a.holder.Drop()
-	a.cfg.Log.Error("session refused", "incarnation", c.inc, "err", why)
+	a.cfg.Log.Error("session refused", "incarnation", c.rep.Incarnation, "err", why)
 	a.wake()
 }
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -91,7 +91,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	c, err := a.hand(rep, raw)
+	c, err := a.hand(newCarried(rep, raw))
 	if err != nil {
 		a.m.badReports.Inc()
 		http.Error(w, err.Error(), http.StatusConflict)
@@ -107,7 +107,7 @@
 		return
 	}
 	a.mu.Lock()
-	ans, fenced := a.nextAnswer(), a.fenced && c.inc == a.inc
+	ans, fenced := a.nextAnswer(), a.fenced && c.rep.Incarnation == a.inc
 	a.mu.Unlock()
 	if fenced {
 		http.Error(w, fleet.ErrFenced.Error(), http.StatusConflict)
@@ -118,8 +118,9 @@
 	json.NewEncoder(w).Encode(ans)
 }
 
-// hand makes rep the one to carry, unless it is of an older incarnation or not newer than the last.
-func (a *Agent) hand(rep fleet.Report, raw []byte) (*carried, error) {
+// hand makes c the report to carry, unless it is of an older incarnation or not newer than the last.
+func (a *Agent) hand(c *carried) (*carried, error) {
+	rep := &c.rep
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
@@ -139,7 +140,8 @@
 	if slices.ContainsFunc(rep.Tenants, func(t fleet.TenantAck) bool { return t.UID != 0 }) {
 		a.count() // it was, as it has been sent tenants
 	}
-	a.report = &carried{raw: raw, rev: rep.Revision, at: a.now(), inc: rep.Incarnation, done: make(chan struct{})}
+	c.at = a.now()
+	a.report = c
 	notify(a.reports)
 	return a.report, nil
 }
@@ -154,7 +156,7 @@
 		ans.Out = false
 	}
 	ans.TTLMS = a.holder.Left(a.now()).Milliseconds()
-	ans.Resend, ans.Restart = nil, false // the agent's own work
+	ans.Resend, ans.Restart, ans.AckSeq = nil, false, 0 // the agent's own work
 	return ans
 }
 
--- a/internal/registry/replica/fleetmetrics.go
+++ b/internal/registry/replica/fleetmetrics.go
@@ -20,6 +20,8 @@
 	revision prometheus.Gauge
 	step     prometheus.Histogram
 	reports  *prometheus.CounterVec
+	kinds    *prometheus.CounterVec
+	bases    prometheus.Gauge
 	bad      *prometheus.CounterVec
 	commands *prometheus.CounterVec
 	drift    *prometheus.GaugeVec
@@ -27,6 +29,8 @@
 	repairs  *prometheus.CounterVec
 	found    *prometheus.CounterVec
 	lasted   *prometheus.HistogramVec
+
+	differencesRefused *prometheus.CounterVec
 }
 
 func newFleetMetrics() *fleetMetrics {
@@ -42,14 +46,17 @@
 		return c
 	}
 	m := &fleetMetrics{leading: gauge("fleet_office", "1 while this replica leads and judges."),
-		sessions: gauge("fleet_sessions", "Nodes present, as the leader last saw."),
-		revision: gauge("fleet_revision", "Revision of the newest change of the intent, as the leader last saw."),
-		reports:  counter("fleet_reports_total", "Reports of nodes by what became of them.", "result"),
-		bad:      counter("fleet_bad_bodies_total", "Bodies refused as malformed, too large or impossible, by path.", "path"),
-		commands: counter("fleet_commands_total", "Commands by core and outcome.", "core", "result"),
-		suspect:  gauge("fleet_drift_suspect", "1 while the detector of drift suspects itself and repairs nothing."),
-		repairs:  counter("fleet_drift_repairs_total", "Entries of the log of repairs, by what was done.", "act"),
-		found:    counter("fleet_drift_differences_total", "Differences found, by verdict and the kind of what differs.", "state", "kind"),
+		sessions:           gauge("fleet_sessions", "Nodes present, as the leader last saw."),
+		revision:           gauge("fleet_revision", "Revision of the newest change of the intent, as the leader last saw."),
+		reports:            counter("fleet_reports_total", "Reports of nodes by what became of them.", "result"),
+		kinds:              counter("fleet_reports_received_total", "Reports by how they came: whole, or as a difference that was taken.", "kind"),
+		bases:              gauge("fleet_report_bases", "Nodes of which the leader keeps the report that differences are made against."),
+		differencesRefused: counter("fleet_report_differences_refused_total", "Differences refused, by reason: base, rows, digest, invalid. The whole report follows.", "reason"),
+		bad:                counter("fleet_bad_bodies_total", "Bodies refused as malformed, too large or impossible, by path.", "path"),
+		commands:           counter("fleet_commands_total", "Commands by core and outcome.", "core", "result"),
+		suspect:            gauge("fleet_drift_suspect", "1 while the detector of drift suspects itself and repairs nothing."),
+		repairs:            counter("fleet_drift_repairs_total", "Entries of the log of repairs, by what was done.", "act"),
+		found:              counter("fleet_drift_differences_total", "Differences found, by verdict and the kind of what differs.", "state", "kind"),
 		lasted: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "fleet_drift_seconds", Help: "Time from when a verdict of drift was first seen to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.5, 2, 12)}, []string{"state"}),
 		drift: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "fleet_drift_nodes", Help: "Nodes by verdict, at the leader."}, []string{"state"}),
--- a/internal/registry/replica/fleetreport.go
+++ b/internal/registry/replica/fleetreport.go
@@ -11,6 +11,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/control"
+	"starlingvalve/internal/fleet/reportdiff"
 	"starlingvalve/internal/fleet/session"
 	"starlingvalve/internal/fleet/tenants"
 	"starlingvalve/internal/fleet/zones"
@@ -52,8 +53,7 @@
 	return http.StatusServiceUnavailable
 }
 
-// report takes a node's report: it joins the run where it is not present and may be, and answers only once this replica was
-// confirmed as the leader after the report came, as the answer renews a lease (docs/fleet.md, "Sessions").
+// report takes a node's whole report.
 func (l *leadership) report(w http.ResponseWriter, r *http.Request) {
 	if l.rep.raft.State() != raft.Leader {
 		l.rep.notLeader(w)
@@ -68,6 +68,14 @@
 		l.refuse(w, "report", err)
 		return
 	}
+	l.m.kinds.WithLabelValues("whole").Inc()
+	l.serveReport(w, reportdiff.Normalize(rep), 0)
+}
+
+// serveReport answers a report, which followed the report baseSeq (0: it came whole): it joins the run where it is not present
+// and may be, and answers only once this replica was confirmed as the leader after the report came, as the answer renews a
+// lease (docs/fleet.md, "Sessions").
+func (l *leadership) serveReport(w http.ResponseWriter, rep fleet.Report, baseSeq uint64) {
 	at := l.now()
 	cmd, err := l.admit(rep)
 	if err == nil && cmd != nil {
@@ -94,7 +102,7 @@
 	}
 	var ans fleet.ReportAnswer
 	if err == nil {
-		ans, err = l.answer(at, rep)
+		ans, err = l.answer(at, rep, baseSeq)
 	}
 	switch {
 	case err != nil && code(err) == http.StatusConflict:
@@ -126,7 +134,8 @@
 }
 
 // answer gives the answer to a report that came at at, for which this replica has been confirmed as the leader since.
-func (l *leadership) answer(at fleet.Time, rep fleet.Report) (fleet.ReportAnswer, error) {
+// The report of a present run is kept as a base of differences to come.
+func (l *leadership) answer(at fleet.Time, rep fleet.Report, baseSeq uint64) (fleet.ReportAnswer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.judge == nil || l.rep.raft.CurrentTerm() != l.term {
@@ -134,5 +143,9 @@
 	}
 	l.rep.fsm.mu.Lock()
 	defer l.rep.fsm.mu.Unlock()
-	return l.judge.Report(l.now(), at, l.rep.fsm.fleet, rep)
+	ans, err := l.judge.Report(l.now(), at, l.rep.fsm.fleet, rep)
+	if err == nil && l.rep.fsm.fleet.Session.Present(rep.Member) {
+		ans.AckSeq = l.bases.Keep(rep, baseSeq)
+	}
+	return ans, err
 }
--- a/internal/registry/replica/leadership.go
+++ b/internal/registry/replica/leadership.go
@@ -12,6 +12,7 @@
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/control"
 	"starlingvalve/internal/fleet/drift"
+	"starlingvalve/internal/fleet/reportdiff"
 	"starlingvalve/internal/registry"
 )
 
@@ -26,9 +27,10 @@
 	zero  time.Time // of the leader's clock
 	quiet quiet     // of complaints on bad bodies
 
-	mu    sync.Mutex     // taken before the fsm's
-	judge *control.Judge // nil: this replica does not lead
-	term  uint64         // that the judge is of
+	mu    sync.Mutex       // taken before the fsm's
+	judge *control.Judge   // nil: this replica does not lead
+	term  uint64           // that the judge is of
+	bases reportdiff.Bases // of differences; forgotten with the judge
 	// of drift's log of repairs: the last entry that was logged; and when nodes were last counted
 	logged  uint64
 	counted fleet.Time
@@ -46,6 +48,7 @@
 func (l *leadership) routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /fleet/v1/intent", l.intent)
 	mux.HandleFunc("POST /fleet/v1/report", l.report)
+	mux.HandleFunc("POST /fleet/v1/report/difference", l.difference)
 	mux.HandleFunc("GET /fleet/v1/zones", l.zones)
 	mux.HandleFunc("GET /fleet/v1/tenants", l.tenants)
 	mux.HandleFunc("GET /fleet/v1/tenants/{name}", l.tenant)
@@ -99,6 +102,7 @@
 	l.rep.fsm.mu.Lock()
 	l.judge, l.term, l.logged = control.NewJudge(l.set, l.now(), l.rep.fsm.fleet), term, 0
 	l.rep.fsm.mu.Unlock()
+	l.bases = reportdiff.Bases{}
 	l.m.leading.Set(1)
 	l.rep.cfg.Log.Info("leadership begins", "term", term)
 	return true
@@ -109,7 +113,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.judge != nil {
-		l.judge = nil
+		l.judge, l.bases = nil, reportdiff.Bases{}
 		l.m.leading.Set(0)
 		l.rep.cfg.Log.Info("leadership ends", "term", l.term, "reason", why)
 	}
@@ -135,6 +139,8 @@
 		}
 	}
 	l.note(judge, now)
+	l.bases.Retain(l.rep.fsm.fleet.Session.Present)
+	l.m.bases.Set(float64(l.bases.Nodes()))
 	l.m.sessions.Set(float64(len(l.rep.fsm.fleet.Session.Members)))
 	l.m.revision.Set(float64(l.rep.fsm.fleet.Rev))
 	l.rep.fsm.mu.Unlock()
