--- a/cmd/listd/rollout_test.go
+++ b/cmd/listd/rollout_test.go
@@ -191,6 +191,10 @@
 		{"POST", "/fleet/v1/report", `{` + member + `,"zones":[{"zone":"za","attempts":1,"lost":2}]}`, 400, "lost"},
 		{"POST", "/fleet/v1/report", `{"node":"n00","zone":"za","incarnation":1}`, 409, "older incarnation"},
 		{"POST", "/fleet/v1/report", `"` + strings.Repeat("x", fleet.ReportLimit) + `"`, 400, "over"},
+		{"POST", "/fleet/v1/report/difference", `{"head":{` + member + `,"seq":2},"base_seq":2,"digest":"0123456789abcdef"}`, 400, "base_seq"},
+		{"POST", "/fleet/v1/report/difference", `{"head":{"node":""},"base_seq":2}`, 400, "base_seq"},
+		{"POST", "/fleet/v1/report/difference", `"` + strings.Repeat("x", fleet.ReportLimit) + `"`, 400, "over"},
+		{"POST", "/fleet/v1/report/difference", `{"head":{` + member + `,"seq":2},"base_seq":1,"digest":"0123456789abcdef"}`, 200, `"whole":true`},
 	} {
 		code, text := f.api(row.method, row.path, json.RawMessage(row.body))
 		if code != row.code || !strings.Contains(text, row.want) || strings.Count(strings.TrimSpace(text), "\n") > 0 {
