Decode a node's report once at its agent

To know whether a report has members that it does not know, the agent decoded it a second time. DecodeNodeReport reads it strictly, and again only where that fails.

go test ./internal/fleet ./internal/fleet/agent ./internal/fleet/reportdiff passes.

--- a/internal/fleet/agent/outgoing.go
+++ b/internal/fleet/agent/outgoing.go
@@ -22,9 +22,9 @@
 // difference against, so it comes once for a report at most.
 var errWhole = errors.New("whole report wanted")
 
-// newCarried makes the report rep, read from raw, one to carry.
-func newCarried(rep fleet.Report, raw []byte) *carried {
-	return &carried{raw: raw, rep: reportdiff.Normalize(rep), newer: fleet.HasUnknown(raw), done: make(chan struct{})}
+// newCarried makes the report rep, read from raw, one to carry; newer says that it has more members than this build knows.
+func newCarried(rep fleet.Report, raw []byte, newer bool) *carried {
+	return &carried{raw: raw, rep: reportdiff.Normalize(rep), newer: newer, done: make(chan struct{})}
 }
 
 // outgoing is a report as it is sent.
--- a/internal/fleet/agent/outgoing_test.go
+++ b/internal/fleet/agent/outgoing_test.go
@@ -152,11 +152,11 @@
 // carried has the agent carry a report as its loop does: a wish for the whole one is followed at once, and comes no second time.
 func (l *reportLink) carried(raw []byte) error {
 	l.t.Helper()
-	rep, err := fleet.DecodeReport(raw)
+	rep, newer, err := fleet.DecodeNodeReport(raw)
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	c, err := l.a.hand(newCarried(rep, raw))
+	c, err := l.a.hand(newCarried(rep, raw, newer))
 	if err != nil {
 		l.t.Fatal(err)
 	}
--- a/internal/fleet/agent/serve.go
+++ b/internal/fleet/agent/serve.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return // the node has gone
 	}
-	rep, err := fleet.DecodeReport(raw)
+	rep, newer, err := fleet.DecodeNodeReport(raw)
 	if err == nil && !slices.Equal(rep.Services, a.cfg.Services) {
 		err = fmt.Errorf("%w: services: the report has %.200q, this agent %.200q", fleet.ErrInvalid, rep.Services, a.cfg.Services)
 	}
@@ -91,7 +91,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	c, err := a.hand(newCarried(rep, raw))
+	c, err := a.hand(newCarried(rep, raw, newer))
 	if err != nil {
 		a.m.badReports.Inc()
 		http.Error(w, err.Error(), http.StatusConflict)
--- a/internal/fleet/decode.go
+++ b/internal/fleet/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
 	"strings"
 	"unicode/utf8"
@@ -34,11 +35,22 @@
 	return r, nil
 }
 
-// HasUnknown says whether a report has members that this build does not know: a newer node made it.
-func HasUnknown(report []byte) bool {
-	dec := json.NewDecoder(bytes.NewReader(report))
-	dec.DisallowUnknownFields()
-	return dec.Decode(&Report{}) != nil
+// DecodeNodeReport reads a report as DecodeReport does, and says whether it has members that this build does not know: a newer
+// node made it.
+func DecodeNodeReport(b []byte) (r Report, newer bool, err error) {
+	if len(b) <= ReportLimit && utf8.Valid(b) {
+		dec := json.NewDecoder(bytes.NewReader(b))
+		dec.DisallowUnknownFields()
+		err := dec.Decode(&r)
+		if _, rest := dec.Token(); err == nil && rest == io.EOF {
+			if err := r.Check(); err != nil {
+				return Report{}, false, err
+			}
+			return r, false, nil
+		}
+	}
+	r, err = DecodeReport(b)
+	return r, err == nil, err
 }
 
 // DecodeIntent reads an answer of GET /fleet/v1/intent, or an agent's durable copy. Bodies of zones, tenants and
--- a/internal/fleet/decode_test.go
+++ b/internal/fleet/decode_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// A node's report is read as any, and it is said whether it has members that are not known, of its rows too.
+func TestDecodeNodeReport(t *testing.T) {
+	const member = `"node":"n","zone":"z","incarnation":1`
+	for body, newer := range map[string]bool{
+		goodReport:                   true,
+		`{` + member + `}`:           false,
+		`{` + member + `,"later":1}`: true,
+		`{` + member + `,"tenants":[{"name":"a","later":1}]}`: true,
+		`{` + member + `} {}`: false,
+		`{` + member + `}}`:   false,
+		`{` + member + `}  `:  false,
+		`{` + member + `,"zones":[{"zone":"za","attempts":1,"lost":2}]}`: false,
+		`{` + member + `,"later":1,"seq":"1"}`:                           false,
+		"{\"node\":\"\xff\"}":                                            false,
+		strings.Repeat(" ", ReportLimit+1):                               false,
+	} {
+		want, wantErr := DecodeReport([]byte(body))
+		got, gotNewer, err := DecodeNodeReport([]byte(body))
+		if d := cmp.Diff(want, got); d != "" || (err == nil) != (wantErr == nil) || err != nil && err.Error() != wantErr.Error() || gotNewer != newer {
+			t.Errorf("%.90s: newer %v, %v, not %v: %s", body, gotNewer, err, wantErr, d)
+		}
+	}
+}
+
 // What is taken is taken whole: written again it is read as the same; and nothing panics.
 func FuzzDecodeReport(f *testing.F) {
 	f.Add([]byte(goodReport))
