Say that there is no such tenant where a follower that is behind still has it

Cause: `listd tenants delete` reads the tenant from any replica and then asks for its removal. TestTenants/by_the_command failed three times in whole runs of cmd/listd at a load of 30 to 96: the second delete read a follower that still had the tenant, was sent on by "not the leader", got 404 from the leader, and, as any 503 counted as a try whose outcome is not known, took the 404 for its own doing: "removal of generation 1 begun".

Change: a 503 that begins with "not the leader" leaves nothing unclear (replica.NotLeader names it at both ends); a clear 404 is "there is none".

Result: TestTenantsCommands has a follower that is behind, and fails without the change with the words above; passes with it.

--- a/cmd/listd/tenants.go
+++ b/cmd/listd/tenants.go
@@ -19,6 +19,7 @@
 
 	"starlingvalve/internal/fleet"
 	"starlingvalve/internal/fleet/tenants"
+	"starlingvalve/internal/registry/replica"
 )
 
 // tenantsCmd is the operators' side of the tenants' API (docs/fleet.md): apply, status and delete.
@@ -85,7 +86,7 @@
 		if err == nil {
 			err = fmt.Errorf("%s answers %d: %.200s", addr, resp.StatusCode, bytes.TrimSpace(raw))
 		}
-		unclear = true
+		unclear = unclear || !bytes.HasPrefix(raw, []byte(replica.NotLeader))
 		if c.leader = resp.Header.Get("X-Leader"); c.leader == "" {
 			c.next++
 		}
@@ -104,6 +105,8 @@
 	return fmt.Errorf("%s: %d: %.400s", what, a.status, bytes.TrimSpace(a.body))
 }
 
+func noTenant(name string) error { return fmt.Errorf("tenant %s: there is none", name) }
+
 func tenantPath(name string) string { return "/fleet/v1/tenants/" + url.PathEscape(name) }
 
 // present gives the tenant as it is intended, its generation 0 where there is none.
@@ -173,7 +176,7 @@
 	case err != nil:
 		return err
 	case t.UID == 0:
-		return fmt.Errorf("tenant %s: there is none", name)
+		return noTenant(name)
 	}
 	a, err := c.call(ctx, http.MethodDelete, fmt.Sprintf("%s?generation=%d", tenantPath(name), at), nil)
 	if err != nil {
@@ -184,7 +187,11 @@
 			a.status = http.StatusOK
 		}
 	}
-	if a.status != http.StatusOK {
+	switch a.status {
+	case http.StatusOK:
+	case http.StatusNotFound: // the replica that was read is behind the leader
+		return noTenant(name)
+	default:
 		return a.refusal("tenant " + name)
 	}
 	fmt.Fprintf(out, "%s: removal of generation %d begun\n", name, at)
--- a/cmd/listd/tenants_test.go
+++ b/cmd/listd/tenants_test.go
@@ -135,6 +135,23 @@
 			t.Errorf("%s: got %q, %v; want %q, %q", step.what, out, err, step.out, step.fail)
 		}
 	}
+	// A follower that is behind still has the tenant; the leader's answer counts, as "not the leader" leaves nothing unclear.
+	behind := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			json.NewEncoder(w).Encode(fleet.Tenant{UID: 7, Committed: &fleet.Generation{Number: 3}})
+			return
+		}
+		follower.Config.Handler.ServeHTTP(w, r)
+	}))
+	defer behind.Close()
+	var out bytes.Buffer
+	cmd := tenantsCmd()
+	cmd.SetOut(&out)
+	cmd.SilenceUsage, cmd.SilenceErrors = true, true
+	cmd.SetArgs([]string{"delete", "nobody", "--replica", behind.Listener.Addr().String()})
+	if err := cmd.Execute(); err == nil || err.Error() != "tenant nobody: there is none" || out.Len() > 0 {
+		t.Errorf("delete by a follower that is behind: %q, %v", out.String(), err)
+	}
 	calls := len(l.calls)
 	if _, err := apply(-1); err == nil || len(l.calls) != calls {
 		t.Errorf("a bad file was sent: %v, %d calls", err, len(l.calls)-calls)
--- a/internal/registry/replica/list.go
+++ b/internal/registry/replica/list.go
@@ -125,10 +125,13 @@
 	http.Error(w, "not committed: "+err.Error(), http.StatusServiceUnavailable)
 }
 
+// NotLeader begins the answer of a replica that does not lead: nothing came of the call.
+const NotLeader = "not the leader"
+
 // notLeader answers 503 with the leader's HTTP address where it is known.
 func (rep *Replica) notLeader(w http.ResponseWriter) {
 	rep.nameLeader(w)
-	http.Error(w, "not the leader", http.StatusServiceUnavailable)
+	http.Error(w, NotLeader, http.StatusServiceUnavailable)
 }
 
 func (rep *Replica) nameLeader(w http.ResponseWriter) {
