--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -4,6 +4,7 @@
 //	fleetlab list                 the bundled scenarios
 //	fleetlab run NAME|FILE.toml   one run; its directory holds node logs, records.json, report.json and plots
 //	fleetlab report RUN_DIR       the report again from a run's records
+//	fleetlab calibrate            hollow nodes of the scale tests against real ones
 //	fleetlab simulate             the fleet's pure cores with many nodes on seeded faults, in one process
 //	fleetlab scale NAME|FILE.toml how the control plane bears its size: a sweep over one dimension (docs/scale.md)
 package main
@@ -24,8 +25,8 @@
 
 	"starlingvalve/internal/lab"
 	"starlingvalve/internal/lab/listdlab"
-	"starlingvalve/internal/lab/played"
 	"starlingvalve/internal/lab/report"
+	"starlingvalve/internal/lab/simulated"
 	"starlingvalve/lab/scenarios"
 )
 
@@ -38,7 +39,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fleetlab", Short: "Run fleets of starlingvalve nodes through faults on loopback",
 		SilenceUsage: true}
-	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), scaleCmd(), hollowCmd())
+	cmd.AddCommand(listCmd(), runCmd(), reportCmd(), discoveryCmd(), simulateCmd(), scaleCmd(), hollowCmd(), calibrateCmd())
 	return cmd
 }
 
@@ -208,7 +209,7 @@
 			var f any
 			var err error
 			if nodes > 0 {
-				f, err = played.Measure(binary, dir, played.Plan{Nodes: nodes, Rollouts: 25, Tenants: 200, Drifts: 20, Losses: 5, Steady: 10 * time.Second}, log)
+				f, err = simulated.Measure(binary, dir, simulated.Plan{Nodes: nodes, Rollouts: 25, Tenants: 200, Drifts: 20, Losses: 5, Steady: 10 * time.Second}, log)
 			} else {
 				f, err = listdlab.Experiment(binary, dir, p, log)
 			}
--- a/internal/fleet/agent/own.go
+++ b/internal/fleet/agent/own.go
@@ -61,22 +61,19 @@
 	o.said, o.saidAt = v.State, now
 }
 
-// ownStep judges the node by what the agent has now, and has it told again what it lacks. It gives what the next report is to
+// ownStep judges the node by what the agent has now, and has it sent again what it lacks. It gives what the next report is to
 // carry.
 func (a *Agent) ownStep(rep *fleet.Report) (want []string) {
 	a.mu.Lock()
-	in := drift.Intended{Revision: a.copy.Revision, Items: make([]fleet.Item, 0, len(a.copy.Items))}
-	for _, it := range a.copy.Items {
-		in.Items = append(in.Items, it)
-	}
-	counted, caughtUp, now := a.counted, a.caughtUp, a.now()
+	in := drift.Intended{Revision: a.copy.Revision, Items: a.copy.All()}
+	comparable, caughtUp, now := a.counted && !a.unread, a.caughtUp, a.now()
 	a.mu.Unlock()
 	a.own.mu.Lock()
 	if rep != nil {
 		a.own.member = rep.Member
 		a.own.judge.Observe(now, *rep) // refuses what hand refuses
 	}
-	if a.own.member.Node == "" || !counted {
+	if a.own.member.Node == "" || !comparable {
 		a.own.mu.Unlock()
 		return nil
 	}
@@ -89,15 +86,15 @@
 	a.own.mu.Unlock()
 	if len(resend) > 0 {
 		a.mu.Lock()
-		a.tellAgain(resend)
+		a.resend(resend)
 		a.mu.Unlock()
-		a.cfg.Log.Warn("own node drifts: telling it again", "keys", resend)
+		a.cfg.Log.Warn("own node drifts: resending", "keys", resend)
 	}
 	return want
 }
 
-// tellAgain has the node told items again whatever their revision. The caller holds mu.
-func (a *Agent) tellAgain(keys []string) {
+// resend has the node sent items again whatever their revision. The caller holds mu.
+func (a *Agent) resend(keys []string) {
 	for _, k := range keys {
 		a.again[k] = true
 	}
--- a/internal/fleet/tenants/judge.go
+++ b/internal/fleet/tenants/judge.go
@@ -4,29 +4,28 @@
 	"fmt"
 	"math"
 	"slices"
-	"strings"
 
 	"starlingvalve/internal/fleet"
 )
 
 // Judge is the leader's soft part: it sees what nodes report and says which commands the state is ready for. It
-// loses everything with its office; what it decides is refused by the state where it is out of date.
+// loses everything when its leadership ends; what it decides is refused by the state where it is out of date.
 type Judge struct {
-	cfg    Config
-	office fleet.Time
-	views  map[string]*view // by node
-	begun  map[string]begun // by tenant: the step that its rollout or removal is at
-	lend   lender
+	cfg       Config
+	leadSince fleet.Time
+	views     map[string]*view // by node
+	begun     map[string]begun // by tenant: the step that its rollout or removal is at
+	lend      lender
 }
 
 // view is a node's newest report, by tenant.
 type view struct {
 	fleet.NodeView
-	words map[string]word
+	reports map[string]tenantReport
 }
 
-// word is a node's word on a tenant, and what it was offered of late, requests/s.
-type word struct {
+// tenantReport is what a node last reported of a tenant, and what it was offered of late, requests/s.
+type tenantReport struct {
 	ack  *fleet.TenantAck
 	load float64
 }
@@ -36,16 +35,16 @@
 	at       fleet.Time // when this leader first saw it
 }
 
-// NewJudge makes a judge that has just taken office at 0.
+// NewJudge makes a judge whose leadership began at 0.
 func NewJudge(cfg Config) *Judge {
 	j := &Judge{cfg: cfg}
-	j.Office(0)
+	j.Lead(0)
 	return j
 }
 
-// Office begins a leader's time in office: nothing seen before counts.
-func (j *Judge) Office(now fleet.Time) {
-	j.office, j.views, j.begun, j.lend = now, map[string]*view{}, map[string]begun{}, newLender()
+// Lead begins a leadership: nothing seen before counts.
+func (j *Judge) Lead(now fleet.Time) {
+	j.leadSince, j.views, j.begun, j.lend = now, map[string]*view{}, map[string]begun{}, newLender()
 }
 
 // Observe takes a present node's newest report. Those of older incarnations, and older ones of a run, are left out.
@@ -56,7 +55,7 @@
 	}
 	part := 1.0
 	if old == nil || old.Incarnation != v.Incarnation {
-		old = &view{words: make(map[string]word, len(v.Report.Tenants))}
+		old = &view{reports: make(map[string]tenantReport, len(v.Report.Tenants))}
 		j.views[v.Node] = old
 	} else {
 		part = 1 - math.Exp(-float64(max(0, v.At-old.At))/float64(smoothing))
@@ -68,34 +67,29 @@
 		if !(x >= 0 && x <= rateLimit) {
 			x = 0
 		}
-		w, known := old.words[a.Name]
+		r, known := old.reports[a.Name]
 		if known {
-			x = w.load + part*(x-w.load)
+			x = r.load + part*(x-r.load)
 		}
-		old.words[a.Name] = word{ack: a, load: x}
+		old.reports[a.Name] = tenantReport{ack: a, load: x}
 	}
-	if len(old.words) > len(v.Report.Tenants) { // some are no more
-		for name := range old.words {
+	if len(old.reports) > len(v.Report.Tenants) { // some are no more
+		for name := range old.reports {
 			if !slices.ContainsFunc(v.Report.Tenants, func(a fleet.TenantAck) bool { return a.Name == name }) {
-				delete(old.words, name)
+				delete(old.reports, name)
 			}
 		}
 	}
 }
 
-// Step gives the commands that the state is ready for, from what has been observed. present are the sessions of
-// epoch. It is called about every 100 ms; a command that it gives again before the first was applied is refused by
+// Step gives the commands that the state is ready for, from what has been observed of those who are present. Of a tenant
+// only the present members of its scope count. It is called about every 100 ms; a command that it gives again before the first was applied is refused by
 // the state and does no harm. Over 200 tenants and 50 (300) nodes a step takes 0.1 (0.2) ms, one a second that divides 4 (25) ms,
 // and a report observed 0.1 ms: BenchmarkStep.
-func (j *Judge) Step(now fleet.Time, s *State, epoch uint64, present []fleet.Member) []Command {
-	present = slices.Clone(present)
-	slices.SortFunc(present, func(a, b fleet.Member) int { return strings.Compare(a.Node, b.Node) })
-	runs := make([]Run, len(present))
-	for i, m := range present {
-		runs[i] = Run{m.Node, m.Incarnation}
-	}
+func (j *Judge) Step(now fleet.Time, s *State, p Present) []Command {
+	r := newRoster(p)
 	for n := range j.views {
-		if _, ok := slices.BinarySearchFunc(present, n, func(m fleet.Member, n string) int { return strings.Compare(m.Node, n) }); !ok {
+		if _, ok := slices.BinarySearchFunc(r.Members, fleet.Member{Node: n}, byNode); !ok {
 			delete(j.views, n)
 		}
 	}
@@ -107,38 +101,43 @@
 	var out []Command
 	for _, name := range sortedKeys(s.Tenants) {
 		e := s.Tenants[name]
-		if c, ok := j.rollout(now, s, e, name, present); ok {
-			c.Name, c.UID, c.IfRev, c.Epoch = name, e.UID, e.Rev, epoch
+		if c, ok := j.rollout(now, s, e, name, r); ok {
+			service := e.Service()
+			c.Name, c.UID, c.IfRev, c.Epoch, c.Scoped = name, e.UID, e.Rev, r.Epoch(service), service != ""
 			if c.Op == Commit || c.Op == Applied {
-				c.Runs = runs
+				c.Runs = r.of(service).runs
 			}
 			out = append(out, c)
 		}
 	}
-	if d := j.divide(now, s, epoch, present); d != nil {
-		out = append(out, Command{Op: Divide, IfRev: s.Divided, Epoch: epoch, Division: d})
+	if d := j.divide(now, s, r); d != nil {
+		out = append(out, Command{Op: Divide, IfRev: s.Divided, Epoch: r.Epoch(""), Division: d})
 	}
 	return out
 }
 
 // rollout says what a tenant is ready for.
-func (j *Judge) rollout(now fleet.Time, s *State, e *Entry, name string, present []fleet.Member) (Command, bool) {
+func (j *Judge) rollout(now fleet.Time, s *State, e *Entry, name string, r *roster) (Command, bool) {
 	phase := s.Phase(name)
-	if b := j.begun[name]; phase != PhaseSettled && (b.uid != e.UID || b.rev != e.Rev) {
+	if phase == PhaseSettled {
+		return Command{}, false
+	}
+	present := r.of(e.Service())
+	if b := j.begun[name]; b.uid != e.UID || b.rev != e.Rev {
 		j.begun[name] = begun{uid: e.UID, rev: e.Rev, at: now}
 	}
 	switch phase {
 	case PhaseStaging:
-		return j.staging(now, s, e, name, present)
+		return j.staging(now, s, e, name, present.members)
 	case PhaseApplying:
-		return Command{Op: Applied, Generation: e.Committed.Number}, j.all(present, func(m fleet.Member) bool { return j.applied(e, name, m) })
+		return Command{Op: Applied, Generation: e.Committed.Number}, present.all(func(m fleet.Member) bool { return j.applied(e, name, m) })
 	case PhaseRemoving:
-		return Command{Op: Drained}, j.all(present, func(m fleet.Member) bool {
+		return Command{Op: Drained}, present.all(func(m fleet.Member) bool {
 			a, held := j.ack(e, name, m)
 			return j.heard(e, m) && (!held || a.Open == 0)
 		})
 	case PhaseUnquoted:
-		return Command{Op: Unquoted}, j.all(present, func(m fleet.Member) bool { return j.heard(e, m) })
+		return Command{Op: Unquoted}, present.all(func(m fleet.Member) bool { return j.heard(e, m) })
 	}
 	return Command{}, false
 }
@@ -164,8 +163,8 @@
 	return back, now-j.begun[name].at >= StageTimeout
 }
 
-// hasStaged says whether a node has validated and staged what is intended, by its own word with its module's digest;
-// refused, that it can't; why, in words.
+// hasStaged says whether a node has validated and staged what is intended, by its own report with its module's digest;
+// refused, that it can't; why, as text.
 func (j *Judge) hasStaged(e *Entry, name string, m fleet.Member) (ok, refused bool, why string) {
 	if !j.heard(e, m) {
 		return false, false, "has not heard of it"
@@ -190,17 +189,17 @@
 	return v != nil && v.Incarnation == m.Incarnation && v.Report.Revision >= e.Rev
 }
 
-// ack is a present run's word on this tenant, and on none that had its name before.
+// ack is a present run's report on this tenant, and on none that had its name before.
 func (j *Judge) ack(e *Entry, name string, m fleet.Member) (fleet.TenantAck, bool) {
 	v := j.views[m.Node]
 	if v == nil || v.Incarnation != m.Incarnation {
 		return fleet.TenantAck{}, false
 	}
-	w, ok := v.words[name]
-	if !ok || w.ack.UID != e.UID {
+	r, ok := v.reports[name]
+	if !ok || r.ack.UID != e.UID {
 		return fleet.TenantAck{}, false
 	}
-	return *w.ack, true
+	return *r.ack, true
 }
 
 func (j *Judge) applied(e *Entry, name string, m fleet.Member) bool {
@@ -208,9 +207,5 @@
 	return ok && j.heard(e, m) && a.Committed == e.Committed.Number && a.Digest == e.Committed.Digest
 }
 
-func (j *Judge) all(present []fleet.Member, ok func(fleet.Member) bool) bool {
-	return !slices.ContainsFunc(present, func(m fleet.Member) bool { return !ok(m) })
-}
-
-// trim keeps a node's words short enough for the log, and on one line.
+// trim keeps a node's text short enough for the log, and on one line.
 func trim(s string) string { return oneLine(s[:min(len(s), 200)]) }
--- a/internal/lab/listd.go
+++ b/internal/lab/listd.go
@@ -19,7 +19,7 @@
 type lister interface {
 	// View opens node's way to the list, in which each server's address is addrOf(id); it gives its address.
 	View(n *node, addrOf func(id string) string) (string, error)
-	// Set changes a server's state; startedMS, where not 0, is its new start. An error means nobody was told.
+	// Set changes a server's state; startedMS, where not 0, is its new start. An error means that nobody was notified.
 	Set(id, state string, startedMS int64) error
 	Close()
 }
@@ -51,7 +51,7 @@
 
 // startListd starts the replicas, each raft link a relay of the run's network, and registers the servers.
 func (f *fleet) startListd(entries []standin.Entry, extra ...string) (*listdList, error) {
-	c, err := listdlab.Start(f.s.Fleet.ListdBin, filepath.Join(f.opt.Dir, "listd"), f.s.Fleet.Replicas, f.place.block, extra...)
+	c, err := listdlab.Start(f.s.Fleet.ListdBin, filepath.Join(f.opt.Dir, "listd"), f.s.Fleet.Replicas, extra...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/played/node.go
+++ b/internal/lab/simulated/node.go
@@ -1,7 +1,7 @@
-// Package played plays nodes against real listd agents: a fleet of replicas and agents as processes, and in place of each
-// agent's node one that watches intent, stages, applies and reports as a node does. It can be made to refuse, to hold other
-// rules than it was told, to lag or to fall silent. The tests of listd and the lab's measurements use it.
-package played
+// Package simulated runs simulated nodes against real listd agents: the replicas and agents are processes, and in place of
+// each agent's node a goroutine watches intent, stages, applies and reports as a node does. It can be made to refuse, to hold
+// other rules than those it received, to lag or to fall silent. The tests of listd and the lab's measurements use it.
+package simulated
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 
 var client = http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// Behaviour is how a played node differs from a good one, and what it shows of itself. It is read and changed within Node.With.
+// Behaviour is how a simulated node differs from a correct one, and what it shows of itself. It is read and changed within Node.With.
 type Behaviour struct {
 	Counts func() []fleet.ZoneCount          // of the next report; nil for none
 	Seen   func(fleet.Item, fleet.Directive) // hears every item of a zone
@@ -32,15 +32,17 @@
 	Slow   bool                              // stages nothing new
 	Keep   bool                              // goes on serving what it serves
 	Silent bool                              // posts no reports
-	Odd    func([]fleet.Held) []fleet.Held   // what it holds in place of what it was told
+	Odd    func([]fleet.Held) []fleet.Held   // replaces what it holds
 	Every  time.Duration                     // between two reports; 0: 150 ms
 
-	UIDs map[string]uint64     // of the tenants that it was told of, by name
+	Services []string // its scope, sorted; the agent has it from its next start on
+
+	UIDs map[string]uint64     // of the tenants that it received, by name
 	Held map[string]fleet.Item // what its module holds, by key
 	Out  bool                  // the newest answer to a report says so
 }
 
-// Node is a played node and its agent, a process.
+// Node is a simulated node and its agent, a process.
 type Node struct {
 	Name, Zone string
 	Dir, Agent string         // the agent's directory and address
@@ -64,11 +66,11 @@
 	wrong            []string
 }
 
-// Start starts node i (named n00 on, over zones za, zb and zc in turn) at the replicas of c, its agent at 127.5.NET.(i+1) with
+// Start starts node i (named n00 on, over zones za, zb and zc in turn) at the replicas of c, its agent at 127.5.N.(i+1) of its network, with
 // dir for its data, which must exist.
-func Start(c *listdlab.Cluster, dir string, net, i int) (*Node, error) {
+func Start(c *listdlab.Cluster, dir string, i int) (*Node, error) {
 	n := &Node{Name: fmt.Sprintf("n%02d", i), Zone: "z" + string(rune('a'+i%3)), Dir: dir, bin: c.Bin, replicas: c.HTTP,
-		Agent: fmt.Sprintf("127.5.%d.%d:9100", net, i+1), stop: make(chan struct{})}
+		Agent: fmt.Sprintf("127.5.%d.%d:9100", c.Network.Number, i+1), stop: make(chan struct{})}
 	n.Boot()
 	for _, r := range c.HTTP {
 		l, err := faults.Open(n.Name, r, "127.0.0.1:0", r, "", 1)
@@ -123,6 +125,11 @@
 	for i, r := range n.replicas {
 		args = append(args, "--replica", r, "--route", r+"="+n.Links[i].Addr)
 	}
+	n.mu.Lock()
+	for _, service := range n.Services {
+		args = append(args, "--service", service)
+	}
+	n.mu.Unlock()
 	logs, err := os.OpenFile(filepath.Join(n.Dir, "agent.log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return err
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -306,12 +307,21 @@
 	if err != nil || c.Fleet == nil || c.Fleet.Report != 250*time.Millisecond || c.Fleet.CatchUp != 5*time.Millisecond || !c.Settings.Fleet {
 		t.Errorf("%+v, %v", c, err)
 	}
+	scoped, err := loadText(t, with(`{"agent":"127.0.0.1:7","catch_up_ms":5,"services":["search","billing"]}`), nil)
+	if err != nil || !slices.Equal(scoped.Fleet.Services, []string{"billing", "search"}) {
+		t.Errorf("with services: %+v, %v", scoped, err)
+	}
+	if c.Fleet.equal(scoped.Fleet) || c.Fleet.equal(nil) || !scoped.Fleet.equal(scoped.Fleet) || !(*FleetConfig)(nil).equal(nil) {
+		t.Error("blocks are compared wrongly")
+	}
 	if c, err := loadText(t, goodConfig, nil); err != nil || c.Fleet != nil || c.Settings.Fleet {
 		t.Errorf("without a block: %+v, %v", c, err)
 	}
 	for block, says := range map[string]string{`{}`: "agent", `[]`: "array", `{"agent":"10.0.0.1:7"}`: "loopback", `{"agent":"127.0.0.1:0"}`: "loopback",
 		`{"agent":7}`: "agent", `{"agent":"127.0.0.1:7","report_ms":0}`: "report_ms", `{"agent":"127.0.0.1:7","report_ms":1e9}`: "report_ms",
-		`{"agent":"127.0.0.1:7","catch_up_ms":-1}`: "catch_up_ms"} {
+		`{"agent":"127.0.0.1:7","catch_up_ms":-1}`: "catch_up_ms", `{"agent":"127.0.0.1:7","services":"billing"}`: "services",
+		`{"agent":"127.0.0.1:7","services":[""]}`: "services", `{"agent":"127.0.0.1:7","services":["b","a","b"]}`: "services",
+		`{"agent":"127.0.0.1:7","services":["` + strings.Repeat("x", fleet.ServiceNameLimit+1) + `"]}`: "services"} {
 		if _, err := loadText(t, with(block), nil); err == nil || !strings.Contains(err.Error(), "fleet") || !strings.Contains(err.Error(), says) ||
 			strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v", block, err)
--- a/internal/scale/hollow/registrants.go
+++ b/internal/scale/hollow/registrants.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	serversPerWorker = 64
-	mostWorkers      = 256                    // each has one connection
+	serversPerWorker = 8
+	mostWorkers      = 1024                   // each has one connection
 	renewPart        = 3                      // a lease is renewed when 1/renewPart of it is over
 	registerWait     = 5 * time.Second        // for the answer to one call
 	registerPause    = 50 * time.Millisecond  // after a call that failed
@@ -143,12 +143,12 @@
 func (r *registrants) register(ctx context.Context, client *http.Client, s *server) error {
 	service, zone := r.cfg.serverPlace(s.number)
 	return r.post(ctx, client, "register", registration{TTLMS: r.cfg.LeaseTTLMS,
-		Entry: registry.Entry{ID: ServerName(s.number), Addr: s.address(), Zone: zone, Kind: service, State: "ready", Weight: 1, StartedMS: s.startedMS}})
+		Entry: registry.Entry{ID: ServerName(s.number), Addr: ServerAddress(s.number, s.replacement), Zone: zone, Kind: service, State: "ready", Weight: 1, StartedMS: s.startedMS}})
 }
 
-// address is where the server would listen; nothing does.
-func (s *server) address() string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", 64+s.number>>16, s.number>>8&0xff, s.number&0xff, serverPort+s.replacement%serverPorts)
+// ServerAddress is where the server of a number would listen after so many replacements; nothing of this package does.
+func ServerAddress(number, replacements int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+number>>16, number>>8&0xff, number&0xff, serverPort+replacements%serverPorts)
 }
 
 // post makes one call, at the replica that led last; it follows X-Leader, and goes on to the next replica where there is none.
@@ -199,6 +199,17 @@
 	return "", nil
 }
 
+// persist makes a call until it is carried out, also while there is no leader, or ctx ends.
+func (r *registrants) persist(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if err == nil || errors.Is(err, errUnknown) || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, registerPause)
+	}
+}
+
 // replace has servers deregister and come back under new addresses.
 func (r *registrants) replace(ctx context.Context, first, count int) error {
 	connections := r.state.sockets.connections()
@@ -210,7 +221,7 @@
 		s := r.servers[first-r.cfg.FirstServer+i]
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		err := r.post(ctx, client, "deregister", renewal{ID: ServerName(s.number)})
+		err := r.persist(ctx, func() error { return r.post(ctx, client, "deregister", renewal{ID: ServerName(s.number)}) })
 		if err != nil && !errors.Is(err, errUnknown) {
 			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
 		}
@@ -218,7 +229,7 @@
 		s.replacement++
 		s.startedMS = time.Now().UnixMilli()
 		s.renewed.Store(0)
-		if err := r.hold(ctx, client, s); err != nil {
+		if err := r.persist(ctx, func() error { return r.hold(ctx, client, s) }); err != nil {
 			return fmt.Errorf("replace: %s: %w", ServerName(s.number), err)
 		}
 		return nil
--- a/internal/scale/hollows.go
+++ b/internal/scale/hollows.go
@@ -94,15 +94,6 @@
 	sum.ReportBytes += u.ReportBytes
 }
 
-// pids gives the processes' ids.
-func (g *group) pids() []int {
-	var out []int
-	for _, h := range g.processes {
-		out = append(out, h.PID())
-	}
-	return out
-}
-
 // StartHollow starts one hollow process. It ends when it is closed, or with this process.
 type StartHollow func(ctx context.Context, config hollow.Config) (Hollow, error)
 
