--- a/internal/scale/bounds.go
+++ b/internal/scale/bounds.go
@@ -21,7 +21,7 @@
 	registrantBytes    = 24 << 10
 	runnerBytes        = 64 << 20
 	nodeConnections    = 4  // to replicas: the intent, the list, reports, one in change
-	registrantsASocket = 16 // registrants that share a connection, with room
+	registrantsASocket = 8  // registrants that share a connection
 	spareDescriptors   = 64 // of any process: its logs, stores, listeners
 )
 
