--- a/internal/fleet/control/cost_test.go
+++ b/internal/fleet/control/cost_test.go
@@ -90,7 +90,7 @@
 	for i := range 100 {
 		changeOf(t, s, i*10) // of service-0
 	}
-	if in := s.Read(since, "node", "service-1"); in.Full || len(in.Items) > 0 || in.Revision != s.Rev || s.View().News(since, "node", "service-1") {
+	if in := s.Read(since, "node", "service-1"); in.Full || len(in.Items) > 0 || in.Revision != s.Rev || s.View().HasChanges(since, "node", "service-1") {
 		t.Errorf("a reader of service-1: %+v", in)
 	}
 	if n := visits.Load(); n != 0 {
--- a/internal/fleet/control/view.go
+++ b/internal/fleet/control/view.go
@@ -38,9 +38,9 @@
 	return fleet.Intent{Revision: v.Revision, Full: full, Items: v.read(ReaderScopes(node, services...), full, since, false)}
 }
 
-// News says whether a reader that holds everything up to since has anything to take: a change in one of its scopes, or all,
+// HasChanges says whether a reader that holds everything up to since has anything to take: a change in one of its scopes, or all,
 // where the changes after since can't be listed. A view without a revision has nothing for anybody.
-func (v *View) News(since uint64, node string, services ...string) bool {
+func (v *View) HasChanges(since uint64, node string, services ...string) bool {
 	if since == v.Revision {
 		return false
 	}
--- a/internal/registry/index/index_test.go
+++ b/internal/registry/index/index_test.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// Readers of snapshots run beside the writer; each sees a whole state. The race detector watches.
-func TestReadersBesideWriter(t *testing.T) {
+// Readers of snapshots run while the writer changes the index; each sees a whole state. The race detector watches.
+func TestReadersWhileTheIndexChanges(t *testing.T) {
 	const keys, rounds, readers = 500, 200, 4
 	x := New[int]()
 	snapshots := make(chan Snapshot[int], readers)
--- a/internal/registry/replica/intent.go
+++ b/internal/registry/replica/intent.go
@@ -48,20 +48,20 @@
 	show(w, view.Read(watch.Since, watch.node, watch.services...))
 }
 
-// awaitIntent waits until there is news in the watch's scope, its time is over or ctx ends, and gives the intent as it is
+// awaitIntent waits until something has changed in the watch's scope, its time is over or ctx ends, and gives the intent as it is
 // then. It takes no lock of the state machine.
 func (f *fsm) awaitIntent(ctx context.Context, watch intentWatch) *control.View {
 	ctx, end := context.WithTimeout(ctx, watch.Wait)
 	defer end()
-	for watch.Watching && !f.news(watch) && ctx.Err() == nil {
+	for watch.Watching && !f.hasChanges(watch) && ctx.Err() == nil {
 		f.awaitScopes(ctx, watch)
 	}
 	return f.intent.Load()
 }
 
-// news says whether the published intent has anything for a watch.
-func (f *fsm) news(watch intentWatch) bool {
-	return f.intent.Load().News(watch.Since, watch.node, watch.services...)
+// hasChanges says whether the published intent has anything for a watch.
+func (f *fsm) hasChanges(watch intentWatch) bool {
+	return f.intent.Load().HasChanges(watch.Since, watch.node, watch.services...)
 }
 
 // awaitScopes waits until one of the watch's scopes changes or ctx ends. It may return early: a wake-up may be for a change
@@ -69,7 +69,7 @@
 func (f *fsm) awaitScopes(ctx context.Context, watch intentWatch) {
 	waiting := f.watchers.add(control.ReaderScopes(watch.node, watch.services...))
 	defer f.watchers.remove(waiting)
-	if f.news(watch) { // what was published before add wakes nobody
+	if f.hasChanges(watch) { // what was published before add wakes nobody
 		return
 	}
 	select {
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -35,7 +35,7 @@
 func (s *State) Read(since uint64, watch bool) Answer { return s.View().Read(since, watch) }
 
 // Read answers a whole read (since 0, watch false) or a watch from since: the entries changed after it, or the
-// whole list where since is compacted away or ahead of this list. Gone entries appear only among changes. A watch costs
+// whole list where since is compacted away or newer than this list. Gone entries appear only among changes. A watch costs
 // what changed.
 func (v *View) Read(since uint64, watch bool) Answer {
 	if !watch || since < v.Floor || since > v.Version {
