--- a/internal/fleet/agent/capacity_bench_test.go
+++ b/internal/fleet/agent/capacity_bench_test.go
@@ -111,6 +111,38 @@
 	})
 }
 
+// BenchmarkCapacitySaveOneChange makes a change of one tenant durable, the write of a new base now and then among it. It
+// reports the bytes written for each. Its time has the wait for the disk in it.
+func BenchmarkCapacitySaveOneChange(b *testing.B) {
+	benchEach(b, func(b *testing.B, intent fleet.Intent, _ *Copy) {
+		own := &Copy{}
+		if _, err := own.Take(intent); err != nil {
+			b.Fatal(err)
+		}
+		d, _, err := openDisk(b.TempDir(), "n1", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := d.save(own.Read(0, nil), false); err != nil {
+			b.Fatal(err)
+		}
+		written := 0
+		for b.Loop() {
+			changed := intent.Items[0]
+			changed.Rev = own.Revision + 1
+			if _, err := own.Take(fleet.Intent{Revision: changed.Rev, Items: []fleet.Item{changed}}); err != nil {
+				b.Fatal(err)
+			}
+			bytes, err := d.save(own.Read(d.since(), nil), false)
+			if err != nil {
+				b.Fatal(err)
+			}
+			written += bytes
+		}
+		b.ReportMetric(float64(written)/float64(b.N), "disk-B")
+	})
+}
+
 // BenchmarkCapacityHeap reports the live heap of a copy that was decoded from a replica's answer. Its time is that of making it.
 func BenchmarkCapacityHeap(b *testing.B) {
 	for _, n := range capacitySizes {
--- /dev/null
+++ b/internal/fleet/control/capacity_scope_bench_test.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+)
+
+// capacityTotal is the tenants of the fleet, while those of the node's scope are varied.
+const capacityTotal = 16_000
+
+// scopeSizes are tenants of a node's scope, around that of docs/CAPACITY.md, 1,236.
+var scopeSizes = []int{400, 800, 1600, 3200}
+
+func benchScopes(b *testing.B, run func(b *testing.B, state *State, report fleet.Report)) {
+	for _, n := range scopeSizes {
+		state := settledTenants(b, capacityTotal, benchNodeServices*capacityTotal/n)
+		report := scopedReport(state)
+		if len(report.Tenants) != n {
+			b.Fatalf("%d tenants in the scope, want %d", len(report.Tenants), n)
+		}
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) { run(b, state, report) })
+	}
+}
+
+// BenchmarkCapacityGuardInScope is the digest that a join of a node with four services names.
+func BenchmarkCapacityGuardInScope(b *testing.B) {
+	benchScopes(b, func(b *testing.B, state *State, report fleet.Report) {
+		for b.Loop() {
+			state.Guard(report.Node, report.Services)
+		}
+	})
+}
+
+// BenchmarkCapacityMayJoinInScope is the check of a run with four services that has caught up.
+func BenchmarkCapacityMayJoinInScope(b *testing.B) {
+	benchScopes(b, func(b *testing.B, state *State, report fleet.Report) {
+		for b.Loop() {
+			if !state.MayJoin(report) {
+				b.Fatal("not caught up")
+			}
+		}
+	})
+}
+
+// BenchmarkCapacityReadScope is a whole read of the tenants of four services.
+func BenchmarkCapacityReadScope(b *testing.B) {
+	benchScopes(b, func(b *testing.B, state *State, report fleet.Report) {
+		for b.Loop() {
+			state.Read(0, report.Node, report.Services...)
+		}
+	})
+}
