Reckon the capacity page for scopes, differences and scoped rollouts, beside before

Need: docs/CAPACITY.md showed the build before scoped state.

Costs that go by scope are reckoned by services a node times tenants a service, reports by the rows whose load changes (changed_rows, a new open input), others as they were. Each role's table has a column of before, by the formula and slopes of then; so have the four seconds and the changes that miss the bound. A slope with an exponent under 0.3 is flat. What is missing, in order, is made anew.

Reckoned, no whole process of this size was run. go test ./internal/capacity, ./cmd/fleetlab -run Capacity, vet, gofmt, staticcheck of both: pass.

--- a/internal/capacity/catalog.go
+++ b/internal/capacity/catalog.go
@@ -44,6 +44,15 @@
 	ReportEncode ID = "report.encode"
 	ReportDecode ID = "report.decode"
 
+	Difference      ID = "report.difference"
+	DifferenceBytes ID = "report.difference.bytes"
+	Apply           ID = "report.difference.apply"
+	GuardScope      ID = "fleet.guard.scope"
+	MayJoinScope    ID = "fleet.may_join.scope"
+	ReadScope       ID = "intent.read.scope"
+	CopySave        ID = "copy.save.change"
+	CopySaveBytes   ID = "copy.save.change.bytes"
+
 	IntentReadChange  ID = "intent.read.change"
 	IntentReadWhole   ID = "intent.read.whole"
 	Guard             ID = "fleet.guard"
@@ -124,6 +133,7 @@
 	perTenant = "tenants"
 	perPair   = "pairs"
 	perNode   = "node"
+	perRow    = "rows"
 )
 
 var catalog = []definition{
@@ -140,6 +150,13 @@
 	timed(ReportEncode, RoleNode, "a report as JSON", perTenant, "internal/fleet", "ReportEncode"),
 	timed(ReportDecode, RoleLeader, "reading a report", perTenant, "internal/fleet", "ReportDecode"),
 
+	timed(Difference, RoleAgent, "a difference of two reports and its body", perTenant, "internal/fleet/reportdiff", "Difference"),
+	sized(DifferenceBytes, RoleAgent, "body of a difference, by its changed rows", perRow, "internal/fleet/reportdiff", "DifferenceBody", "body-B"),
+	timed(Apply, RoleLeader, "reading a difference, and the whole report of it", perTenant, "internal/fleet/reportdiff", "Apply"),
+
+	timed(GuardScope, RoleLeader, "Guard of a join in a scope", perTenant, "internal/fleet/control", "GuardInScope"),
+	timed(MayJoinScope, RoleLeader, "MayJoin of a report in a scope", perTenant, "internal/fleet/control", "MayJoinInScope"),
+	timed(ReadScope, RoleLeader, "a read of the whole intent of a scope", perTenant, "internal/fleet/control", "ReadScope"),
 	timed(IntentReadChange, RoleLeader, "a watch's read of one change of the intent", perTenant, "internal/fleet/control", "ReadOneChange"),
 	timed(IntentReadWhole, RoleLeader, "a read of the whole intent", perTenant, "internal/fleet/control", "ReadWhole"),
 	timed(Guard, RoleLeader, "Guard of a join", perTenant, "internal/fleet/control", "Guard"),
@@ -157,6 +174,8 @@
 	timed(CopyTakeChange, RoleAgent, "taking one change into the copy", perTenant, "internal/fleet/agent", "TakeOneChange"),
 	timed(CopyTakeWhole, RoleAgent, "taking a whole answer", perTenant, "internal/fleet/agent", "TakeWhole"),
 	timed(CopyEncode, RoleAgent, "the copy as it is written", perTenant, "internal/fleet/agent", "Encode"),
+	timed(CopySave, RoleAgent, "one change made durable, the wait for the disk in it", perTenant, "internal/fleet/agent", "SaveOneChange"),
+	sized(CopySaveBytes, RoleAgent, "bytes written for one change", perTenant, "internal/fleet/agent", "SaveOneChange", "disk-B"),
 	sized(CopyBytes, RoleAgent, "the copy on disk", perTenant, "internal/fleet/agent", "Encode", "copy-B"),
 	timed(CopyDecode, RoleAgent, "reading the copy back", perTenant, "internal/fleet/agent", "Decode"),
 	sized(CopyHeap, RoleAgent, "heap of the copy", perTenant, "internal/fleet/agent", "Heap", "heap-B"),
--- a/internal/capacity/check.go
+++ b/internal/capacity/check.go
@@ -11,9 +11,12 @@
 // The mechanisms that are missing, and none.
 const (
 	None               Mechanism = "as it is"
-	ScopedState        Mechanism = "scoped state: indexed store and scoped watches (stage 1)"
-	ReportsByChange    Mechanism = "reports by difference (stage 2)"
-	ScopedRollouts     Mechanism = "rollouts counted in scope (stage 3)"
+	ScopedState        Mechanism = "scoped state: indexed store and scoped watches (stage 1, built)"
+	ReportsByChange    Mechanism = "reports by difference (stage 2, built)"
+	ScopedRollouts     Mechanism = "rollouts counted in scope (stage 3, built)"
+	FewerLoads         Mechanism = "loads that are sent less often or coarser"
+	WorkAtNode         Mechanism = "Window, Holds and digests at the node by what changed"
+	PagedReads         Mechanism = "the operators' reads in pages"
 	LeasesByLoad       Mechanism = "quota leases by load (stage 4)"
 	WorkByChange       Mechanism = "the leader's work by what changed, snapshots outside the lock (stage 5)"
 	RenewalsOutsideLog Mechanism = "renewals outside raft's log"
@@ -32,6 +35,13 @@
 	why       string // of what is allowed, where the plan does not say it
 	reckoned  string // why a part of it is not measured; empty: all of it is
 	mechanism Mechanism
+	past      *past // what it was before the mechanism; nil: the same, by the slopes of then
+}
+
+// past is a cost as it was before the mechanism.
+type past struct {
+	slopes []ID // that cost uses
+	cost   func(p Plan, s Slopes) float64
 }
 
 // Row is a check carried out.
@@ -46,9 +56,27 @@
 func (r Row) Holds() bool { return !r.NotRun && r.Result <= r.Allowed }
 
 // Rows carries out every check.
-func Rows(plan Plan, slopes Slopes) []Row {
+func Rows(plan Plan, slopes Slopes) []Row { return carryOut(allChecks(), plan, slopes) }
+
+// PastRows carries out every check by the costs and the slopes of before the mechanism, in the order of Rows. A cost that was not
+// measured then is not run.
+func PastRows(plan Plan, before Slopes) []Row {
+	checks := allChecks()
+	for i := range checks {
+		if past := checks[i].past; past != nil {
+			checks[i].slopes, checks[i].cost = past.slopes, past.cost
+		}
+	}
+	return carryOut(checks, plan, before)
+}
+
+func allChecks() []check {
+	return slices.Concat(nodeChecks, agentChecks, leaderChecks, followerChecks, otherChecks)
+}
+
+func carryOut(checks []check, plan Plan, slopes Slopes) []Row {
 	var out []Row
-	for _, c := range slices.Concat(nodeChecks, agentChecks, leaderChecks, followerChecks, otherChecks) {
+	for _, c := range checks {
 		row := Row{check: c, Result: c.cost(plan, slopes), Allowed: c.allowed(plan, slopes), Part: 1}
 		row.NotRun = slices.ContainsFunc(c.slopes, func(id ID) bool { return !slopes.Get(id).Measured() })
 		if !row.NotRun && !row.Holds() {
--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -19,11 +19,11 @@
 	rack := p.Failures.RackMachines
 	return []failure{
 		{event: "a machine with a node", often: fmt.Sprintf("up to %s a day", plain(p.Failures.MachinesPerDay)), nodes: 1,
-			lost: "the requests open on it", lasts: "6 s until its session lapses; rollouts wait so long"},
+			lost: "the requests open on it", lasts: "6 s until its session lapses; rollouts of its services wait so long"},
 		{event: "a machine with an app server", often: fmt.Sprintf("up to %s a day", plain(p.Failures.MachinesPerDay)), servers: 1,
 			lost: "the attempts at it; nodes go elsewhere by themselves", lasts: "6 s until its lease lapses"},
 		{event: "a restart or replacement", often: fmt.Sprintf("%s a day", plain(p.Failures.RestartsPerDay)), nodes: 1, servers: 1,
-			lost: "nothing where it drains", lasts: "no rollout waits, but its leave and join change the epoch"},
+			lost: "nothing where it drains", lasts: "no rollout waits, but its leave and join change the epochs of its services"},
 		{event: fmt.Sprintf("a rack of %s or a switch", plain(rack)), often: "1 a week", nodes: rack, servers: rack,
 			lost: "the requests open there", lasts: "6 s, all in one sweep"},
 		{event: "a zone", often: "1 or 2 a year", nodes: zoneNodes, servers: zoneServers,
@@ -67,40 +67,32 @@
 	holds   string // what holds off the rush
 }
 
-func wholeBytes(p Plan, s Slopes) float64 {
-	return s.Get(CopyBytes).At(p.Size.Tenants) + s.Get(ListBytes).At(p.Size.Servers)
-}
-
 func scopedBytes(p Plan, s Slopes) float64 {
 	return s.Get(CopyBytes).At(scopeTenants(p)) + s.Get(ListBytes).At(p.Size.Servers)
 }
 
-// readS is the time of one node's whole reads under a replica's lock.
+// readS is the time of one node's whole reads at a replica.
 func readS(p Plan, s Slopes) float64 {
-	return (s.Get(IntentReadWhole).At(p.Size.Tenants) + s.Get(ListReadWhole).At(p.Size.Servers)) / nanosPerS
+	return (s.Get(ReadScope).At(scopeTenants(p)) + s.Get(ListReadWhole).At(p.Size.Servers)) / nanosPerS
 }
 
 var starts = []start{
 	{event: "one node from nothing", limit: "7 KB/s",
-		bytes:   wholeBytes,
-		seconds: func(p Plan, s Slopes) float64 { return wholeBytes(p, s) / p.Allowed.NodeBytesPerS },
-		holds:   "its agent serves nothing before it has all; never, over 16,384 tenants"},
-	{event: "one node from nothing, in scope (missing)", limit: "7 KB/s",
 		bytes:   scopedBytes,
 		seconds: func(p Plan, s Slopes) float64 { return scopedBytes(p, s) / p.Allowed.NodeBytesPerS },
-		holds:   "stage 1; the list stays whole"},
-	{event: "all nodes from nothing, reads", limit: "three replicas' locks",
-		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * wholeBytes(p, s) },
+		holds:   "its agent serves nothing before it has all; the list is whole"},
+	{event: "all nodes from nothing, reads", limit: "three replicas, one read after another",
+		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * scopedBytes(p, s) },
 		seconds: func(p Plan, s Slopes) float64 { return p.Size.Nodes / replicasToday * readS(p, s) },
 		holds:   "agents go on after 50 ms doubling to 2 s, with jitter; nothing at the replicas"},
 	{event: "all nodes from nothing, the network", limit: "three replicas at 1 Gbit/s",
-		bytes: func(p Plan, s Slopes) float64 { return p.Size.Nodes * wholeBytes(p, s) },
+		bytes: func(p Plan, s Slopes) float64 { return p.Size.Nodes * scopedBytes(p, s) },
 		seconds: func(p Plan, s Slopes) float64 {
-			return p.Size.Nodes * wholeBytes(p, s) / (replicasToday * linkBytesPerS)
+			return p.Size.Nodes * scopedBytes(p, s) / (replicasToday * linkBytesPerS)
 		},
 		holds: "as above"},
 	{event: "all replicas were down, joins of all nodes", limit: "the leader's lock",
-		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * s.Get(ReportBytes).At(p.Size.Tenants) },
+		bytes:   func(p Plan, s Slopes) float64 { return p.Size.Nodes * s.Get(ReportBytes).At(scopeTenants(p)) },
 		seconds: func(p Plan, s Slopes) float64 { return p.Size.Nodes * joinNanos(p, s) / nanosPerS },
 		holds:   "durable copies: no whole read is needed; reports over 1 s old are let go; nothing at the leader"},
 }
--- a/internal/capacity/inforce.go
+++ b/internal/capacity/inforce.go
@@ -1,18 +1,13 @@
 package capacity
 
-import "math"
+import "slices"
 
 const (
-	diskS          = 0.01 // a write that is synced: raft's log, the agent's copy
-	reportS        = 0.25 // report_ms: a node's next report while its evidence changes
-	verifyS        = 0.05 // the leader gathers reports so long before it confirms that it leads
-	stepS          = 0.1  // between two steps of the leader
-	batchPart      = 0.1  // of the nodes that a release restarts at a time
-	batchS         = 30.0 // in which the nodes of a batch leave and come back
-	roundTripsEach = 5.0  // of a rollout: call, commit, way out, report, confirmation, commit, way out
-	daysPerWeek    = 7.0
-	daysPerYear    = 365.0
-	msPerS         = 1000.0
+	diskS   = 0.01 // a write that is synced: raft's log, the agent's copy
+	reportS = 0.25 // report_ms: a node's next report while its evidence changes
+	verifyS = 0.05 // the leader gathers reports so long before it confirms that it leads
+	stepS   = 0.1  // between two steps of the leader
+	msPerS  = 1000.0
 )
 
 func roundTripS(p Plan) float64 { return p.Input(RoundTripMS) / msPerS }
@@ -41,6 +36,7 @@
 type stage struct {
 	name    string
 	seconds func(p Plan, s Slopes, r reach) float64
+	past    func(p Plan, s Slopes, r reach) float64 // as it was before the mechanism; nil: the same
 	twice   bool
 }
 
@@ -48,10 +44,15 @@
 	return r.nodes / replicasToday * s.Get(IntentReadChange).At(r.tenants) / nanosPerS
 }
 
-func copyS(_ Plan, s Slopes, r reach) float64 {
+// wholeCopyS is the time of a copy that was written whole, copyS that of one saved by difference.
+func wholeCopyS(_ Plan, s Slopes, r reach) float64 {
 	return diskS + (s.Get(CopyTakeChange).At(r.tenants)+s.Get(CopyEncode).At(r.tenants)+s.Get(CopyDecode).At(r.tenants))/nanosPerS
 }
 
+func copyS(_ Plan, s Slopes, r reach) float64 {
+	return diskS + (s.Get(CopyTakeChange).At(r.tenants)+s.Get(CopySave).At(r.tenants))/nanosPerS
+}
+
 func commitS(p Plan, _ Slopes, _ reach) float64 { return roundTripS(p) + diskS }
 
 func oneWayS(p Plan, _ Slopes, _ reach) float64 { return roundTripS(p) / 2 }
@@ -64,9 +65,17 @@
 	return reportS + (tenantNanos(s, r.tenants)+listNanos(p, s))/nanosPerS
 }
 
+// differenceReportS has the agent's decoding and difference too.
+func differenceReportS(p Plan, s Slopes, r reach) float64 {
+	return nodeReportS(p, s, r) + (s.Get(ReportDecode).At(r.tenants)+s.Get(Difference).At(r.tenants))/nanosPerS
+}
+
 func leaderReportsS(p Plan, s Slopes, r reach) float64 {
-	work := s.Get(ReportDecode).At(r.tenants) + s.Get(JudgeReport).At(r.tenants)
-	return 1.5*roundTripS(p) + verifyS + r.nodes*work/p.Input(Cores)/nanosPerS
+	return 1.5*roundTripS(p) + verifyS + r.nodes*reportNanos(s, r.tenants)/p.Input(Cores)/nanosPerS
+}
+
+func wholeLeaderReportsS(p Plan, s Slopes, r reach) float64 {
+	return 1.5*roundTripS(p) + verifyS + r.nodes*wholeReportNanos(s, r.tenants)/p.Input(Cores)/nanosPerS
 }
 
 // leaderStepS goes by every tenant, whatever the reach: the step is not scoped before stage 5.
@@ -79,20 +88,31 @@
 	{name: "commit of what is staged: a round trip and a synced write", seconds: commitS},
 	{name: "fan-out: the reads of a replica's watches, one after another", seconds: fanOutS, twice: true},
 	{name: "to the agents, half a round trip", seconds: oneWayS},
-	{name: "the agent's copy: taken, written, the old one read back", seconds: copyS, twice: true},
+	{name: "the agent's copy: taken, made durable", seconds: copyS, past: wholeCopyS, twice: true},
 	{name: "the node reads it, validates and stages", seconds: nodeReadS},
-	{name: "the node's next report", seconds: nodeReportS},
-	{name: "the reports at the leader: half a round trip, 50 ms gathered, a confirmation, all read", seconds: leaderReportsS},
+	{name: "the node's next report", seconds: differenceReportS, past: nodeReportS},
+	{name: "the reports at the leader: half a round trip, 50 ms gathered, a confirmation, all read", seconds: leaderReportsS, past: wholeLeaderReportsS},
 	{name: "the leader's next step", seconds: leaderStepS},
 	{name: "commit of what is committed", seconds: commitS},
 	{name: "fan-out again", seconds: fanOutS, twice: true},
 	{name: "to the agents again", seconds: oneWayS},
-	{name: "the agent's copy again", seconds: copyS, twice: true},
+	{name: "the agent's copy again", seconds: copyS, past: wholeCopyS, twice: true},
 	{name: "the node reads it and serves by it", seconds: nodeReadS},
 }
 
-// inForceS is the sum of the stages.
-func inForceS(p Plan, s Slopes, r reach, burst bool) float64 {
+// pastStages are the steps as they were before the mechanism.
+func pastStages() []stage {
+	out := slices.Clone(stages)
+	for i := range out {
+		if out[i].past != nil {
+			out[i].seconds = out[i].past
+		}
+	}
+	return out
+}
+
+// inForceS is the sum of stages.
+func inForceS(stages []stage, p Plan, s Slopes, r reach, burst bool) float64 {
 	sum := 0.0
 	for _, st := range stages {
 		sum += st.at(p, s, r, burst)
@@ -107,58 +127,3 @@
 	}
 	return seconds
 }
-
-// rolloutS is a rollout that nothing holds up, without the costs that grow with the plan: as measured on 50 nodes on one machine,
-// with the round trips between regions.
-func rolloutS(p Plan, s Slopes) float64 { return s.Get(Rollout).Value + roundTripsEach*roundTripS(p) }
-
-// Miss is one cause for which changes are not in force in time.
-type Miss struct {
-	Cause   string
-	PerDay  float64 // events
-	WindowS float64 // of each, in which a change that is put misses the bound
-	Part    float64 // of the changes put in it that do miss it
-	Changes float64 // a day
-}
-
-// silentWindowS is the time of puts that a node held up which fell silent: those under way, and those after it that meet what is
-// left of its lease.
-func silentWindowS(p Plan, s Slopes) float64 {
-	r := rolloutS(p, s)
-	return r + max(0, leaseTTLS+r-p.Allowed.InForceS)
-}
-
-// releaseMiss is the part of the changes put during a rolling restart that miss the bound: each try to commit wants an epoch
-// that does not change between the leader's step and the commit.
-func releaseMiss(p Plan) float64 {
-	changesOfEpoch := 2 * batchPart * p.Size.Nodes / batchS
-	try := stepS + roundTripS(p) + diskS
-	succeeds := math.Exp(-changesOfEpoch * try)
-	tries := max(1, p.Allowed.InForceS/try)
-	return math.Pow(1-succeeds, tries)
-}
-
-// Misses gives the causes, by today's rule that a rollout waits for every present node and an unchanged epoch.
-func Misses(p Plan, s Slopes) []Miss {
-	window, nodePart := silentWindowS(p, s), p.Input(NodePart)
-	out := []Miss{
-		{Cause: "a node that fails silently", PerDay: nodePart * p.Failures.MachinesPerDay, WindowS: window, Part: 1},
-		{Cause: "a rack or switch", PerDay: p.Failures.RacksPerWeek / daysPerWeek, WindowS: window, Part: 1},
-		{Cause: "a zone", PerDay: p.Failures.ZonesPerYear / daysPerYear, WindowS: window, Part: 1},
-		{Cause: "a batch of a rolling restart, a tenth of the nodes in 30 s", WindowS: batchS, Part: releaseMiss(p),
-			PerDay: nodePart * p.Failures.RestartsPerDay / (batchPart * p.Size.Nodes)},
-	}
-	for i := range out {
-		m := &out[i]
-		m.Changes = p.Size.ChangesPerDay * m.PerDay * m.WindowS * m.Part / day
-	}
-	return out
-}
-
-func missedChanges(p Plan, s Slopes) float64 {
-	sum := 0.0
-	for _, m := range Misses(p, s) {
-		sum += m.Changes
-	}
-	return sum
-}
--- a/internal/capacity/inputs.go
+++ b/internal/capacity/inputs.go
@@ -9,12 +9,13 @@
 type Inputs struct {
 	Plan     Plan
 	Slopes   Slopes
+	Before   Slopes // of the build before the mechanism
 	DataPath DataPath
 }
 
 // Files name the inputs. Commit, where it is not empty, is the only one whose slopes are taken.
 type Files struct {
-	Plan, Slopes, DataPath, Commit string
+	Plan, Slopes, Before, DataPath, Commit string
 }
 
 // Read reads the inputs. An error is one line that names the file and the key.
@@ -33,6 +34,12 @@
 	if in.Slopes, err = ParseSlopes(raw, f.Commit); err != nil {
 		return Inputs{}, fmt.Errorf("%s: %w", f.Slopes, err)
 	}
+	if raw, err = os.ReadFile(f.Before); err != nil {
+		return Inputs{}, err
+	}
+	if in.Before, err = parseBefore(raw, in.Slopes.Commit); err != nil {
+		return Inputs{}, fmt.Errorf("%s: %w", f.Before, err)
+	}
 	if raw, err = os.ReadFile(f.DataPath); err != nil {
 		return Inputs{}, err
 	}
@@ -41,3 +48,15 @@
 	}
 	return in, nil
 }
+
+// parseBefore reads the slopes of the build before, which must be of another commit than those of now.
+func parseBefore(raw []byte, now string) (Slopes, error) {
+	before, err := ParseSlopes(raw, "")
+	if err != nil {
+		return Slopes{}, err
+	}
+	if before.Commit == now {
+		return Slopes{}, invalid("slopes: commit: %q is that of the slopes of now", now)
+	}
+	return before, nil
+}
--- a/internal/capacity/leaderchecks.go
+++ b/internal/capacity/leaderchecks.go
@@ -8,6 +8,8 @@
 	renewalsPerTTL     = 3.0    // a lease is renewed at a third of its length
 	memoryPart         = 0.5    // of a machine, for one replica
 	viewBytes          = 200.0  // of the judge's memory of one tenant in one node's report
+	baseBytes          = 150.0  // of a tenant's row in a report that is kept as base: 104 and its texts (docs/fleet.md)
+	basesEach          = 2.0    // reports kept of a node: the newest acknowledged one, and the one that it followed
 	linkBytesPerS      = 125e6  // of a machine: 1 Gbit/s
 	listWithinS        = 6.0    // PROTOCOL: a change of the list counts as known 6 s later
 	firstSecond        = 1.0    // s in which a new leader judges nothing
@@ -21,8 +23,11 @@
 	watchesPerAgent    = 2.0    // of the list and of the intent
 )
 
+// pairs are all pairs of node and tenant, scopePairs those of a node and a tenant of its scope.
 func pairs(p Plan) float64 { return p.Size.Nodes * p.Size.Tenants }
 
+func scopePairs(p Plan) float64 { return p.Size.Nodes * scopeTenants(p) }
+
 func halfMemory(p Plan, _ Slopes) float64 { return memoryPart * p.Input(MemoryGB) }
 
 func lockMS(p Plan, _ Slopes) float64 { return p.Allowed.LockMS }
@@ -34,14 +39,29 @@
 }
 
 func joinNanos(p Plan, s Slopes) float64 {
+	return 2*s.Get(GuardScope).At(scopeTenants(p)) + s.Get(MayJoinScope).At(scopeTenants(p))
+}
+
+func wholeJoinNanos(p Plan, s Slopes) float64 {
 	return 2*s.Get(Guard).At(p.Size.Tenants) + s.Get(MayJoin).At(p.Size.Tenants)
 }
 
-// intentFanOutS is the time in which one of today's replicas answers its share of the watches of one change.
-func intentFanOutS(p Plan, s Slopes) float64 {
-	return p.Size.Nodes / replicasToday * s.Get(IntentReadChange).At(p.Size.Tenants) / nanosPerS
+// reportNanos is the leader's work on one report that came as a difference.
+func reportNanos(s Slopes, tenants float64) float64 {
+	return s.Get(Apply).At(tenants) + s.Get(JudgeReport).At(tenants)
+}
+
+// wholeReportNanos is the leader's work on one report that came whole.
+func wholeReportNanos(s Slopes, tenants float64) float64 {
+	return s.Get(ReportDecode).At(tenants) + s.Get(JudgeReport).At(tenants)
 }
 
+var (
+	wholeJoin   = []ID{Guard, MayJoin}
+	scopedJoin  = []ID{GuardScope, MayJoinScope}
+	wholeReport = []ID{ReportDecode, JudgeReport}
+)
+
 func listFanOutS(p Plan, s Slopes) float64 {
 	return p.Size.Nodes / replicasToday * s.Get(ListReadChange).At(p.Size.Servers) / nanosPerS
 }
@@ -62,41 +82,50 @@
 		mechanism: WorkByChange, why: "a new leader's first second, in which it judges nothing",
 		cost:    func(p Plan, s Slopes) float64 { return s.Get(FirstStep).At(p.Size.Tenants) / nanosPerS },
 		allowed: func(Plan, Slopes) float64 { return firstSecond }},
-	{role: RoleLeader, quantity: "a join, under the lock", formula: "tenants × (2 × guard + may join)", slopes: []ID{Guard, MayJoin}, unit: "ms",
+	{role: RoleLeader, quantity: "a join, under the lock", formula: "tenants in scope × (2 × guard + may join)", slopes: scopedJoin, unit: "ms",
 		mechanism: ScopedRollouts, allowed: lockMS,
-		cost: func(p Plan, s Slopes) float64 { return joinNanos(p, s) / nanosPerMS }},
+		cost: func(p Plan, s Slopes) float64 { return joinNanos(p, s) / nanosPerMS },
+		past: &past{wholeJoin, func(p Plan, s Slopes) float64 { return wholeJoinNanos(p, s) / nanosPerMS }}},
 	{role: RoleLeader, quantity: "joins of all nodes after all replicas were down, under the lock",
-		formula: "nodes × tenants × (2 × guard + may join)", slopes: []ID{Guard, MayJoin}, unit: "s", mechanism: ScopedRollouts,
+		formula: "nodes × tenants in scope × (2 × guard + may join)", slopes: scopedJoin, unit: "s", mechanism: ScopedRollouts,
+		past:    &past{wholeJoin, func(p Plan, s Slopes) float64 { return p.Size.Nodes * wholeJoinNanos(p, s) / nanosPerS }},
 		why:     "wanted until all are back",
 		cost:    func(p Plan, s Slopes) float64 { return p.Size.Nodes * joinNanos(p, s) / nanosPerS },
 		allowed: func(Plan, Slopes) float64 { return returnWantedS }},
 	{role: RoleLeader, quantity: "changes put during a rolling restart that miss the bound", unit: "%", mechanism: ScopedRollouts,
-		formula:  "a tenth of the nodes leaves and comes back in 30 s (\"Changes that miss the bound\")",
+		formula:  "a tenth of a scope's nodes leaves and comes back in 30 s (\"Changes that miss the bound\")",
 		reckoned: "at random over the 30 s, without what a node that has joined must still stage",
 		why:      "99 of 100 changes in time",
-		cost:     func(p Plan, _ Slopes) float64 { return percent * releaseMiss(p) },
+		cost:     func(p Plan, _ Slopes) float64 { return percent * releaseMiss(p, scopeNodes(p)) },
+		past:     &past{nil, func(p Plan, _ Slopes) float64 { return percent * releaseMiss(p, p.Size.Nodes) }},
 		allowed:  func(Plan, Slopes) float64 { return missAllowed }},
 	{role: RoleLeader, quantity: "a snapshot, under the lock", formula: "tenants × slope + servers × slope",
 		slopes: []ID{FleetSnapshot, ListSnapshot}, unit: "ms", mechanism: WorkByChange, allowed: lockMS,
 		cost: func(p Plan, s Slopes) float64 { return snapshotNanos(p, s) / nanosPerMS }},
-	{role: RoleLeader, quantity: "a division of quotas, decided and applied", formula: "nodes × tenants × slope", slopes: []ID{Division},
-		unit: "ms", mechanism: LeasesByLoad,
-		cost:    func(p Plan, s Slopes) float64 { return s.Get(Division).At(pairs(p)) / nanosPerMS },
-		allowed: func(p Plan, _ Slopes) float64 { return p.Allowed.StepMS }},
-	{role: RoleLeader, quantity: "leases in a snapshot", formula: "nodes × tenants × slope", slopes: []ID{DivisionBytes}, unit: "GB",
+	{role: RoleLeader, quantity: "a division of quotas, decided and applied", formula: "nodes × tenants in scope × slope",
+		slopes: []ID{Division}, unit: "ms", mechanism: LeasesByLoad,
+		reckoned: "the slope of fleets without scopes taken for each pair",
+		cost:     func(p Plan, s Slopes) float64 { return s.Get(Division).At(scopePairs(p)) / nanosPerMS },
+		past:     &past{[]ID{Division}, func(p Plan, s Slopes) float64 { return s.Get(Division).At(pairs(p)) / nanosPerMS }},
+		allowed:  func(p Plan, _ Slopes) float64 { return p.Allowed.StepMS }},
+	{role: RoleLeader, quantity: "leases in a snapshot", formula: "nodes × tenants in scope × slope", slopes: []ID{DivisionBytes}, unit: "GB",
 		mechanism: LeasesByLoad, why: "half of a machine's memory", allowed: halfMemory,
-		cost: func(p Plan, s Slopes) float64 { return s.Get(DivisionBytes).At(pairs(p)) / bytesPerGB }},
-	{role: RoleLeader, quantity: "the reports of all nodes, processor time", formula: "nodes × 4 a second × tenants × (decode + judge)",
-		slopes: []ID{ReportDecode, JudgeReport}, unit: "cores", mechanism: ReportsByChange,
+		cost: func(p Plan, s Slopes) float64 { return s.Get(DivisionBytes).At(scopePairs(p)) / bytesPerGB },
+		past: &past{[]ID{DivisionBytes}, func(p Plan, s Slopes) float64 { return s.Get(DivisionBytes).At(pairs(p)) / bytesPerGB }}},
+	{role: RoleLeader, quantity: "the reports of all nodes, processor time", formula: "nodes × 4 a second × tenants in scope × (apply + judge)",
+		slopes: []ID{Apply, JudgeReport}, unit: "cores", mechanism: ReportsByChange,
 		cost: func(p Plan, s Slopes) float64 {
-			one := s.Get(ReportDecode).At(p.Size.Tenants) + s.Get(JudgeReport).At(p.Size.Tenants)
-			return p.Size.Nodes * reportsPerS * one / nanosPerS
+			return p.Size.Nodes * reportsPerS * reportNanos(s, scopeTenants(p)) / nanosPerS
 		},
+		past: &past{wholeReport, func(p Plan, s Slopes) float64 {
+			return p.Size.Nodes * reportsPerS * wholeReportNanos(s, p.Size.Tenants) / nanosPerS
+		}},
 		allowed: func(p Plan, _ Slopes) float64 { return p.Input(Cores) }},
-	{role: RoleLeader, quantity: "the judge's memory of the reports", formula: "nodes × tenants × 200 B", unit: "GB",
-		mechanism: ReportsByChange, reckoned: "200 bytes a tenant of a report: the acknowledgement and its place in a map", allowed: halfMemory,
-		why:  "half of a machine's memory",
-		cost: func(p Plan, _ Slopes) float64 { return viewBytes * pairs(p) / bytesPerGB }},
+	{role: RoleLeader, quantity: "memory of the reports: the judge's, and two bases", formula: "nodes × tenants in scope × (200 + 2 × 150 B)",
+		unit: "GB", mechanism: ReportsByChange, allowed: halfMemory, why: "half of a machine's memory",
+		reckoned: "200 bytes a tenant of a report in the judge; 104 bytes and texts in each base",
+		cost:     func(p Plan, _ Slopes) float64 { return (viewBytes + basesEach*baseBytes) * scopePairs(p) / bytesPerGB },
+		past:     &past{nil, func(p Plan, _ Slopes) float64 { return viewBytes * pairs(p) / bytesPerGB }}},
 	{role: RoleLeader, quantity: "renewals, each a command of raft's log", formula: "servers × 3 ÷ 6 s", slopes: []ID{Commits}, unit: "1/s",
 		mechanism: RenewalsOutsideLog, why: "commits measured",
 		cost:    func(p Plan, _ Slopes) float64 { return renewalsPerS(p) },
@@ -110,18 +139,20 @@
 }
 
 var followerChecks = []check{
-	{role: RoleFollower, quantity: "watches of one change of a tenant, staged and committed, under the lock",
-		formula: "2 × nodes ÷ 3 replicas × tenants × slope", slopes: []ID{IntentReadChange}, unit: "s", mechanism: ScopedState,
-		cost:    func(p Plan, s Slopes) float64 { return itemsPerChange * intentFanOutS(p, s) },
+	{role: RoleFollower, quantity: "watches of one change of a tenant, staged and committed, one after another",
+		formula: "2 × nodes of a service ÷ 3 replicas × slope", slopes: []ID{IntentReadChange}, unit: "s", mechanism: ScopedState,
+		cost:    func(p Plan, s Slopes) float64 { return itemsPerChange * fanOutS(p, s, inScope(p)) },
+		past:    &past{[]ID{IntentReadChange}, func(p Plan, s Slopes) float64 { return itemsPerChange * fanOutS(p, s, everywhere(p)) }},
 		allowed: func(p Plan, _ Slopes) float64 { return p.Allowed.InForceS }},
-	{role: RoleFollower, quantity: "watches of one change of the list, under the lock", formula: "nodes ÷ 3 replicas × servers × slope",
+	{role: RoleFollower, quantity: "watches of one change of the list, one after another", formula: "nodes ÷ 3 replicas × slope",
 		slopes: []ID{ListReadChange}, unit: "s", mechanism: ListByService, why: "PROTOCOL's bound",
 		cost: listFanOutS, allowed: func(Plan, Slopes) float64 { return listWithinS }},
-	{role: RoleFollower, quantity: "one whole read of the intent, under the lock", formula: "tenants × slope", slopes: []ID{IntentReadWhole},
-		unit: "ms", mechanism: ScopedState, allowed: lockMS,
-		cost: func(p Plan, s Slopes) float64 { return s.Get(IntentReadWhole).At(p.Size.Tenants) / nanosPerMS }},
-	{role: RoleFollower, quantity: "one whole read of the list, under the lock", formula: "servers × slope", slopes: []ID{ListReadWhole},
-		unit: "ms", mechanism: ListByService, allowed: lockMS,
+	{role: RoleFollower, quantity: "one whole read of the intent of a scope", formula: "tenants in scope × slope", slopes: []ID{ReadScope},
+		unit: "ms", mechanism: ScopedState, allowed: lockMS, why: "as for the lock, which it no longer takes",
+		cost: func(p Plan, s Slopes) float64 { return s.Get(ReadScope).At(scopeTenants(p)) / nanosPerMS },
+		past: &past{[]ID{IntentReadWhole}, func(p Plan, s Slopes) float64 { return s.Get(IntentReadWhole).At(p.Size.Tenants) / nanosPerMS }}},
+	{role: RoleFollower, quantity: "one whole read of the list", formula: "servers × slope", slopes: []ID{ListReadWhole},
+		unit: "ms", mechanism: ListByService, allowed: lockMS, why: "as for the lock, which it no longer takes",
 		cost: func(p Plan, s Slopes) float64 { return s.Get(ListReadWhole).At(p.Size.Servers) / nanosPerMS }},
 	{role: RoleFollower, quantity: "state in memory, without leases", formula: "tenants × heap + servers × 400 B", slopes: []ID{FleetHeap}, unit: "GB",
 		mechanism: None, why: "half of a machine's memory", reckoned: "400 bytes an entry of the list", allowed: halfMemory,
@@ -145,7 +176,7 @@
 		cost:    func(Plan, Slopes) float64 { return renewalsPerTTL / leaseTTLS * renewalBytes },
 		allowed: func(Plan, Slopes) float64 { return registrantAllowedB }},
 	{role: RoleOperator, quantity: "one read of all tenants", formula: "tenants × slope of a snapshot", slopes: []ID{FleetSnapshotSize}, unit: "B",
-		mechanism: ScopedState, reckoned: "a tenant's answer taken as long as its part of a snapshot", why: "the limit of an intent",
+		mechanism: PagedReads, reckoned: "a tenant's answer taken as long as its part of a snapshot", why: "the limit of an intent",
 		cost:    func(p Plan, s Slopes) float64 { return s.Get(FleetSnapshotSize).At(p.Size.Tenants) },
 		allowed: func(Plan, Slopes) float64 { return fleet.IntentLimit }},
 	{role: RoleOperator, quantity: "changes of tenants, at the peak, as commands of raft's log", formula: "3 × changes a second × peak over mean",
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -50,6 +50,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	same, err := Measure(strings.NewReader(benchOutput(func(_, repeat int) float64 { return float64(50 + repeat) })), "out", "run %s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := same[0]; !s.Flat() || math.Abs(s.At(1e6)-50) > 1 || s.High*s.Largest < 51.9 {
+		t.Errorf("a flat cost of 50: %+v gives %g", s, s.At(1e6))
+	}
 	if s := square[0]; math.Abs(s.Exponent-2) > 0.01 || math.Abs(s.At(8000)/64e6-1) > 0.02 {
 		t.Errorf("%+v gives %g at 8,000", s, s.At(8000))
 	}
--- a/internal/capacity/open.go
+++ b/internal/capacity/open.go
@@ -12,35 +12,38 @@
 }
 
 func scopeReportBytes(p Plan, s Slopes) string {
-	return number(reportsPerS*s.Get(ReportBytes).At(scopeTenants(p)), "B/s")
+	return number(s.Get(ReportBytes).At(scopeTenants(p)), "B")
 }
 
 var effects = []effect{
-	{TenantsPerService, "reports with every tenant of a node's scope, 4 a second", scopeReportBytes},
-	{ServicesPerNode, "reports with every tenant of a node's scope, 4 a second", scopeReportBytes},
-	{ActiveTenants, "reports with the active tenants alone, 4 a second", func(p Plan, s Slopes) string {
-		return number(reportsPerS*s.Get(ReportBytes).At(p.Input(ActiveTenants)), "B/s")
+	{TenantsPerService, "a whole report, 262 KB allowed", scopeReportBytes},
+	{ServicesPerNode, "a whole report, 262 KB allowed", scopeReportBytes},
+	{ActiveTenants, "reports, were every active tenant's load in each, 4 a second", func(p Plan, s Slopes) string {
+		return number(reportsPerS*s.Get(DifferenceBytes).At(min(p.Input(ActiveTenants), scopeTenants(p))), "B/s")
 	}},
-	{PeakOverMean, "the agent's copy at the peak, whole intent", func(p Plan, s Slopes) string {
-		work := copyS(p, s, everywhere(p)) - diskS
-		return number(percent*itemsPerChange*changesPerS(p)*p.Input(PeakOverMean)*work, "% of a core")
+	{ChangedRows, "all calls of an agent, 7,000 B/s allowed", func(p Plan, s Slopes) string {
+		return number(s.Get(AgentBytes).Value+differenceBytesPerS(p, s), "B/s")
 	}},
-	{RoutesPerTenant, "tenants at which the whole intent is over 16 MiB", func(p Plan, s Slopes) string {
+	{PeakOverMean, "the agent's copy at the peak", func(p Plan, s Slopes) string {
+		work := scopeCopyNanos(s, scopeTenants(p)) / nanosPerS
+		return number(percent*itemsPerChange*scopeChangesPerS(p)*p.Input(PeakOverMean)*work, "% of a core")
+	}},
+	{RoutesPerTenant, "tenants in a scope at which its intent is over 16 MiB", func(p Plan, s Slopes) string {
 		const benchmarkRoutes = 1
 		each := s.Get(CopyBytes).Value + (p.Input(RoutesPerTenant)-benchmarkRoutes)*routeBytes
 		return number(16*(1<<20)/each, "tenants")
 	}},
 	{RoundTripMS, "a change in scope to in force, at the mean", func(p Plan, s Slopes) string {
-		return number(inForceS(p, s, inScope(p), false), "s")
+		return number(inForceS(stages, p, s, inScope(p), false), "s")
 	}},
 	{NodePart, "changes a day that miss the bound", func(p Plan, s Slopes) string {
-		return number(missedChanges(p, s), "changes")
+		return number(missedChanges(Misses(p, s)), "changes")
 	}},
 	{Cores, "the leader's calm processor time, share of its machine", func(p Plan, s Slopes) string {
 		return number(s.Get(LeaderCPU).At(p.Size.Nodes)/p.Input(Cores), "%")
 	}},
-	{MemoryGB, "tenants with a lease at every node that fit in half of it", func(p Plan, s Slopes) string {
-		each := p.Size.Nodes * s.Get(DivisionBytes).Value
+	{MemoryGB, "tenants with a lease at every node of a service that fit in half of it", func(p Plan, s Slopes) string {
+		each := scopeNodes(p) * s.Get(DivisionBytes).Value
 		return number(memoryPart*p.Input(MemoryGB)*bytesPerGB/each, "tenants")
 	}},
 }
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -67,6 +67,7 @@
 	TenantsPerService OpenName = "tenants_per_service"
 	ServicesPerNode   OpenName = "services_per_node"
 	ActiveTenants     OpenName = "active_tenants"
+	ChangedRows       OpenName = "changed_rows"
 	PeakOverMean      OpenName = "peak_over_mean"
 	RoutesPerTenant   OpenName = "routes_per_tenant"
 	RoundTripMS       OpenName = "round_trip_ms"
@@ -75,7 +76,7 @@
 	MemoryGB          OpenName = "memory_gb"
 )
 
-var openNames = []OpenName{TenantsPerService, ServicesPerNode, ActiveTenants, PeakOverMean, RoutesPerTenant, RoundTripMS,
+var openNames = []OpenName{TenantsPerService, ServicesPerNode, ActiveTenants, ChangedRows, PeakOverMean, RoutesPerTenant, RoundTripMS,
 	NodePart, Cores, MemoryGB}
 
 // Open is an input that the plan leaves open: the value that the page reckons with, and the range it may lie in.
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -29,7 +29,10 @@
 	return b.String()
 }
 
-const digits = 2 // significant ones of a figure
+const (
+	digits = 2    // significant ones of a figure
+	tiny   = 1e-6 // below it a figure is written as that bound
+)
 
 // plain writes a number as the plan has it.
 func plain(v float64) string {
@@ -53,8 +56,11 @@
 
 // figure writes a number with two significant digits, or three where it is over 100.
 func figure(v float64) string {
-	if v == 0 {
+	switch {
+	case v == 0:
 		return "0"
+	case math.Abs(v) < tiny:
+		return "under 0.000001"
 	}
 	precision := digits
 	if math.Abs(v) >= 100 {
@@ -100,15 +106,19 @@
 
 const notRun = "not run"
 
-func slopesTable(s Slopes) table {
-	out := table{name: "slopes", head: []string{"slope", "what", "value (range)", "per", "exponent", "repeats", "measured by"}}
+func slopesTable(name string, s Slopes) table {
+	out := table{name: name, head: []string{"slope", "what", "value (range)", "per", "exponent", "repeats", "measured by"}}
 	for _, slope := range s.Slopes {
 		if !slope.Measured() {
 			out.add("`"+string(slope.ID)+"`", slope.Quantity, notRun, slope.Per, "", "", "")
 			continue
 		}
-		value := fmt.Sprintf("%s (%s to %s)", number(slope.Value, string(slope.Unit)), number(slope.Low, string(slope.Unit)),
-			number(slope.High, string(slope.Unit)))
+		scale, per := 1.0, slope.Per
+		if slope.Flat() {
+			scale, per = slope.Largest, "any number of "+slope.Per
+		}
+		value := fmt.Sprintf("%s (%s to %s)", number(scale*slope.Value, string(slope.Unit)), number(scale*slope.Low, string(slope.Unit)),
+			number(scale*slope.High, string(slope.Unit)))
 		by, fitted := "`"+slope.Command+"`", ""
 		if slope.Source != "" {
 			by += ", " + slope.Source
@@ -116,7 +126,7 @@
 		if slope.Exponent != 0 {
 			fitted = strconv.FormatFloat(slope.Exponent, 'f', 2, 64)
 		}
-		out.add("`"+string(slope.ID)+"`", slope.Quantity, value, slope.Per, fitted, strconv.Itoa(slope.Repeats), by)
+		out.add("`"+string(slope.ID)+"`", slope.Quantity, value, per, fitted, strconv.Itoa(slope.Repeats), by)
 	}
 	return out
 }
@@ -152,10 +162,23 @@
 // share writes a part as a percentage.
 func share(part float64) string { return figure(percent*part) + " %" }
 
-func roleTable(role Role, rows []Row, p Plan) table {
+// before is a row's result before the mechanism, and how far it held.
+func before(r Row) string {
+	if r.NotRun {
+		return notRun
+	}
+	result := number(r.Result, r.unit)
+	if r.Holds() {
+		return result + ", held"
+	}
+	return result + ", to " + share(r.Part)
+}
+
+// roleTable has the rows of a role. past are all rows as they were, in the same order.
+func roleTable(role Role, rows, past []Row, p Plan) table {
 	out := table{name: "role " + string(role),
-		head: []string{"cost", "formula", "slopes", "at the planned size", "allowed", "share used", "verdict", "carried by"}}
-	for _, row := range rows {
+		head: []string{"cost", "formula", "slopes", "before", "at the planned size", "allowed", "share used", "verdict", "carried by"}}
+	for index, row := range rows {
 		if row.role != role {
 			continue
 		}
@@ -173,7 +196,7 @@
 		if row.why != "" {
 			allowed += ": " + row.why
 		}
-		out.add(row.quantity, row.formula, strings.Join(ids, ", "), result, allowed, used, verdict(row, p),
+		out.add(row.quantity, row.formula, strings.Join(ids, ", "), before(past[index]), result, allowed, used, verdict(row, p),
 			string(row.mechanism))
 	}
 	return out
@@ -188,32 +211,38 @@
 	return out
 }
 
-func inForceTable(p Plan, s Slopes) table {
+func inForceTable(p Plan, now, then Slopes) table {
 	all, scoped := everywhere(p), inScope(p)
-	out := table{name: "in force", head: []string{"step", "every tenant on every node", "in a burst", fmt.Sprintf("in scope: %s tenants, %s nodes",
-		figure(scoped.tenants), figure(scoped.nodes)), "in a burst"}}
-	for _, st := range stages {
-		out.add(st.name, number(st.at(p, s, all, false), "s"), number(st.at(p, s, all, true), "s"), number(st.at(p, s, scoped, false), "s"),
-			number(st.at(p, s, scoped, true), "s"))
-	}
-	bound := func(r reach, burst bool) string {
-		sum := inForceS(p, s, r, burst)
+	old := pastStages()
+	out := table{name: "in force", head: []string{"step", "before: every tenant on every node", "in a burst",
+		fmt.Sprintf("now, in scope: %s tenants, %s nodes", figure(scoped.tenants), figure(scoped.nodes)), "in a burst"}}
+	for i, st := range stages {
+		out.add(st.name, number(old[i].at(p, then, all, false), "s"), number(old[i].at(p, then, all, true), "s"),
+			number(st.at(p, now, scoped, false), "s"), number(st.at(p, now, scoped, true), "s"))
+	}
+	bound := func(sum float64) string {
 		if sum > p.Allowed.InForceS {
 			return "**" + number(sum, "s") + ": does not hold**"
 		}
 		return "**" + number(sum, "s") + ": holds**"
 	}
-	out.add(fmt.Sprintf("sum, %s s allowed", plain(p.Allowed.InForceS)), bound(all, false), bound(all, true), bound(scoped, false), bound(scoped, true))
+	out.add(fmt.Sprintf("sum, %s s allowed", plain(p.Allowed.InForceS)), bound(inForceS(old, p, then, all, false)),
+		bound(inForceS(old, p, then, all, true)), bound(inForceS(stages, p, now, scoped, false)), bound(inForceS(stages, p, now, scoped, true)))
 	return out
 }
 
-func missedTable(p Plan, s Slopes) table {
-	out := table{name: "missed", head: []string{"cause", "a day", "window of puts", "part that misses", "changes a day"}}
-	for _, m := range Misses(p, s) {
-		out.add(m.Cause, figure(m.PerDay), number(m.WindowS, "s"), share(m.Part), figure(m.Changes))
+func missedTable(p Plan, now, then Slopes) table {
+	out := table{name: "missed", head: []string{"cause", "a day", "window of puts", "part that missed before", "changes a day before",
+		"part that misses", "changes a day"}}
+	misses, past := Misses(p, now), PastMisses(p, then)
+	for i, m := range misses {
+		out.add(m.Cause, figure(m.PerDay), number(m.WindowS, "s"), share(past[i].Part), figure(past[i].Changes), share(m.Part), figure(m.Changes))
+	}
+	sum := func(misses []Miss) string {
+		missed := missedChanges(misses)
+		return fmt.Sprintf("**%s of %s, %s**", figure(missed), plain(p.Size.ChangesPerDay), share(missed/p.Size.ChangesPerDay))
 	}
-	sum := missedChanges(p, s)
-	out.add("**all**", "", "", "", fmt.Sprintf("**%s of %s, %s**", figure(sum), plain(p.Size.ChangesPerDay), share(sum/p.Size.ChangesPerDay)))
+	out.add("**all**", "", "", "", sum(past), "", sum(misses))
 	return out
 }
 
@@ -238,11 +267,11 @@
 // tables are all tables of the page.
 func tables(in Inputs) []table {
 	plan, slopes := in.Plan, in.Slopes
-	rows := Rows(plan, slopes)
+	rows, past := Rows(plan, slopes), PastRows(plan, in.Before)
 	out := []table{missingTable(rows, plan), dataPathTable(plan, in.DataPath)}
 	for _, role := range []Role{RoleNode, RoleAgent, RoleLeader, RoleFollower, RoleRegistrant, RoleOperator} {
-		out = append(out, roleTable(role, rows, plan))
+		out = append(out, roleTable(role, rows, past, plan))
 	}
-	return append(out, inForceTable(plan, slopes), missedTable(plan, slopes), startsTable(plan, slopes), failuresTable(plan, slopes),
-		openTable(plan, slopes), slopesTable(slopes))
+	return append(out, inForceTable(plan, slopes, in.Before), missedTable(plan, slopes, in.Before), startsTable(plan, slopes), failuresTable(plan, slopes),
+		openTable(plan, slopes), slopesTable("slopes", slopes), slopesTable("slopes before", in.Before))
 }
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -35,7 +35,7 @@
 	Command  string  `json:"command"`  // that measured it
 	Exponent float64 `json:"exponent"` // of a power law through the sizes; 0: not fitted
 	// Largest is the largest size measured; 0: not a sweep. A cost whose exponent is superlinear is carried on from there by its
-	// power law, any other by Value alone.
+	// power law, one that is flat is that of the largest size at every size, any other goes by Value alone.
 	Largest float64 `json:"largest,omitempty"`
 	// Source is the page that gives a slope which no benchmark does; its commit is the page's.
 	Source string `json:"source,omitempty"`
@@ -44,11 +44,20 @@
 // superlinear is the exponent above which a cost is carried on by its power law.
 const superlinear = 1.1
 
+// flat is the exponent below which a cost does not go by the size: what is left is the depth of a tree, or noise.
+const flat = 0.3
+
 // Measured says whether a run has given the slope.
 func (s Slope) Measured() bool { return s.Repeats > 0 }
 
+// Flat says whether the cost does not go by the size.
+func (s Slope) Flat() bool { return s.Largest > 0 && s.Exponent < flat }
+
 // At is the cost at a size.
 func (s Slope) At(size float64) float64 {
+	if s.Flat() {
+		return s.Value * s.Largest
+	}
 	if s.Exponent > superlinear && s.Largest > 0 && size > s.Largest {
 		return s.Value * s.Largest * math.Pow(size/s.Largest, s.Exponent)
 	}
