--- /dev/null
+++ b/internal/fleet/control/bench_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"starlingvalve/internal/fleet"
+	"starlingvalve/internal/fleet/tenants"
+)
+
+// benchmarkSizes are numbers of tenants.
+var benchmarkSizes = []int{1_000, 5_000, 20_000}
+
+// populated gives a state of n tenants, each at its first staged generation, spread over services "service-0" on.
+func populated(tb testing.TB, n, services int) *State {
+	tb.Helper()
+	s := New()
+	revision := uint64(0)
+	for i := range n {
+		spec := fleet.Spec{Name: fmt.Sprintf("tenant-%06d", i), Service: fmt.Sprintf("service-%d", i%services), Quota: fleet.Quota{Rate: 10, Burst: 1}}
+		put := Command{Tenants: &tenants.Command{Op: tenants.Put, Name: spec.Name, Spec: &spec}}
+		if _, err := s.Apply(put, func() uint64 { revision++; return revision }); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return s
+}
+
+// BenchmarkReadChange is what each watcher of the intent costs at a change: the read of one changed tenant.
+func BenchmarkReadChange(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n, 10)
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if in := s.Read(s.Rev-1, "node"); len(in.Items) != 1 {
+					b.Fatalf("%d items, want 1", len(in.Items))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReadWhole is the read of a watcher that holds nothing.
+func BenchmarkReadWhole(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n, 10)
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if in := s.Read(0, "node"); len(in.Items) != n {
+					b.Fatalf("%d items, want %d", len(in.Items), n)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/registry/bench_test.go
@@ -0,0 +1,103 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+)
+
+// benchmarkSizes are numbers of app servers; the last is the planned one.
+var benchmarkSizes = []int{1_000, 5_000, 13_000, 26_000}
+
+// benchmarkStart is the leader's clock when the servers of a benchmark register, Unix ms.
+const benchmarkStart = 1_000_000
+
+// populated gives a list of n servers with leases of 60 s that lapse one ms after another.
+func populated(tb testing.TB, n int) *State {
+	tb.Helper()
+	s := New(1000)
+	for i := range n {
+		e := entry(fmt.Sprintf("server-%06d", i))
+		if _, err := s.Apply(Command{Op: Register, Entry: e, TTLMS: MaxTTLMS, NowMS: benchmarkStart + int64(i)}); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return s
+}
+
+// BenchmarkReadWatch is what each watcher costs at a change: the read of one changed server.
+func BenchmarkReadWatch(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n)
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if a := s.Read(s.Rev-1, true); len(a.Servers) != 1 {
+					b.Fatalf("%d servers, want 1", len(a.Servers))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReadWhole is a read of the whole list.
+func BenchmarkReadWhole(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n)
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if a := s.Read(0, false); len(a.Servers) != n {
+					b.Fatalf("%d servers, want %d", len(a.Servers), n)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkNextExpiry is what the leader asks ten times a second.
+func BenchmarkNextExpiry(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n)
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s.NextExpiry()
+			}
+		})
+	}
+}
+
+// BenchmarkExpireOne is the lapse of one lease, and its registration anew.
+func BenchmarkExpireOne(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n)
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				now := s.NextExpiry()
+				if changed, err := s.Apply(Command{Op: Expire, NowMS: now}); !changed || err != nil {
+					b.Fatalf("changed %v, %v", changed, err)
+				}
+				lapsed := s.Read(s.Rev-1, true).Servers[0]
+				lapsed.State = "ready"
+				s.Apply(Command{Op: Register, Entry: lapsed, TTLMS: MaxTTLMS, NowMS: now})
+			}
+		})
+	}
+}
+
+// BenchmarkRenew is the renewal of one lease by registering again, the list's most frequent command.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range benchmarkSizes {
+		s := populated(b, n)
+		e := entry(fmt.Sprintf("server-%06d", n/2))
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			now := int64(benchmarkStart + n)
+			for b.Loop() {
+				now++
+				if changed, err := s.Apply(Command{Op: Register, Entry: e, TTLMS: MaxTTLMS, NowMS: now}); changed || err != nil {
+					b.Fatalf("changed %v, %v", changed, err)
+				}
+			}
+		})
+	}
+}
