--- a/review/tools/crowd.go
+++ b/review/tools/crowd.go
@@ -30,6 +30,7 @@
 	}
 	var mu sync.Mutex
 	answered, shut, lost := 0, 0, 0
+	due := map[string]time.Time{} // when the client of a request stops waiting
 	var all sync.WaitGroup
 	request := func(i int) {
 		id := fmt.Sprintf("%016x", i)
@@ -39,6 +40,9 @@
 			return
 		}
 		defer c.Close()
+		mu.Lock()
+		due[id] = time.Now().Add(timeLeft)
+		mu.Unlock()
 		a := exchange(c, bufio.NewReader(c), id, "schedule-view", "sahil-pets", timeLeft, timeLeft+grace)
 		mu.Lock()
 		defer mu.Unlock()
@@ -74,6 +78,14 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	all.Wait()
+	toldTooMuch := 0
+	for _, e := range apps.executions() {
+		if left := due[e.id].Sub(e.at); e.timeLeft > left+150*time.Millisecond+50*time.Millisecond {
+			toldTooMuch++
+			b.log("server %s: %s: X-Time-Left %v, and %v were left to the client", e.server, e.id, e.timeLeft, left.Round(time.Millisecond))
+		}
+	}
+	b.log("attempts that told more time than was left, beyond 0.15 s and 50 ms: %d (not judged here)", toldTooMuch)
 	b.log("answered %d, closed without an answer %d, neither %d", answered, shut, lost)
 	return lost > 0, nil
 }
--- a/review/tools/standins.go
+++ b/review/tools/standins.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -62,10 +63,11 @@
 	return l.Addr().String(), nil
 }
 
-// execution is a request that an app server has run.
+// execution is a request that an app server has run. timeLeft is what the node told the server in X-Time-Left.
 type execution struct {
 	id, server string
 	at         time.Time
+	timeLeft   time.Duration
 }
 
 // appServers are the app servers of a case. Each runs a request for its work time and answers with a body that names the
@@ -130,7 +132,8 @@
 		}
 		id := req.Header.Get("X-Correlation-Id")
 		a.mu.Lock()
-		a.runs = append(a.runs, execution{id, server, time.Now()})
+		seconds, _ := strconv.ParseFloat(req.Header.Get("X-Time-Left"), 64)
+		a.runs = append(a.runs, execution{id, server, time.Now(), time.Duration(seconds * float64(time.Second))})
 		a.mu.Unlock()
 		a.b.log("server %s: runs %s, %s %s, X-Time-Left %s", server, id, req.Method, req.URL.Path, req.Header.Get("X-Time-Left"))
 		time.Sleep(a.work)
@@ -157,12 +160,17 @@
 	}
 }
 
-// runsOf returns how often each request has run.
-func (a *appServers) runsOf() map[string]int {
+// executions returns what has run so far.
+func (a *appServers) executions() []execution {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return slices.Clone(a.runs)
+}
+
+// runsOf returns how often each request has run.
+func (a *appServers) runsOf() map[string]int {
 	n := map[string]int{}
-	for _, e := range a.runs {
+	for _, e := range a.executions() {
 		n[e.id]++
 	}
 	return n
