review: the stand-ins as go fix writes them

Need: the module's other Go files have nothing left for go fix to rewrite.

Change: strings.Builder for the commands of replicas and agents.

Measured: go vet and staticcheck with every check find nothing in review/tools; agent-restart, tenant-delete and case 3 end as before.

--- a/review/tools/agent.go
+++ b/review/tools/agent.go
@@ -41,11 +41,12 @@
 }
 
 func (r *replicas) startOne(i int) error {
-	command := "exec bin/discovery serve --id " + r.ids[i] + " --dir " + filepath.Join(r.b.dir, "replica-"+r.ids[i])
+	var command strings.Builder
+	command.WriteString("exec bin/discovery serve --id " + r.ids[i] + " --dir " + filepath.Join(r.b.dir, "replica-"+r.ids[i]))
 	for k := range r.ids {
-		command += fmt.Sprintf(" --peer %s=%s=%s", r.ids[k], r.raft[k], r.web[k])
+		command.WriteString(fmt.Sprintf(" --peer %s=%s=%s", r.ids[k], r.raft[k], r.web[k]))
 	}
-	p, err := r.b.process("replica-"+r.ids[i], command+" "+r.extra)
+	p, err := r.b.process("replica-"+r.ids[i], command.String()+" "+r.extra)
 	r.processes[i] = p
 	return err
 }
@@ -120,11 +121,12 @@
 		return false, err
 	}
 	agentAddr, listen := addrs[0], addrs[1]
-	agentCommand := "exec bin/discovery agent --listen " + agentAddr
+	var agentCommand strings.Builder
+	agentCommand.WriteString("exec bin/discovery agent --listen " + agentAddr)
 	for _, addr := range r.web {
-		agentCommand += " --replica " + addr
+		agentCommand.WriteString(" --replica " + addr)
 	}
-	agent, err := b.process("agent", agentCommand)
+	agent, err := b.process("agent", agentCommand.String())
 	if err != nil {
 		return false, err
 	}
@@ -169,7 +171,7 @@
 		}
 	}
 	b.kill("agent", agent)
-	if _, err := b.process("agent", agentCommand); err != nil {
+	if _, err := b.process("agent", agentCommand.String()); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
