Answer a request with a long body in time when its app server stops taking bytes

Cause: the client's time counts from its last byte, and the node took the reading of that byte for its arrival. It reads the body only as fast as the app server takes it, so a server that takes nothing stopped the clock. upload.answerDeadline had no limit, deadlinePassed passed the deadline over and set no timer again, and stallTimeout, 6 s, was all that was left.

Evidence, before the change: `ss` during the wait has 9,216 unread bytes in the node's socket of the client, the rest of the body with its last byte, and 156,672 unsent bytes towards the hung server; strace has the write that got EAGAIN and no read from the client after it; a goroutine dump has the writer in stallLimitedWriter.Write under bufio's Flush, and the handler in answerWait.next without a timer. This rules out the lock of the upload, a slow event loop and a client that had not sent.

Change: answerClock counts from the last moment at which the client can't have written its last byte: its socket was empty, or more of the body was missing than the two kernels hold. The write deadline, which is renewed before each wait, the wait for the answer and the handler's timer all go by it. A server that still gets on when the client's time is over is served as before, as only a last byte later than that makes its answer of use.

TestUploadEndsWithItsRequest sets the clock's timeout where it set the upload's: the same case under the field's new place.

--- a/internal/node/answer_wait.go
+++ b/internal/node/answer_wait.go
@@ -120,7 +120,7 @@
 	a.drainClosed = nil
 	a.checkClient = nil
 	a.clientGone = a.httpRequest.Context().Done()
-	a.overdue.Reset(a.request.upload.clientTimeout + overdueDelay)
+	a.overdue.Reset(a.request.upload.clock.untilDeadline() + overdueDelay)
 }
 
 // stopUpload rejects the request when the drain takes no more requests, unless its body has come in full.
@@ -144,10 +144,13 @@
 	a.abort()
 }
 
-// deadlinePassed answers a request whose client waits no longer. The deadline does not apply while its body is being forwarded.
+// deadlinePassed answers a request whose client waits no longer. The deadline of a long body moves while the body is forwarded.
 func (a *answerWait) deadlinePassed() (over bool) {
-	if a.uploaded != nil && a.request.upload.isTaken() {
-		return false
+	if a.request.upload != nil {
+		if remaining := a.request.upload.clock.untilDeadline(); remaining > 0 {
+			a.overdue.Reset(remaining + overdueDelay)
+			return false
+		}
 	}
 	a.abandon()
 	a.frontend.log.Warn("request overdue", "id", a.request.arrived.ID)
--- a/internal/node/client_left_test.go
+++ b/internal/node/client_left_test.go
@@ -187,7 +187,7 @@
 		b := newUpstreams(c, 10, discardLog)
 		b.update(c.Known)
 		conn := departedClientConn(t, strings.Repeat("b", rest), false)
-		u := &upload{length: -1, clientTimeout: time.Minute, complete: make(chan struct{}), client: conn,
+		u := &upload{length: -1, clock: newAnswerClock(time.Minute), complete: make(chan struct{}), client: conn,
 			body: &pacedBody{Reader: io.LimitReader(conn, rest), control: http.NewResponseController(httptest.NewRecorder())}}
 		x := &exchange{method: http.MethodPost, url: &url.URL{Host: "h", Path: "/order"}, body: make([]byte, maxBufferedBody+1),
 			deadline: time.Now().Add(testTimeout), upload: u, onBodySent: func() {}}
--- a/internal/node/pipelining.go
+++ b/internal/node/pipelining.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"os"
 	"time"
 
@@ -114,3 +115,28 @@
 func (c *clientConn) clientLeft() bool {
 	return c != nil && polledEvents(c, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
+
+// awaitsBody reports whether the node has read all bytes that have come from the client, and the body of the current request is
+// not complete with them. It is called by the reader. For a nil c, and where the socket can't be polled, the result is true.
+func (c *clientConn) awaitsBody() bool {
+	return c == nil || !c.hasRequestInFlight() && polledEvents(c, unix.POLLIN)&unix.POLLIN == 0
+}
+
+// receiveBufferSize returns how many bytes the kernel holds at most of those that the node has not read from a client, or the
+// largest number if it can't tell.
+func receiveBufferSize(c *clientConn) int64 {
+	if c == nil {
+		return math.MaxInt32
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return math.MaxInt32
+	}
+	size := math.MaxInt32
+	raw.Control(func(fd uintptr) {
+		if n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); err == nil {
+			size = n
+		}
+	})
+	return int64(size)
+}
--- a/internal/node/read_request.go
+++ b/internal/node/read_request.go
@@ -51,7 +51,7 @@
 	}
 	clientTimeout := time.Duration(max(timeLeft, 0)*float64(time.Second)) - clientTimeoutMargin
 	if rest != nil {
-		rest.clientTimeout = clientTimeout
+		rest.clock = newAnswerClock(clientTimeout)
 	}
 	return &request{
 		arrived:  arrivedEvent(r, className),
@@ -110,7 +110,7 @@
 			return nil, nil, bodyError(err)
 		}
 		if more {
-			rest = &upload{body: paced, length: r.ContentLength, complete: make(chan struct{}), client: client}
+			rest = &upload{body: paced, length: r.ContentLength, received: int64(len(body)), complete: make(chan struct{}), client: client}
 			return body, rest, nil
 		}
 	}
--- a/internal/node/request_writer.go
+++ b/internal/node/request_writer.go
@@ -61,31 +61,37 @@
 
 // Write writes all of p. If it returns an error, the last byte of p has not been written.
 func (w *requestWriter) Write(p []byte) (n int, err error) {
-	w.conn.SetWriteDeadline(w.lastByteDeadline())
-	return w.write(p)
+	return w.write(p, w.lastByteDeadline)
 }
 
 // stallLimitedWriter is a requestWriter that allows stallTimeout for each call of Write, within the limits of the request.
 type stallLimitedWriter struct{ *requestWriter }
 
 func (w stallLimitedWriter) Write(p []byte) (int, error) {
-	w.conn.SetWriteDeadline(earliest(w.lastByteDeadline(), time.Now().Add(stallTimeout)))
-	return w.write(p)
+	stallEnd := time.Now().Add(stallTimeout)
+	return w.write(p, func() time.Time {
+		return earliest(w.lastByteDeadline(), stallEnd)
+	})
 }
 
-// write is Write under the write deadline that the connection has.
-func (w *requestWriter) write(p []byte) (n int, err error) {
+// write is Write until the time that deadline returns, which is asked for again before each wait for space in the socket.
+func (w *requestWriter) write(p []byte, deadline func() time.Time) (n int, err error) {
+	w.conn.SetWriteDeadline(deadline())
 	waitErr := w.conn.raw.Write(func(fd uintptr) bool {
 		for n < len(p) && err == nil {
 			var written int
 			written, err = w.writePiece(int(fd), p[n:])
 			n += written
 		}
-		if err == syscall.EAGAIN {
-			err = nil
-			return false // raw.Write calls the function again when the socket has space, and returns at the deadline
+		if err != syscall.EAGAIN {
+			return true
+		}
+		if w.exchange.upload != nil {
+			w.exchange.upload.stalled()
 		}
-		return true
+		w.conn.SetWriteDeadline(deadline())
+		err = w.stopReason() // again: the line above may have replaced the deadline that the end of the request set
+		return err != nil    // after false, raw.Write calls the function again when the socket has space, or returns at the deadline
 	})
 	if n == len(p) {
 		return n, nil
@@ -125,7 +131,12 @@
 		if err == syscall.EINTR {
 			continue
 		}
-		w.started = w.started || n > 0
+		if n > 0 {
+			w.started = true
+			if w.exchange.upload != nil {
+				w.exchange.upload.clock.serverTook()
+			}
+		}
 		return max(n, 0), err
 	}
 }
--- a/internal/node/request_writer_test.go
+++ b/internal/node/request_writer_test.go
@@ -342,7 +342,7 @@
 	}{
 		"the client leaves":       {func(_ *exchange, disconnect context.CancelFunc) { disconnect() }, policy.NotSent},
 		"the window ends":         {func(x *exchange, _ context.CancelFunc) { x.writeBy = time.Now() }, policy.NotSent},
-		"the deadline has passed": {func(x *exchange, _ context.CancelFunc) { x.upload.clientTimeout = 0 }, policy.ConnectFailed},
+		"the deadline has passed": {func(x *exchange, _ context.CancelFunc) { x.upload.clock.timeout = 0 }, policy.ConnectFailed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -365,7 +365,7 @@
 			x := &exchange{request: client, writeLock: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
 				body: make([]byte, maxBufferedBody), deadline: time.Now().Add(testTimeout)}
 			x.onBodySent = func() { close(reached); c.end(x, disconnect) } // called just before the rest of the body is read
-			u := &upload{length: maxBufferedBody + 1, clientTimeout: testTimeout, complete: make(chan struct{}),
+			u := &upload{length: maxBufferedBody + 1, clock: newAnswerClock(testTimeout), complete: make(chan struct{}),
 				body: &pacedBody{Reader: lastByte{}, deadline: time.Now(), deadlineSet: time.Now()}}
 			x.upload = u
 			r := b.roundTrip(t.Context(), b.host(1), x)
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -81,17 +81,17 @@
 // upload is the rest of a long request's body, after the beginning that the node has buffered. It is not stored, so only one
 // attempt can send it.
 type upload struct {
-	body          *pacedBody
-	length        int64         // of the complete body, in bytes; -1 if it is not known
-	clientTimeout time.Duration // how long the client waits for an answer after the last byte of its body
-	client        *clientConn
-	complete      chan struct{} // closed when the last byte has been read
-
-	mu             sync.Mutex     // guards the fields below
-	reader         *requestWriter // the attempt that reads the body, or nil
-	closed         bool
-	clientError    error
-	clientDeadline time.Time // when the client stops waiting for the answer; set before complete is closed
+	body     *pacedBody
+	length   int64 // of the complete body, in bytes; -1 if it is not known
+	received int64 // number of bytes of the body that have been read; only the reader of the body uses it
+	clock    *answerClock
+	client   *clientConn
+	complete chan struct{} // closed when the last byte has been read
+
+	mu          sync.Mutex     // guards the fields below
+	reader      *requestWriter // the attempt that reads the body, or nil
+	closed      bool
+	clientError error
 }
 
 var errBodyUnavailable = errors.New("the rest of the body is not available")
@@ -108,12 +108,16 @@
 		u.reader = w
 		w.exchange.onBodySent()
 	}
+	if u.client.awaitsBody() {
+		u.clock.setIncomplete(true)
+	}
 	n, err := u.body.Read(p)
+	u.received += int64(n)
+	u.clock.setIncomplete(false)
 	switch {
 	case err == io.EOF && u.client.clientLeft(): // the client may have ended long ago, with its bytes unread in the socket
 		n, err = 0, errClientClosed
 	case err == io.EOF:
-		u.clientDeadline = time.Now().Add(u.clientTimeout)
 		close(u.complete)
 	}
 	if err != nil && err != io.EOF {
@@ -154,13 +158,15 @@
 
 func (u *upload) isComplete() bool { return isClosed(u.complete) }
 
-// answerDeadline returns the time at which the client stops waiting for the answer, or the zero time, for no limit, as long as
-// the last byte of the body has not come.
-func (u *upload) answerDeadline() time.Time {
-	if !u.isComplete() {
-		return time.Time{}
+// stalled is called by the reader of the body when the app server takes no more bytes for now. As long as more of the body is
+// missing than the kernels of client and node hold, the client can't have written its last byte, however long the server pauses.
+func (u *upload) stalled() {
+	if u.length < 0 || u.length-u.received <= maxClientSendBuffer {
+		return
+	}
+	if u.length-u.received > maxClientSendBuffer+receiveBufferSize(u.client) {
+		u.clock.setIncomplete(true)
 	}
-	return u.clientDeadline
 }
 
 // uploadError is an attempt's error of which the client's connection or body is the cause, and not the server.
@@ -186,7 +192,7 @@
 		return result{code: policy.ConnectFailed, err: errUnexpectedBytes}, false
 	}
 	c.SetWriteBuffer(kernelBufferSize)
-	w.deadline = u.answerDeadline
+	w.deadline = u.clock.deadline
 	req.ContentLength, req.Body = u.length, io.NopCloser(io.MultiReader(bytes.NewReader(x.body), readFunc(func(p []byte) (int, error) {
 		return u.read(w, p)
 	})))
@@ -200,7 +206,7 @@
 	go func() {
 		err := req.Write(stallLimitedWriter{w})
 		if err == nil {
-			deadline(u.answerDeadline())
+			deadline(u.clock.deadline())
 		}
 		writeDone <- err
 		if err != nil {
--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -13,7 +13,7 @@
 	t.Parallel()
 	for name, readErr := range map[string]error{"the last byte comes": io.EOF, "it does not": io.ErrUnexpectedEOF} {
 		reading, release := make(chan struct{}), make(chan struct{})
-		u := &upload{complete: make(chan struct{}), body: &pacedBody{control: http.NewResponseController(httptest.NewRecorder()),
+		u := &upload{clock: newAnswerClock(testTimeout), complete: make(chan struct{}), body: &pacedBody{control: http.NewResponseController(httptest.NewRecorder()),
 			Reader: readFunc(func([]byte) (int, error) { close(reading); <-release; return 0, readErr })}}
 		w := &requestWriter{exchange: &exchange{onBodySent: func() {}}}
 		read, stoppedEarly := make(chan error), make(chan bool)
