Bound an early answer that its app server does not finish by the client's time

Callers would see: an app server that answers within a long body, as it turns the request away, and stops within that answer, left the client without an answer for 6.0 s, whatever its own time.

The body is given up when the answer begins, the client's time counted from the reading of a last byte that is never read, and the rest of the early answer had stallTimeout alone.

Change: the wait for that rest ends at the answerClock's deadline, or after stallTimeout if that is earlier. The attempt is known not to have run, so that the policy hears of the server's fault and may refuse the request.

Result: TestAppServerStopsWithinEarlyAnswer has six cases.

--- a/internal/node/client_left_test.go
+++ b/internal/node/client_left_test.go
@@ -23,7 +23,7 @@
 func TestRequestEndsOutsideTheLoop(t *testing.T) {
 	t.Parallel()
 	// the client's timeout is longer than the test's
-	long := strings.Replace(orderHead("Content-Length: 80000"), "X-Time-Left: 9\r\n", "X-Time-Left: 90\r\n", 1)
+	long := orderHeadFor(90*time.Second, "Content-Length: 80000")
 	for name, text := range map[string]string{"short": requestText("order", "90", "b"), "bytes after it": requestText("order", "90", "b") + "x",
 		"long": long + strings.Repeat("b", 80000), "the most of a long one": long + strings.Repeat("b", 70000)} {
 		for _, reset := range []bool{false, true} {
--- a/internal/node/streaming_test.go
+++ b/internal/node/streaming_test.go
@@ -27,8 +27,11 @@
 	return c, bufio.NewReader(c)
 }
 
-func orderHead(framing string) string {
-	return fmt.Sprintf("POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: long%d\r\nX-Time-Left: 9\r\n%s\r\n\r\n", ids.Add(1), framing)
+func orderHead(framing string) string { return orderHeadFor(9*time.Second, framing) }
+
+// orderHeadFor returns the head of an order whose client waits for the answer for the given time.
+func orderHeadFor(timeLeft time.Duration, framing string) string {
+	return fmt.Sprintf("POST /order HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: long%d\r\nX-Time-Left: %v\r\n%s\r\n\r\n", ids.Add(1), timeLeft.Seconds(), framing)
 }
 
 // A long body reaches the server unchanged, with a length or chunked, and so does the next request on the connection.
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -231,7 +231,7 @@
 	case clientErr != nil && !early: // err does not show the client's error
 		return result{code: policy.NotSent, err: uploadError{clientErr}}, false
 	case early && peekErr == nil:
-		deadline(time.Now().Add(stallTimeout))
+		deadline(earliest(u.clock.deadline(), time.Now().Add(stallTimeout)))
 		if r, _ := readResult(ctx, c, &exchange{}, req); r.code == policy.Rejected {
 			return r, false
 		}
--- a/internal/node/upload_stall_test.go
+++ b/internal/node/upload_stall_test.go
@@ -12,13 +12,16 @@
 	"time"
 )
 
+// answerBy is when an answer comes at the latest, after the client's time: the rule's half second, and slack for a slow machine.
+const answerBy = stallTimeout / 2
+
 // longOrder writes an order with a long body to w, with a length or chunked. The client waits for the answer for the given time.
 func longOrder(w io.Writer, length int, chunked bool, timeLeft time.Duration) error {
 	framing := fmt.Sprintf("Content-Length: %d", length)
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	head := strings.Replace(orderHead(framing), "X-Time-Left: 9\r\n", fmt.Sprintf("X-Time-Left: %.3f\r\n", timeLeft.Seconds()), 1)
+	head := orderHeadFor(timeLeft, framing)
 	if _, err := io.WriteString(w, head); err != nil {
 		return err
 	}
@@ -45,7 +48,6 @@
 // and not only when the node gives up the stalled transfer. TestAnswerClock has the exact times.
 func TestAppServerStopsWithinLongBody(t *testing.T) {
 	t.Parallel()
-	const answerBy = stallTimeout / 2 // after the client's time: the rule's half second, and slack for a slow machine
 	for name, c := range map[string]struct {
 		pause time.Duration
 		takes int64 // bytes
@@ -85,6 +87,40 @@
 	}
 }
 
+// An app server begins an answer within a long body that its client has sent in full, and stops within that answer. The attempt ends
+// by the client's time, and as the request never ran, the client may try it again.
+func TestAppServerStopsWithinEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	const timeLeft = 500 * time.Millisecond
+	for name, answer := range map[string]string{
+		"half a status line": "HTTP/1.1 50",
+		"half a head":        "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-",
+		"half a body":        "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nfu",
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
+				t.Parallel()
+				addr := startServer(t, func(conn net.Conn) {
+					io.CopyN(io.Discard, conn, 2*maxBufferedBody) // into the part that can't be sent again
+					io.WriteString(conn, answer)
+					<-t.Context().Done()
+				})
+				n := start(t, &Config{Settings: settings(), Known: readyServers(addr)})
+				conn, r := n.dial(t)
+				began := time.Now()
+				go longOrder(conn, 2<<20, chunked, timeLeft)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+					t.Errorf("%+v, %v", resp, err)
+				}
+				if took := time.Since(began); took > timeLeft+answerBy {
+					t.Errorf("the answer came after %v", took)
+				}
+			})
+		}
+	}
+}
+
 // Clients and app servers that are slow with a long body, but get on, are served, however short the client's time for the answer.
 func TestSlowPeersWithinLongBody(t *testing.T) {
 	t.Parallel()
