Test that a drain stops an upload whose client pauses past its time

Callers would see: a client that pauses within a long body for longer than its time got no 503 when the node drained, but an answer after 9.6 s, past SIGKILL for short deadlines; the handler did not hear of the drain's end or of the node's either.

Cause: deadlinePassed asked the upload whether an attempt had taken it, under a lock that the attempt holds while it waits for the client's bytes. The handler stood in that lock until the client went on or its pace was too slow.

Change: none here.

--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 )
 
 // The drain stops an upload early. Before its last byte the request has not run, and is rejected. If the last byte comes at the
@@ -31,3 +34,32 @@
 		}
 	}
 }
+
+// The time of a client that is slow with its body passes while the node waits for the body. The drain still rejects the request, and
+// does not wait until the client goes on.
+func TestDrainStopsUploadAfterClientsTime(t *testing.T) {
+	t.Parallel()
+	begun := make(chan struct{}, 1) // the app server has received a part of the body that can't be sent again
+	addr := startServer(t, func(c net.Conn) {
+		io.CopyN(io.Discard, c, 2*maxBufferedBody)
+		begun <- struct{}{}
+		io.Copy(io.Discard, c)
+	})
+	n := start(t, &Config{Settings: settings(), Known: readyServers(addr)})
+	c, r := n.dial(t)
+	const timeLeft = time.Second
+	head := orderHeadFor(timeLeft, "Content-Length: 1000000")
+	const sent = 400000 // allows the client to pause for as many bytes at minBodyRate
+	io.WriteString(c, head+strings.Repeat("b", sent))
+	<-begun
+	time.Sleep(timeLeft + timeLeft/2)
+	stopped := time.Now()
+	n.stop()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	if took := time.Since(stopped); took > drainAcceptTime+answerBy {
+		t.Errorf("the answer came %v after the drain's beginning", took)
+	}
+}
