Have a failed lab test print the machine's load and what the lab printed

Change: run, through which every lab test plays, logs the load before and after and the lab's own report when its test fails.

--- a/cmd/fleetlab/main_test.go
+++ b/cmd/fleetlab/main_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"meadowsill/internal/lab/bounds"
 )
 
 // build builds the programs that the tests run as processes, in the way that the README does. It returns the paths of the lab and
@@ -70,6 +72,12 @@
 		"--membership-binary", filepath.Join(filepath.Dir(node), "membership"))
 	var stdout bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &stdout, &stdout
+	loadBefore := bounds.MachineLoad()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("%s: the machine's load was %.0f before and %.0f after; the lab printed:\n%s", scenario, loadBefore, bounds.MachineLoad(), stdout.String())
+		}
+	})
 	killTimer := time.AfterFunc(3*time.Minute, func() { cmd.Process.Kill() })
 	defer killTimer.Stop()
 	if err := cmd.Run(); err != nil {
