--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -111,16 +111,12 @@
 			if nodes != 0 {
 				s.Fleet.Nodes = nodes
 			}
-			dir := filepath.Join(out, fmt.Sprintf("%s-%s", s.Name, time.Now().UTC().Format("20060102T150405")))
-			if err := os.MkdirAll(dir, 0o755); err != nil {
-				return err
-			}
-			logFile, err := os.Create(filepath.Join(dir, "lab.log"))
+			directory, err := newRunDirectory(out, s.Name, "lab.log")
 			if err != nil {
 				return err
 			}
-			defer logFile.Close()
-			log := slog.New(slog.NewJSONHandler(logFile, nil)).With("run", filepath.Base(dir))
+			defer directory.close()
+			dir, log := directory.path, directory.log
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			log.Info("run", "scenario", s.Name, "nodes", s.Fleet.Nodes, "servers", s.Fleet.Servers, "seed", s.Seed)
--- a/cmd/fleetlab/scale.go
+++ b/cmd/fleetlab/scale.go
@@ -11,7 +11,6 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -116,16 +115,12 @@
 	if err != nil {
 		return err
 	}
-	dir := filepath.Join(flags.out, fmt.Sprintf("%s-%s", plan.Name, time.Now().UTC().Format("20060102T150405")))
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	logFile, err := os.Create(filepath.Join(dir, "scale.log"))
+	directory, err := newRunDirectory(flags.out, plan.Name, "scale.log")
 	if err != nil {
 		return err
 	}
-	defer logFile.Close()
-	log := slog.New(slog.NewJSONHandler(logFile, nil)).With("run", filepath.Base(dir))
+	defer directory.close()
+	dir, log := directory.path, directory.log
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	results, err := scale.Run(ctx, plan, scale.Options{
