Remove two fields of test worlds that are written and never read

Change: both go, with the map that only filled the second. No assertion used them.

Result: policy, internal/fleet/zones and its simulation pass under the race detector.

--- a/internal/fleet/zones/simulation/world.go
+++ b/internal/fleet/zones/simulation/world.go
@@ -47,14 +47,13 @@
 
 // step is a transition that was applied to the state.
 type step struct {
-	time    fleet.Time
-	key     string
-	source  string
-	target  string
-	event   string
-	before  zones.Entry
-	after   zones.Entry
-	hadPast bool
+	time   fleet.Time
+	key    string
+	source string
+	target string
+	event  string
+	before zones.Entry
+	after  zones.Entry
 }
 
 type simNode struct {
@@ -172,10 +171,8 @@
 		return
 	}
 	old := map[string]zones.Entry{}
-	past := map[string]bool{}
 	for _, change := range c.Items {
 		old[change.Key] = w.state.Directives[change.Key]
-		_, past[change.Key] = w.state.PastRelapses[change.Key]
 	}
 	if _, err := w.state.Apply(c, func() uint64 { w.revision++; return w.revision }); err != nil {
 		if !errors.Is(err, zones.ErrChanged) {
@@ -185,14 +182,13 @@
 	}
 	for _, change := range c.Items {
 		applied := step{
-			time:    w.now,
-			key:     change.Key,
-			event:   change.Event,
-			source:  fleet.Serving,
-			target:  change.Entry.Phase,
-			before:  old[change.Key],
-			after:   w.state.Directives[change.Key],
-			hadPast: past[change.Key],
+			time:   w.now,
+			key:    change.Key,
+			event:  change.Event,
+			source: fleet.Serving,
+			target: change.Entry.Phase,
+			before: old[change.Key],
+			after:  w.state.Directives[change.Key],
 		}
 		if applied.before.Phase != "" {
 			applied.source = applied.before.Phase
--- a/policy/rollout_test.go
+++ b/policy/rollout_test.go
@@ -195,7 +195,6 @@
 		retries    int
 		startCount int
 		node       int
-		timed      []bool
 	}
 	requests := map[RequestID]*liveRequest{}
 	id := 0
@@ -219,7 +218,6 @@
 				q := requests[a.ID]
 				attempt := q.attempts
 				q.attempts++
-				q.timed = append(q.timed, false)
 				target := servers[a.Server]
 				part := r.capacityPart(target, now)
 				if part < 1 {
