--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -75,6 +75,7 @@
 	}
 }
 
+// serveConn reads one call from a connection, carries it out and answers it with a line that begins with ACK or NAK.
 func (s *adminServer) serveConn(c *net.TCPConn) {
 	defer c.Close()
 	stop := context.AfterFunc(s.ctx, func() { c.Close() })
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -128,7 +128,7 @@
 		l.endAttempt(a, n, result{code: policy.NotSent})
 		return
 	}
-	x := &exchange{request: r.context, writeLock: &r.writeLock, method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
+	x := &exchange{requestContext: r.context, writeLock: &r.writeLock, method: r.method, url: r.url, header: r.header, body: r.body, deadline: r.deadline, upload: r.upload}
 	x.onBodySent = func() { l.post(func() { l.handle(policy.BodyStarted{ID: a.ID, Attempt: n}) }) }
 	x.onStream = func(resp *http.Response, held []byte, rest *io.PipeReader) {
 		l.post(func() {
@@ -144,10 +144,10 @@
 			break
 		}
 	}
-	h := l.upstreamPool.host(a.Server)
+	h := l.upstreams.host(a.Server)
 	l.running.Go(func() {
 		defer cancel()
-		res := l.upstreamPool.roundTrip(ctx, h, x)
+		res := l.upstreams.roundTrip(ctx, h, x)
 		l.post(func() { l.endAttempt(a, n, res) })
 	})
 }
@@ -208,14 +208,14 @@
 }
 
 func (l *eventLoop) checkHealth(id policy.ServerID) {
-	h := l.upstreamPool.host(id)
+	h := l.upstreams.host(id)
 	path := "/stats"
 	if l.rules.Load().LoadReportSource == policy.LoadReportsNone {
 		path = "/health/live"
 	}
 	began := time.Now()
 	l.running.Go(func() {
-		res := l.upstreamPool.checkHealth(l.ctx, h, path)
+		res := l.upstreams.checkHealth(l.ctx, h, path)
 		l.post(func() {
 			l.handle(policy.HealthCheckEnded{Server: id, Code: res.code, Elapsed: time.Since(began), Report: res.report})
 		})
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -25,6 +25,7 @@
 	beforeClose func(net.Conn)         // set by tests: called between the check for unread data and the close
 }
 
+// newConnections returns an empty set of connections that allows the given number of them to carry requests.
 func newConnections(limit int) *connections {
 	return &connections{limit: limit, idle: map[net.Conn]time.Time{}, ended: map[net.Conn]bool{}}
 }
@@ -77,12 +78,14 @@
 	}
 }
 
+// overLimit is overLimitLocked for a caller that does not hold mu.
 func (c *connections) overLimit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.overLimitLocked()
 }
 
+// open returns the number of connections whose descriptors are in use.
 func (c *connections) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -117,12 +120,14 @@
 	c.ended[conn] = true
 }
 
+// isEnded reports whether the node has ended a connection, so that no request on it is served.
 func (c *connections) isEnded(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ended[conn]
 }
 
+// track is called by net/http when the state of a connection changes. It records which connections are idle.
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -144,6 +144,7 @@
 	return d.addr, d.addrChanged
 }
 
+// call gets the endpoint list, or its changes, as query asks. It fails after the timeout, and as soon as discovery's address changes.
 func (d *discoveryClient) call(ctx context.Context, query string, timeout time.Duration) (endpointList, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/node/endpoint_races_test.go
+++ b/internal/node/endpoint_races_test.go
@@ -107,9 +107,9 @@
 
 // listedAddr returns the address that the node has for the server in jsonList.
 func (l *eventLoop) listedAddr() string {
-	l.upstreamPool.mu.Lock()
-	defer l.upstreamPool.mu.Unlock()
-	if h := l.upstreamPool.hosts[serverID("s-00000001")]; h != nil {
+	l.upstreams.mu.Lock()
+	defer l.upstreams.mu.Unlock()
+	if h := l.upstreams.hosts[serverID("s-00000001")]; h != nil {
 		return h.addr
 	}
 	return ""
@@ -331,9 +331,9 @@
 		return ""
 	}))
 	host := func() *upstreamHost {
-		l.upstreamPool.mu.Lock()
-		defer l.upstreamPool.mu.Unlock()
-		return l.upstreamPool.hosts[serverID("s-00000001")]
+		l.upstreams.mu.Lock()
+		defer l.upstreams.mu.Unlock()
+		return l.upstreams.hosts[serverID("s-00000001")]
 	}
 	version.Store(2)
 	await(t, "the server", func() bool { return host() != nil })
@@ -352,10 +352,10 @@
 		t.Fatal(err)
 	}
 	defer peer.Close()
-	l.upstreamPool.mu.Lock()
+	l.upstreams.mu.Lock()
 	oldHost.idle = append(oldHost.idle, conn)
-	l.upstreamPool.countConns(1)
-	l.upstreamPool.mu.Unlock()
+	l.upstreams.countConns(1)
+	l.upstreams.mu.Unlock()
 	version.Store(3)
 	await(t, "the server's return", func() bool { h := host(); return h != nil && h != oldHost })
 	peer.SetReadDeadline(time.Now().Add(testTimeout))
@@ -363,11 +363,11 @@
 		t.Errorf("a connection to the old process: %v", err)
 	}
 	newHost := host()
-	l.upstreamPool.mu.Lock()
-	if !oldHost.closed || l.upstreamPool.open != 0 || newHost.startedAt != 3001*time.Millisecond {
-		t.Errorf("closed %v, %d connections, started at %v", oldHost.closed, l.upstreamPool.open, newHost.startedAt)
+	l.upstreams.mu.Lock()
+	if !oldHost.closed || l.upstreams.open != 0 || newHost.startedAt != 3001*time.Millisecond {
+		t.Errorf("closed %v, %d connections, started at %v", oldHost.closed, l.upstreams.open, newHost.startedAt)
 	}
-	l.upstreamPool.mu.Unlock()
+	l.upstreams.mu.Unlock()
 	version.Store(4)
 	await(t, "the server's removal", func() bool { return host() == nil && !l.hasReadyServer.Load() })
 }
--- a/internal/node/endpoint_updates.go
+++ b/internal/node/endpoint_updates.go
@@ -63,7 +63,7 @@
 // request is sent to a server that the list rules out.
 func (l *eventLoop) applyEndpoints(list endpointList, kind policy.EndpointUpdateKind) {
 	l.listVersion = list.version
-	l.upstreamPool.update(list)
+	l.upstreams.update(list)
 	withNames := l.rules.Load().Fleet
 	if list.complete {
 		clear(l.readyServers)
--- a/internal/node/event_loop.go
+++ b/internal/node/event_loop.go
@@ -25,13 +25,13 @@
 // eventLoop owns the policy module. It passes everything that happens to the module as an event, one at a time, and starts
 // the actions that the module requests. The loop never waits for the network.
 type eventLoop struct {
-	module       *policy.Module
-	rules        atomic.Pointer[requestRules] // apply to requests that arrive from now on; only the loop's goroutine changes them
-	upstreamPool *upstreams
-	discovery    *discoveryClient
-	peers        *peerMessenger
-	exclusions   *exclusions // nil without an admin API
-	log          *slog.Logger
+	module     *policy.Module
+	rules      atomic.Pointer[requestRules] // apply to requests that arrive from now on; only the loop's goroutine changes them
+	upstreams  *upstreams
+	discovery  *discoveryClient
+	peers      *peerMessenger
+	exclusions *exclusions // nil without an admin API
+	log        *slog.Logger
 
 	ctx            context.Context // ends every goroutine that the loop starts
 	events         chan func()
@@ -60,7 +60,7 @@
 	now := time.Now()
 	l := &eventLoop{
 		module:             policy.New(c.Settings, c.Seed),
-		upstreamPool:       u,
+		upstreams:          u,
 		discovery:          d,
 		peers:              p,
 		log:                log,
@@ -145,6 +145,7 @@
 	l.handling, l.pendingEvents = false, nil
 }
 
+// perform carries out an action that the module requests. It does not wait for the network.
 func (l *eventLoop) perform(a policy.Action) {
 	switch a := a.(type) {
 	case policy.Forward:
@@ -171,7 +172,7 @@
 			l.post(func() { l.endpointsFetched(n, err) })
 		})
 	case policy.CloseIdleConnections:
-		l.upstreamPool.closeIdle(a.Server)
+		l.upstreams.closeIdle(a.Server)
 	case policy.Log:
 		l.log.Info(a.Line)
 	}
@@ -182,7 +183,7 @@
 	previous := l.rules.Load()
 	s.PollsEndpoints, s.Fleet = previous.PollsEndpoints, previous.Fleet // both are fixed when the node starts
 	l.settingsSince = time.Now()
-	l.upstreamPool.configure(s)
+	l.upstreams.configure(s)
 	l.handle(policy.SettingsChanged{Settings: s})
 	l.rules.Store(newRequestRules(s))
 }
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -20,14 +20,14 @@
 
 // exchange is one request to an app server, and its answer.
 type exchange struct {
-	request   context.Context // the context of the client's request, after whose end nothing is written; nil if there is none
-	writeLock *sync.Mutex     // held during each write, and while the final answer ends the context above; may be nil
-	method    string
-	url       *url.URL
-	header    http.Header
-	body      []byte
-	deadline  time.Time // until which the node waits for the answer
-	writeBy   time.Time // after which nothing is written, unless it is zero
+	requestContext context.Context // the context of the client's request, after whose end nothing is written; nil if there is none
+	writeLock      *sync.Mutex     // held during each write, and while the final answer ends the context above; may be nil
+	method         string
+	url            *url.URL
+	header         http.Header
+	body           []byte
+	deadline       time.Time // until which the node waits for the answer
+	writeBy        time.Time // after which nothing is written, unless it is zero
 
 	upload     *upload                                                     // the rest of a long body after body, or nil
 	onBodySent func()                                                      // called before the first byte of upload is read and sent
@@ -49,18 +49,18 @@
 		return result{code: policy.ConnectFailed, err: errHostClosed}
 	}
 	dialCtx := ctx
-	if x.request != nil { // if the request ends during the dial nothing has been written, so the attempt ends without a cancel
+	if x.requestContext != nil { // if the request ends during the dial nothing has been written, so the attempt ends without a cancel
 		var cancelDial context.CancelFunc
 		dialCtx, cancelDial = context.WithCancel(ctx)
 		defer cancelDial()
-		defer context.AfterFunc(x.request, cancelDial)()
+		defer context.AfterFunc(x.requestContext, cancelDial)()
 	}
 	for {
 		began := time.Now()
 		c, err := u.connect(dialCtx, h, x.deadline)
 		switch {
 		case err == nil:
-		case x.request != nil && x.request.Err() != nil:
+		case x.requestContext != nil && x.requestContext.Err() != nil:
 			return result{code: policy.NotSent, err: errRequestOver}
 		case ctx.Err() != nil:
 			return result{code: policy.Cancelled, err: ctx.Err()}
@@ -137,7 +137,7 @@
 
 // readResult reads the answer to a request. keep is true if the connection can carry another request.
 func readResult(ctx context.Context, c *upstreamConn, x *exchange, req *http.Request) (r result, keep bool) {
-	c.remaining.remaining = maxBufferedAnswer // http.ReadResponse has no limit on the header's size or the number of interim answers
+	c.answerLimit.remaining = maxBufferedAnswer // http.ReadResponse has no limit on the header's size or the number of interim answers
 	resp, err := http.ReadResponse(c.reader, req)
 	for err == nil && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.reader, req)
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -176,6 +176,7 @@
 	return h.sum(func(c *connCounts) int64 { return c.serverConns.Load() }) + reservedSockets
 }
 
+// sum adds up a field of otherCounts. It is 0 if there is no other process.
 func (h *hotRestart) sum(field func(*connCounts) int64) int {
 	if h == nil || !h.hasOther.Load() {
 		return 0
--- a/internal/node/peer_messages.go
+++ b/internal/node/peer_messages.go
@@ -32,6 +32,8 @@
 	log   *slog.Logger
 }
 
+// listenPeerMessages opens the socket for messages between nodes. It returns nil if the configuration names no address for them or
+// the settings allow none.
 func listenPeerMessages(c *Config, log *slog.Logger) (*peerMessenger, error) {
 	if !c.PeerListen.IsValid() || !c.Settings.MayMessagePeers {
 		return nil, nil
--- a/internal/node/request_writer.go
+++ b/internal/node/request_writer.go
@@ -40,8 +40,8 @@
 func newWriter(ctx context.Context, u *upstreams, h *upstreamHost, c *upstreamConn, x *exchange) *requestWriter {
 	w := &requestWriter{ctx: ctx, upstreams: u, host: h, conn: c, exchange: x, deadline: func() time.Time { return x.deadline }}
 	w.detachRequest = func() bool { return true }
-	if x.request != nil {
-		w.detachRequest = sync.OnceValue(context.AfterFunc(x.request, func() { c.SetWriteDeadline(time.Unix(1, 0)) }))
+	if x.requestContext != nil {
+		w.detachRequest = sync.OnceValue(context.AfterFunc(x.requestContext, func() { c.SetWriteDeadline(time.Unix(1, 0)) }))
 	}
 	return w
 }
@@ -145,7 +145,7 @@
 func (w *requestWriter) stopReason() error {
 	now := time.Now()
 	switch limit := w.deadline(); {
-	case w.exchange.request != nil && w.exchange.request.Err() != nil:
+	case w.exchange.requestContext != nil && w.exchange.requestContext.Err() != nil:
 		return errRequestOver
 	case w.ctx.Err() != nil:
 		return w.ctx.Err()
--- a/internal/node/request_writer_test.go
+++ b/internal/node/request_writer_test.go
@@ -106,7 +106,7 @@
 			b.update(readyServers(addr))
 			client, disconnect := context.WithCancel(t.Context())
 			ctx, cancel := context.WithCancel(t.Context())
-			x := &exchange{request: client, writeLock: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
+			x := &exchange{requestContext: client, writeLock: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
 				body: make([]byte, maxBufferedBody), deadline: time.Now().Add(testTimeout)}
 			if c.change != nil {
 				c.change(x)
@@ -258,7 +258,7 @@
 	}
 	x := get(testTimeout)
 	client, disconnect := context.WithCancel(t.Context())
-	x.request = client
+	x.requestContext = client
 	got := make(chan result, 1)
 	go func() { got <- b.roundTrip(t.Context(), b.host(1), x) }()
 	<-dialed
@@ -298,7 +298,7 @@
 	r := &request{}
 	r.context, r.cancel = context.WithCancel(t.Context())
 	x := get(testTimeout)
-	x.request, x.writeLock = r.context, &r.writeLock
+	x.requestContext, x.writeLock = r.context, &r.writeLock
 	b.mu.Lock() // the writer blocks within the write, where it checks whether its host is closed
 	res := make(chan result, 1)
 	go func() { res <- b.exchangeOn(t.Context(), h, c, x) }()
@@ -362,7 +362,7 @@
 			client, disconnect := context.WithCancel(t.Context())
 			defer disconnect()
 			reached := make(chan struct{})
-			x := &exchange{request: client, writeLock: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
+			x := &exchange{requestContext: client, writeLock: new(sync.Mutex), method: "POST", url: &url.URL{Path: "/order", Host: "h"},
 				body: make([]byte, maxBufferedBody), deadline: time.Now().Add(testTimeout)}
 			x.onBodySent = func() { close(reached); c.end(x, disconnect) } // called just before the rest of the body is read
 			u := &upload{length: maxBufferedBody + 1, clock: newAnswerClock(testTimeout), complete: make(chan struct{}),
--- a/internal/node/streaming.go
+++ b/internal/node/streaming.go
@@ -104,7 +104,7 @@
 		}
 		return body, err == nil, err
 	}
-	c.remaining.remaining = 2 * maxLongBody // with space for the chunk framing
+	c.answerLimit.remaining = 2 * maxLongBody // with space for the chunk framing
 	c.SetReadBuffer(kernelBufferSize)
 	// Once an answer is being relayed only stalls limit its time. The new deadline also applies to a read that is waiting.
 	extendDeadline := func() {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -213,7 +213,7 @@
 			deadline(time.Unix(1, 0)) // ends the wait for an answer
 		}
 	}()
-	c.remaining.remaining = maxBufferedAnswer
+	c.answerLimit.remaining = maxBufferedAnswer
 	_, peekErr := c.reader.Peek(1)
 	early := len(writeDone) == 0 && !u.isComplete()
 	if early { // an answer, or the connection's end, has come within the body
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -52,11 +52,11 @@
 
 type upstreamConn struct {
 	*net.TCPConn
-	raw       syscall.RawConn
-	reader    *bufio.Reader
-	remaining *boundedReader // reader reads from it; bounds the bytes of one answer
-	idleSince time.Time      // when the connection was made, or became idle last
-	reused    bool           // the connection has carried a request before
+	raw         syscall.RawConn
+	reader      *bufio.Reader
+	answerLimit *boundedReader // reader reads from it; bounds the bytes of one answer
+	idleSince   time.Time      // when the connection was made, or became idle last
+	reused      bool           // the connection has carried a request before
 }
 
 // boundedReader fails once it has read the given number of bytes. It does not return io.EOF then: an answer without a length
@@ -83,6 +83,7 @@
 	return u
 }
 
+// configure applies the settings that concern connections to app servers.
 func (u *upstreams) configure(s policy.Settings) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -142,11 +143,13 @@
 	}
 }
 
+// closeHost ends the use of a host, whose attempts under way go on. The caller holds mu.
 func (u *upstreams) closeHost(h *upstreamHost) {
 	h.closed = true
 	u.closeAllIdle(h)
 }
 
+// closeAllIdle closes the idle connections to a host. The caller holds mu.
 func (u *upstreams) closeAllIdle(h *upstreamHost) {
 	for _, c := range h.idle {
 		u.drop(c)
@@ -154,6 +157,7 @@
 	h.idle = nil
 }
 
+// drop closes a connection and stops counting it. The caller holds mu.
 func (u *upstreams) drop(c *upstreamConn) {
 	c.Close()
 	u.countConns(-1)
@@ -166,12 +170,14 @@
 	u.restart.count(0, n)
 }
 
+// host returns an app server by its id, or nil if the endpoint list has no ready server of that id.
 func (u *upstreams) host(id policy.ServerID) *upstreamHost {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.hosts[id]
 }
 
+// closeIdle closes the idle connections to a server.
 func (u *upstreams) closeIdle(id policy.ServerID) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -190,6 +196,7 @@
 	}
 }
 
+// sweep closes the idle connections that can't carry a request any more.
 func (u *upstreams) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -294,7 +301,7 @@
 		return nil, err
 	}
 	bounded := &boundedReader{reader: tcp}
-	return &upstreamConn{TCPConn: tcp, raw: raw, reader: bufio.NewReader(bounded), remaining: bounded, idleSince: time.Now()}, nil
+	return &upstreamConn{TCPConn: tcp, raw: raw, reader: bufio.NewReader(bounded), answerLimit: bounded, idleSince: time.Now()}, nil
 }
 
 // evict closes the connection that has been idle longest, to free a slot at the limit. It returns false if none is idle. The
@@ -340,6 +347,7 @@
 	}
 }
 
+// isClosed reports whether no request may be begun on connections to the host.
 func (u *upstreams) isClosed(h *upstreamHost) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
