--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -23,12 +23,14 @@
 	closeOnce func() error  // closes the listener on the first call
 }
 
+// newClientListener returns a listener on tcp that allows the given number of connections at a time.
 func newClientListener(tcp *net.TCPListener, limit int, restart *hotRestart, conns *connections) *clientListener {
 	done := make(chan struct{})
 	closeListener := sync.OnceValue(func() error { close(done); return tcp.Close() })
 	return &clientListener{TCPListener: tcp, slots: make(chan struct{}, limit), restart: restart, conns: conns, done: done, closeOnce: closeListener}
 }
 
+// Close closes the listener. Calls after the first one return the result of the first.
 func (l *clientListener) Close() error { return l.closeOnce() }
 
 // hasWaitingConn reports whether the kernel's accept queue holds a connection that the node has not accepted yet. Such a
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -138,6 +138,7 @@
 	return call.do(argument)
 }
 
+// readyz succeeds if the node wants requests.
 func (s *adminServer) readyz(string) error {
 	if why := s.frontend.notReadyReason(); why != "" {
 		return errors.New(why)
@@ -145,11 +146,13 @@
 	return nil
 }
 
+// evacuate has clients leave the node, until activate.
 func (s *adminServer) evacuate(string) error {
 	s.frontend.evacuated.Store(true)
 	return nil
 }
 
+// activate ends the evacuation. It fails once the process drains.
 func (s *adminServer) activate(string) error {
 	if s.frontend.draining.Load() {
 		return errors.New("the process ends")
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -88,6 +88,7 @@
 	}
 }
 
+// finishRequest gives a request its final answer, unless it has one.
 func (l *eventLoop) finishRequest(id policy.RequestID, a answer) {
 	if r := l.requests[id]; r != nil && !r.answered {
 		l.closeRequest(r)
@@ -112,6 +113,8 @@
 	}
 }
 
+// startAttempt begins an attempt that the module requests. The attempt ends at once as never sent if the request is over, its
+// time has passed or it has had all attempts that its rules allow.
 func (l *eventLoop) startAttempt(a policy.Forward) {
 	r := l.requests[a.ID]
 	if r == nil {
@@ -207,6 +210,7 @@
 	})
 }
 
+// checkHealth makes a health check of a server, whose result the module gets as an event.
 func (l *eventLoop) checkHealth(id policy.ServerID) {
 	h := l.upstreams.host(id)
 	path := "/stats"
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -118,6 +118,7 @@
 	addrChanged chan struct{} // closed and replaced when addr changes
 }
 
+// newDiscoveryClient returns a client for the address of discovery in the configuration.
 func newDiscoveryClient(c *Config, log *slog.Logger) *discoveryClient {
 	return &discoveryClient{addr: c.Discovery, addrChanged: make(chan struct{}), log: log, client: &http.Client{
 		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxConnsPerHost: 4, MaxIdleConnsPerHost: 2}}}
--- a/internal/node/event_loop.go
+++ b/internal/node/event_loop.go
@@ -56,6 +56,7 @@
 	settingsSince      time.Time // when the settings in force were applied
 }
 
+// newEventLoop returns an event loop that is not running yet. p is nil if the node exchanges no messages with others.
 func newEventLoop(ctx context.Context, c *Config, u *upstreams, d *discoveryClient, p *peerMessenger, log *slog.Logger) *eventLoop {
 	now := time.Now()
 	l := &eventLoop{
--- a/internal/node/exclusions.go
+++ b/internal/node/exclusions.go
@@ -202,6 +202,7 @@
 	}
 }
 
+// writeError logs an error of the file and returns the one that the operator gets.
 func (e *exclusions) writeError(err error) error {
 	e.log.Error("exclusions not written", "err", err)
 	return errors.New("it can't be put on file")
@@ -216,6 +217,7 @@
 	}
 }
 
+// isListed reports whether the endpoint list has a server of this name.
 func (e *exclusions) isListed(name string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -64,6 +64,7 @@
 	}
 }
 
+// handleLine follows the framing over one line of a head, a chunk size or a trailer.
 func (f *framing) handleLine(line string) {
 	switch f.part {
 	case inChunkSize:
@@ -90,6 +91,7 @@
 	}
 }
 
+// handleHeaderLine handles the first line of a head, or one of its headers.
 func (f *framing) handleHeaderLine(line string) {
 	if !f.headStarted {
 		f.headStarted = true
@@ -110,6 +112,7 @@
 	}
 }
 
+// endHead chooses what follows the head that has just ended.
 func (f *framing) endHead() {
 	f.headStarted, f.requestCounted = false, false
 	switch {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -48,6 +48,7 @@
 	connections     *connections
 }
 
+// newFrontend returns a frontend that serves requests on at most maxConns connections.
 func newFrontend(l *eventLoop, maxConns int, log *slog.Logger) *frontend {
 	f := &frontend{
 		loop:            l,
@@ -60,6 +61,7 @@
 	return f
 }
 
+// server returns the HTTP server that serves the clients.
 func (f *frontend) server() *http.Server {
 	return &http.Server{
 		Handler:           f,
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -54,6 +54,7 @@
 // arrive during the sleep.
 func (c *clientConn) CloseWrite() error { return c.Close() }
 
+// linger drops the bytes that still arrive until the peer has closed its side, and then releases the connection.
 func (c *clientConn) linger() {
 	defer c.release()
 	buf := make([]byte, lingerBufferSize)
@@ -66,6 +67,7 @@
 	}
 }
 
+// release frees the descriptor and the slot of the connection.
 func (c *clientConn) release() {
 	c.TCPConn.Close()
 	c.releaseSlot()
--- a/internal/node/request_writer.go
+++ b/internal/node/request_writer.go
@@ -67,6 +67,7 @@
 // stallLimitedWriter is a requestWriter that allows stallTimeout for each call of Write, within the limits of the request.
 type stallLimitedWriter struct{ *requestWriter }
 
+// Write is requestWriter.Write for at most stallTimeout.
 func (w stallLimitedWriter) Write(p []byte) (int, error) {
 	stallEnd := time.Now().Add(stallTimeout)
 	return w.write(p, func() time.Time {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,6 +17,7 @@
 	classes map[string]policy.Class
 }
 
+// newRequestRules returns the rules that settings make.
 func newRequestRules(s policy.Settings) *requestRules {
 	r := &requestRules{s, map[string]policy.Class{}}
 	for _, c := range s.Classes {
--- a/internal/node/streaming.go
+++ b/internal/node/streaming.go
@@ -46,6 +46,7 @@
 	s.startLocked()
 }
 
+// startLocked is start for a caller that holds mu.
 func (s *streamedAnswer) startLocked() {
 	if !s.started {
 		s.started = true
@@ -150,6 +151,7 @@
 	return streamed.buffered, complete, err
 }
 
+// hasStarted reports whether the answer is being relayed, or has ended.
 func (s *streamedAnswer) hasStarted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -26,6 +26,7 @@
 	stopped     atomic.Bool
 }
 
+// Read reads from the body by the deadline, which the bytes that it returns extend.
 func (b *pacedBody) Read(p []byte) (int, error) {
 	if b.deadline.Sub(b.deadlineSet) > bodyStartTimeout/10 {
 		b.deadlineSet = b.deadline
@@ -150,12 +151,14 @@
 	return !u.isComplete()
 }
 
+// isTaken reports whether an attempt reads the body, or none can any more. It waits while the body is being read.
 func (u *upload) isTaken() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.reader != nil || u.closed
 }
 
+// isComplete reports whether the last byte has been read.
 func (u *upload) isComplete() bool { return isClosed(u.complete) }
 
 // stalled is called by the reader of the body when the app server takes no more bytes for now. As long as more of the body is
--- a/internal/node/upstreams.go
+++ b/internal/node/upstreams.go
@@ -68,6 +68,7 @@
 
 var errTooLarge = errors.New("the answer is too large")
 
+// Read reads at most as many bytes as remain, and fails once none do.
 func (r *boundedReader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
 		return 0, errTooLarge
@@ -77,6 +78,7 @@
 	return n, err
 }
 
+// newUpstreams returns an empty pool that makes at most limit connections.
 func newUpstreams(c *Config, limit int, log *slog.Logger) *upstreams {
 	u := &upstreams{hosts: map[policy.ServerID]*upstreamHost{}, excluded: map[policy.ServerID]bool{}, limit: limit, dial: dialTCP, log: log}
 	u.configure(c.Settings)
