--- a/review/tools-2/agent_restart.go
+++ b/review/tools-2/agent_restart.go
@@ -10,7 +10,7 @@
 
 // agentRestart: the replicas are gone for 8 s, and meanwhile the agent of one node is restarted. The node has its list, and serves on.
 func agentRestart(r *run) {
-	l := &load{}
+	l := &load{run: r}
 	stop := make(chan struct{})
 	defer close(stop)
 	c, nodes := r.startFleet(l, stop)
--- a/review/tools-2/fleet.go
+++ b/review/tools-2/fleet.go
@@ -75,7 +75,7 @@
 		c.keepRegistered(e, time.Minute, stop)
 	}
 	r.wait("four app servers are listed", 15*time.Second, func() bool {
-		got, code, _, err := readList(c.http[0], "", time.Second)
+		got, code, _, err := readList(c.http[max(0, c.leader())], "", time.Second)
 		return err == nil && code == 200 && len(got.Servers) == 4
 	})
 	var nodes []*fleetNode
--- a/review/tools-2/parts.go
+++ b/review/tools-2/parts.go
@@ -178,6 +178,7 @@
 
 // appServer is an app server as PROTOCOL describes it.
 type appServer struct {
+	run  *run
 	id   string
 	addr string
 	work time.Duration
@@ -188,7 +189,7 @@
 
 // startAppServer starts an app server that works for a time on each request.
 func (r *run) startAppServer(id string, work time.Duration, sent func(id string) bool) *appServer {
-	s := &appServer{id: id, work: work, ran: map[string]int{}, sent: sent}
+	s := &appServer{run: r, id: id, work: work, ran: map[string]int{}, sent: sent}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.fatalf("%v", err)
@@ -212,6 +213,7 @@
 	s.mu.Lock()
 	s.ran[id]++
 	s.mu.Unlock()
+	s.run.logf("app server %s runs %s", s.id, id)
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
@@ -222,6 +224,7 @@
 
 // load is what clients send and are answered.
 type load struct {
+	run  *run
 	mu   sync.Mutex
 	ids  map[string]bool
 	next atomic.Int64
@@ -275,6 +278,7 @@
 		a.status, a.body, err = resp.StatusCode, strings.TrimSpace(string(raw)), readErr
 	}
 	a.err, a.took = err, time.Since(began)
+	l.run.logf("sent %s %s account %q to %s: %d %.40q after %v, %v", a.id, class, account, node, a.status, a.body, a.took.Round(time.Millisecond), a.err)
 	return a
 }
 
--- a/review/tools-2/quota_after_restart.go
+++ b/review/tools-2/quota_after_restart.go
@@ -17,7 +17,7 @@
 		burst  = 20.0
 		length = 10 * time.Second
 	)
-	l := &load{}
+	l := &load{run: r}
 	stop := make(chan struct{})
 	defer close(stop)
 	c, nodes := r.startFleet(l, stop)
--- a/review/tools-2/ready_early.go
+++ b/review/tools-2/ready_early.go
@@ -11,7 +11,7 @@
 // readyEarly: the agent of one node of four is cut off from the replicas. A tenant is removed meanwhile. The node is restarted.
 func readyEarly(r *run) {
 	const catchUp = 10 * time.Second
-	l := &load{}
+	l := &load{run: r}
 	stop := make(chan struct{})
 	defer close(stop)
 	c, nodes := r.startFleet(l, stop)
--- a/review/tools-2/removed_tenant.go
+++ b/review/tools-2/removed_tenant.go
@@ -11,7 +11,7 @@
 // removedTenant: an operator removes a tenant that the nodes' settings name. Then a node is restarted, as planned.
 func removedTenant(r *run) {
 	const tenant = "qatt-care" // one of the accounts of the settings
-	l := &load{}
+	l := &load{run: r}
 	stop := make(chan struct{})
 	defer close(stop)
 	c, nodes := r.startFleet(l, stop)
--- a/review/tools-2/run.go
+++ b/review/tools-2/run.go
@@ -26,7 +26,10 @@
 	dir     string // temporary folder
 	bin     string // folder of the project's programs
 	start   time.Time
-	taken   map[string]bool // by freeAddr; only for the main goroutine
+
+	// Only the main goroutine uses these; see freeAddr.
+	block    net.Listener
+	nextPort int
 
 	mu     sync.Mutex // guards the fields below
 	record *os.File
@@ -120,15 +123,25 @@
 	}
 }
 
-// freeAddr returns a loopback address that is free now. Its port lies below those that the system gives to outgoing connections, one of
-// which might take it before the process for which it is meant.
+// Ports lie below those that the system gives to outgoing connections. A play has a block of them, whose first port it keeps open, so
+// that plays side by side don't take each other's ports.
+const (
+	firstPort = 10000
+	blockSize = 100
+	blocks    = 220
+)
+
+// freeAddr returns a loopback address that is free now, in the block of this play.
 func (r *run) freeAddr() string {
-	for range 100 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(22000))
-		l, err := net.Listen("tcp", addr)
-		if err == nil && !r.taken[addr] {
+	for r.block == nil {
+		r.nextPort = firstPort + blockSize*rand.IntN(blocks)
+		r.block, _ = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", r.nextPort))
+	}
+	for range blockSize - 1 {
+		r.nextPort++
+		addr := fmt.Sprintf("127.0.0.1:%d", r.nextPort)
+		if l, err := net.Listen("tcp", addr); err == nil {
 			l.Close()
-			r.taken[addr] = true
 			return addr
 		}
 	}
@@ -174,7 +187,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	r := &run{trouble: os.Getenv("TROUBLE") != "0", dir: dir, bin: bin, start: time.Now(), taken: map[string]bool{}, record: record}
+	r := &run{trouble: os.Getenv("TROUBLE") != "0", dir: dir, bin: bin, start: time.Now(), record: record}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
