--- a/review/tools-2/run.go
+++ b/review/tools-2/run.go
@@ -197,6 +197,7 @@
 		}
 		r.logf("ended from outside, or out of time")
 		r.end()
+		os.RemoveAll(dir)
 		os.Exit(2)
 	}()
 	defer func() {
